--- /dev/null
+++ b/include/auburnlb/state/log.hpp
@@ -0,0 +1,76 @@
+// Numbered log events over Boost.Log. docs/EVENTS.md is their catalogue.
+#ifndef AUBURNLB_STATE_LOG_HPP
+#define AUBURNLB_STATE_LOG_HPP
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace auburnlb
+{
+
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error,
+};
+
+enum class log_format
+{
+    text,
+    json,
+};
+
+/// The numbers are stable; docs/EVENTS.md describes each.
+enum class log_event
+{
+    process_started = 100,
+    process_stopping = 101,
+    process_stopped = 102,
+    settings_rejected = 103,
+    port_unavailable = 104,
+    configuration_in_force = 200,
+    configuration_stale = 201,
+    platform_unreachable = 202,
+    platform_reachable = 203,
+    configuration_rejected = 204,
+    peer_joined = 300,
+    peer_leaving = 301,
+    peer_lost = 302,
+    peer_replaced = 303,
+    peer_silent = 304,
+    frame_rejected = 305,
+    request_refused = 400,
+    stream_resumed = 401,
+    stream_failed = 402,
+    stream_cancelled = 403,
+    request_quarantined = 404,
+    engine_lost = 500,
+    engine_back = 501,
+    order_refused = 502,
+    claim_home_taken = 600,
+    claim_home_fenced = 601,
+    claim_write_failed = 602,
+    lease_acquired = 700,
+    lease_lost = 701,
+};
+
+/// A named field of an event, such as {"request", "1f-3"} or {"peer", ...}.
+using log_field = std::pair<std::string_view, std::string>;
+
+/// Sets level and format of all events, written to standard error.
+void configure_log(log_level lowest, log_format format, std::string process);
+
+/// Writes one event. Thread-safe.
+void log(log_level level, log_event event,
+         std::initializer_list<log_field> fields, std::string_view message);
+
+/// The lower-case enumerator name.
+char const* to_string(log_event event);
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/state/refusal.hpp
@@ -0,0 +1,77 @@
+// Numbered reasons for refusing a request and for sending work again.
+#ifndef AUBURNLB_STATE_REFUSAL_HPP
+#define AUBURNLB_STATE_REFUSAL_HPP
+
+#include <string>
+
+namespace auburnlb
+{
+
+/// Whether a request that got an error ran. not_run is only said when proved.
+enum class run_state
+{
+    not_run,
+    ran,
+    unknown,
+};
+
+/// Why a request is refused or ends in an error. The numbers are part of the
+/// interface towards callers and never change meaning.
+enum class refusal_reason
+{
+    malformed_request = 1001,
+    body_too_large = 1002,
+    unauthorized = 1003,
+    unknown_service = 1004,
+    unknown_path = 1005,
+    invalid_field = 1006,
+    workspace_rate_limit = 1101,
+    workspace_in_flight_limit = 1102,
+    overloaded = 1103,
+    deadline_unreachable = 1104,
+    entry_stopping = 1105,
+    no_chain = 1201,
+    no_endpoint = 1202,
+    retry_budget_exhausted = 1203,
+    suspected_crash = 1204,
+    deadline_passed = 1205,
+    stream_lost = 1206,
+    endpoint_leaving = 1301,
+    stale_incarnation = 1302,
+    stale_attempt = 1303,
+    wrong_position = 1304,
+    wrong_layer = 1305,
+    stale_version = 1306,
+    engine_failed = 1307,
+    engine_full = 1308,
+    claim_store_unavailable = 1401,
+    key_in_progress = 1402,
+    key_outcome_unknown = 1403,
+    key_body_mismatch = 1404,
+    not_shard_home = 1405,
+    stale_fencing_number = 1406,
+    key_required = 1407,
+    call_outcome_unknown = 1408,
+};
+
+/// Why work is sent a second time. Each has a counter.
+enum class retry_reason
+{
+    stage_died,
+    stage_silent,
+    stage_refused,
+    engine_failed,
+    link_degraded,
+    endpoint_leaving,
+    endpoint_refused,
+    wrong_home,
+};
+
+/// The lower-case enumerator name.
+char const* to_string(run_state state);
+char const* to_string(refusal_reason reason);
+char const* to_string(retry_reason reason);
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/transport/http_client.hpp
@@ -0,0 +1,63 @@
+// Asynchronous HTTP client over libcurl's multi interface.
+#ifndef AUBURNLB_TRANSPORT_HTTP_CLIENT_HPP
+#define AUBURNLB_TRANSPORT_HTTP_CLIENT_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "auburnlb/state/clock.hpp"
+#include "auburnlb/state/error.hpp"
+
+namespace auburnlb
+{
+
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+struct http_request
+{
+    std::string method_ = "GET";
+    std::string url_;
+    http_headers headers_;
+    std::string body_;
+    milliseconds timeout_{5'000};
+};
+
+struct http_response
+{
+    int status_ = 0;
+    http_headers headers_;
+    std::string body_;
+};
+
+/// Looks a header up without regard to case; empty when absent.
+std::string find_header(http_headers const& headers, std::string const& name);
+
+/// Runs requests on one thread of its own. Handlers are called on that thread
+/// and must not wait. error_code::unreachable is only reported when the
+/// connection was never made, so that the request certainly did not leave.
+class http_client
+{
+public:
+    using response_handler = std::function<void(result<http_response>)>;
+
+    http_client();
+    /// Fails what is still running with error_code::answer_lost.
+    ~http_client();
+    http_client(http_client const&) = delete;
+    http_client& operator=(http_client const&) = delete;
+
+    void send(http_request request, response_handler handler);
+    /// Sends and waits. For command-line tools and tests.
+    result<http_response> send_and_wait(http_request request);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/tools/auburnlb/main.cpp
@@ -0,0 +1,5 @@
+// Placeholder front end.
+int main()
+{
+    return 0;
+}
