--- a/test/state/ids_test.cpp
+++ b/test/state/ids_test.cpp
@@ -31,6 +31,7 @@
         {
             while (!stop)
             {
+                ++reads;
                 cell.read([&](pair const& value)
                           { mismatches += value.left_ != value.right_; });
             }
