Add logs, metrics, the HTTP server and the callers' interface

Cause: both daemons need a front: numbered logs, counters for each refusal and retry reason, HTTP with streamed replies, and the chat-completions convention towards callers.

HTTP server: RESTinio reads nothing while a request runs unless two requests may be pipelined; with one, both tests of a caller that leaves fail (seen). It closes the connection of a rejected request without a word, so a socket type of our own sends the 400, 413 or 431 first, with the cause taken from RESTinio's log call. Draining shuts the listening socket down instead of closing it, since closing races with the thread that accepts. RESTinio's own connection counter was ruled out: it refers to the acceptor from connections that may outlive it.

--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -3,6 +3,7 @@
 #define AUBURNLB_STATE_LOG_HPP
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -61,15 +62,29 @@
 /// A named field of an event, such as {"request", "1f-3"} or {"peer", ...}.
 using log_field = std::pair<std::string_view, std::string>;
 
-/// Sets level and format of all events, written to standard error.
+/// Sets level and format of all events, written to standard error. Call it
+/// before other threads log.
 void configure_log(log_level lowest, log_format format, std::string process);
 
-/// Writes one event. Thread-safe.
+/// Writes one event. Thread-safe. An event below the lowest level costs one
+/// comparison.
 void log(log_level level, log_event event,
          std::initializer_list<log_field> fields, std::string_view message);
 
 /// The lower-case enumerator name.
 char const* to_string(log_event event);
+char const* to_string(log_level level);
+
+/// Every event, by ascending number.
+std::span<log_event const> all_log_events();
+
+/// One line without its end, as configure_log's format asks for it. time is the
+/// already rendered time stamp.
+std::string render_event(log_format format, std::string_view process,
+                         std::string_view time, log_level level,
+                         log_event event,
+                         std::initializer_list<log_field> fields,
+                         std::string_view message);
 
 } // namespace auburnlb
 
--- a/include/auburnlb/state/refusal.hpp
+++ b/include/auburnlb/state/refusal.hpp
@@ -2,6 +2,7 @@
 #ifndef AUBURNLB_STATE_REFUSAL_HPP
 #define AUBURNLB_STATE_REFUSAL_HPP
 
+#include <span>
 #include <string>
 
 namespace auburnlb
@@ -72,6 +73,10 @@
 char const* to_string(refusal_reason reason);
 char const* to_string(retry_reason reason);
 
+/// Every reason, in the order of declaration.
+std::span<refusal_reason const> all_refusal_reasons();
+std::span<retry_reason const> all_retry_reasons();
+
 } // namespace auburnlb
 
 #endif
--- a/include/auburnlb/transport/http_server.hpp
+++ b/include/auburnlb/transport/http_server.hpp
@@ -27,8 +27,10 @@
     std::string peer_;
 };
 
-/// The reply to one request. Thread-safe. Exactly one of send() or
-/// begin_stream() is called, once; a later call is ignored.
+/// The reply to one request. Thread-safe, and never waits. Exactly one of
+/// send() or begin_stream() is called, once; a later call is ignored. A reply
+/// that is destroyed before it was sent becomes an error; a stream that was not
+/// ended is cut without its last chunk.
 class http_reply
 {
 public:
@@ -41,7 +43,8 @@
     /// Bytes written and not yet taken by the connection.
     virtual std::size_t unsent_bytes() const = 0;
     /// Called at most once, from a server thread, when the connection closes
-    /// before the reply is complete.
+    /// before the reply is complete; by on_closed itself when it has already
+    /// closed. Not called for connections that stop() closes.
     virtual void on_closed(std::function<void()> handler) = 0;
 };
 
@@ -53,8 +56,9 @@
     std::size_t threads_ = 2;
     std::size_t max_body_bytes_ = 4U << 20U;
     std::size_t max_header_bytes_ = 16U << 10U;
-    /// Limit for receiving one whole request.
+    /// Limit for receiving one whole request, and for an idle connection.
     milliseconds read_timeout_{10'000};
+    /// Connections over this number are closed at once.
     std::size_t max_connections_ = 20'000;
 };
 
@@ -67,7 +71,8 @@
         std::function<void(incoming_request, std::shared_ptr<http_reply>)>;
 
     /// Listens at once; error_code::unreachable with the address in the detail
-    /// when the port is taken.
+    /// when the port is taken, error_code::invalid_input for an address that is
+    /// no IP number. The handler runs on a server thread and must not wait.
     static result<std::unique_ptr<http_server>>
     start(http_server_options options, request_handler handler);
     virtual ~http_server() = default;
--- a/src/state/refusal.cpp
+++ b/src/state/refusal.cpp
@@ -1,9 +1,59 @@
 // Names of refusal and retry reasons.
 #include "auburnlb/state/refusal.hpp"
 
+#include <array>
+
 namespace auburnlb
 {
 
+namespace
+{
+
+constexpr std::array refusal_reasons = {
+    refusal_reason::malformed_request,
+    refusal_reason::body_too_large,
+    refusal_reason::unauthorized,
+    refusal_reason::unknown_service,
+    refusal_reason::unknown_path,
+    refusal_reason::invalid_field,
+    refusal_reason::workspace_rate_limit,
+    refusal_reason::workspace_in_flight_limit,
+    refusal_reason::overloaded,
+    refusal_reason::deadline_unreachable,
+    refusal_reason::entry_stopping,
+    refusal_reason::no_chain,
+    refusal_reason::no_endpoint,
+    refusal_reason::retry_budget_exhausted,
+    refusal_reason::suspected_crash,
+    refusal_reason::deadline_passed,
+    refusal_reason::stream_lost,
+    refusal_reason::endpoint_leaving,
+    refusal_reason::stale_incarnation,
+    refusal_reason::stale_attempt,
+    refusal_reason::wrong_position,
+    refusal_reason::wrong_layer,
+    refusal_reason::stale_version,
+    refusal_reason::engine_failed,
+    refusal_reason::engine_full,
+    refusal_reason::claim_store_unavailable,
+    refusal_reason::key_in_progress,
+    refusal_reason::key_outcome_unknown,
+    refusal_reason::key_body_mismatch,
+    refusal_reason::not_shard_home,
+    refusal_reason::stale_fencing_number,
+    refusal_reason::key_required,
+    refusal_reason::call_outcome_unknown,
+};
+
+constexpr std::array retry_reasons = {
+    retry_reason::stage_died,       retry_reason::stage_silent,
+    retry_reason::stage_refused,    retry_reason::engine_failed,
+    retry_reason::link_degraded,    retry_reason::endpoint_leaving,
+    retry_reason::endpoint_refused, retry_reason::wrong_home,
+};
+
+} // namespace
+
 char const* to_string(run_state state)
 {
     switch (state)
@@ -116,4 +166,14 @@
     return "unknown";
 }
 
+std::span<refusal_reason const> all_refusal_reasons()
+{
+    return refusal_reasons;
+}
+
+std::span<retry_reason const> all_retry_reasons()
+{
+    return retry_reasons;
+}
+
 } // namespace auburnlb
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,258 @@
+// HTTP server over RESTinio.
+#include "auburnlb/transport/http_server.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <system_error>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <sys/socket.h>
+
+#include <restinio/all.hpp>
+
+#include "http_exchange.hpp"
+#include "http_rejection.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// A caller that takes no byte for this long is disconnected.
+constexpr seconds write_timeout{30};
+/// Longer than the longest deadline that a caller can ask for.
+constexpr seconds handling_timeout{1'200};
+/// Two, so that the connection is still read while a request runs: that is how
+/// a caller's departure is seen at once.
+constexpr std::size_t max_pipelined_requests = 2;
+constexpr std::size_t max_header_count = 100;
+constexpr std::size_t read_buffer_bytes = 8U << 10U;
+
+class reply_handle final : public http_reply
+{
+public:
+    explicit reply_handle(std::shared_ptr<exchange> target)
+        : target_(std::move(target))
+    {
+    }
+    reply_handle(reply_handle const&) = delete;
+    reply_handle& operator=(reply_handle const&) = delete;
+    ~reply_handle() override { target_->abandon(); }
+
+    void send(http_response response) override
+    {
+        target_->send(std::move(response));
+    }
+    void begin_stream(int status, http_headers headers) override
+    {
+        target_->begin_stream(status, std::move(headers));
+    }
+    void write(std::string chunk) override { target_->write(chunk); }
+    void end_stream() override { target_->end_stream(); }
+    std::size_t unsent_bytes() const override
+    {
+        return target_->unsent_bytes();
+    }
+    void on_closed(std::function<void()> handler) override
+    {
+        target_->on_closed(std::move(handler));
+    }
+
+private:
+    std::shared_ptr<exchange> target_;
+};
+
+incoming_request convert(restinio::request_t const& request)
+{
+    incoming_request converted;
+    auto const& header = request.header();
+    converted.method_ = header.method().c_str();
+    converted.path_ = std::string(header.path());
+    converted.query_ = std::string(header.query());
+    header.for_each_field(
+        [&](auto const& field)
+        { converted.headers_.emplace_back(field.name(), field.value()); });
+    converted.body_ = request.body();
+    converted.peer_ = request.remote_endpoint().address().to_string() + ':' +
+                      std::to_string(request.remote_endpoint().port());
+    return converted;
+}
+
+std::size_t head_bytes(incoming_request const& request)
+{
+    std::size_t bytes = request.path_.size() + request.query_.size();
+    for (auto const& [name, value] : request.headers_)
+    {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
+class restinio_server final : public http_server
+{
+public:
+    restinio_server(http_server_options options, request_handler handler)
+        : options_(std::move(options))
+        , handler_(std::move(handler))
+        , server_(restinio::external_io_context(context_),
+                  [this](auto& settings) { configure(settings); })
+    {
+    }
+    restinio_server(restinio_server const&) = delete;
+    restinio_server& operator=(restinio_server const&) = delete;
+    ~restinio_server() override { shut_down(); }
+
+    /// Throws std::system_error when the address cannot be taken.
+    void open()
+    {
+        server_.open_sync();
+        for (std::size_t count = 0; count < options_.threads_; ++count)
+        {
+            threads_.emplace_back([this] { context_.run(); });
+        }
+    }
+
+    std::uint16_t port() const override { return port_; }
+
+    /// The listening socket is shut down rather than closed: that is safe while
+    /// server threads use it, and RESTinio then stops accepting by itself.
+    void drain() override
+    {
+        std::lock_guard lock(stop_mutex_);
+        is_draining_ = true;
+        if (!is_stopped_)
+        {
+            ::shutdown(acceptor_handle_, SHUT_RDWR);
+        }
+    }
+
+    void stop() override { shut_down(); }
+
+private:
+    template <class Settings>
+    void configure(Settings& settings)
+    {
+        auto const limits =
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(options_.max_header_bytes_)
+                .max_field_name_size(options_.max_header_bytes_)
+                .max_field_value_size(options_.max_header_bytes_)
+                .max_field_count(max_header_count)
+                .max_body_size(options_.max_body_bytes_);
+        auto const check_period = std::min<nanoseconds>(
+            seconds(1), nanoseconds(options_.read_timeout_) / 4);
+        settings.address(asio::ip::make_address(options_.address_))
+            .port(options_.port_)
+            .incoming_http_msg_limits(limits)
+            .buffer_size(read_buffer_bytes)
+            .max_pipelined_requests(max_pipelined_requests)
+            .read_next_http_message_timelimit(options_.read_timeout_)
+            .write_http_response_timelimit(write_timeout)
+            .handle_request_timeout(handling_timeout)
+            .timer_manager(check_period)
+            .connection_state_listener(
+                std::make_shared<connection_listener>(table_))
+            .ip_blocker(std::make_shared<connection_limit>(
+                table_, options_.max_connections_))
+            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor)
+                                     { remember(acceptor); })
+            .request_handler([this](restinio::request_handle_t request)
+                             { return handle(std::move(request)); });
+    }
+
+    void remember(asio::ip::tcp::acceptor& acceptor)
+    {
+        acceptor_handle_ = acceptor.native_handle();
+        port_ = acceptor.local_endpoint().port();
+    }
+
+    restinio::request_handling_status_t
+    handle(restinio::request_handle_t request)
+    {
+        incoming_request converted = convert(*request);
+        auto const connection = request->connection_id();
+        auto const added = std::make_shared<exchange>(
+            context_, table_, is_draining_, std::move(request));
+        table_.add(connection, added);
+        auto reply = std::make_shared<reply_handle>(added);
+        if (head_bytes(converted) > options_.max_header_bytes_)
+        {
+            reply->send(head_too_large());
+            return restinio::request_accepted();
+        }
+        handler_(std::move(converted), std::move(reply));
+        return restinio::request_accepted();
+    }
+
+    void shut_down()
+    {
+        {
+            std::lock_guard lock(stop_mutex_);
+            if (std::exchange(is_stopped_, true))
+            {
+                return;
+            }
+        }
+        context_.stop();
+        for (std::thread& each : threads_)
+        {
+            each.join();
+        }
+        server_.close_sync();
+        table_.detach_all();
+    }
+
+    http_server_options options_;
+    request_handler handler_;
+    connection_table table_;
+    std::atomic<bool> is_draining_{false};
+    std::mutex stop_mutex_;
+    bool is_stopped_ = false;
+    int acceptor_handle_ = -1;
+    std::uint16_t port_ = 0;
+    asio::io_context context_;
+    restinio::http_server_t<server_traits> server_;
+    std::vector<std::thread> threads_;
+};
+
+error listen_error(std::string const& address, std::system_error const& cause)
+{
+    return {error_code::unreachable, "listen for HTTP", address,
+            "cannot listen on " + address + ": " + cause.what()};
+}
+
+} // namespace
+
+result<std::unique_ptr<http_server>>
+http_server::start(http_server_options options, request_handler handler)
+{
+    asio::error_code failure;
+    asio::ip::make_address(options.address_, failure);
+    if (failure)
+    {
+        return error{error_code::invalid_input,
+                     "listen for HTTP",
+                     {},
+                     "address is \"" + options.address_ +
+                         "\", an IP number is allowed"};
+    }
+    std::string const address =
+        options.address_ + ':' + std::to_string(options.port_);
+    try
+    {
+        auto server = std::make_unique<restinio_server>(std::move(options),
+                                                        std::move(handler));
+        server->open();
+        return std::unique_ptr<http_server>(std::move(server));
+    }
+    catch (std::system_error const& cause)
+    {
+        return listen_error(address, cause);
+    }
+}
+
+} // namespace auburnlb
