--- a/src/transport/caller_api.cpp
+++ b/src/transport/caller_api.cpp
@@ -66,6 +66,14 @@
 /// Gives a discarded value for what is not JSON or is nested too deeply.
 json parse_json(std::string const& text)
 {
+    auto const opening = std::count_if(
+        text.begin(), text.end(),
+        [](char letter) { return letter == '[' || letter == '{'; });
+    if (opening <= max_json_depth)
+    {
+        // Watching the depth doubles the cost of parsing.
+        return json::parse(text, nullptr, false);
+    }
     bool is_too_deep = false;
     auto const check_depth = [&](int depth, json::parse_event_t, json&)
     {
@@ -327,20 +335,45 @@
         {"prompt_tokens_details", {{"cached_tokens", usage.cached_tokens_}}}};
 }
 
-json render_chunk(answer_head const& head, json delta, json finish)
+std::string render_event(event_id const& id, std::string const& data)
+{
+    return "id: " + to_string(id) + "\ndata: " + data + "\n\n";
+}
+
+/// Renders a JSON string. Most tokens need no escape, and a stream pays for
+/// this once a token.
+std::string render_string(std::string const& text)
 {
-    return {{"id", completion_id(head)},
-            {"object", "chat.completion.chunk"},
-            {"created", head.created_s_},
-            {"model", head.model_},
-            {"choices", json::array({{{"index", 0},
-                                      {"delta", std::move(delta)},
-                                      {"finish_reason", std::move(finish)}}})}};
+    bool const is_plain =
+        std::all_of(text.begin(), text.end(),
+                    [](char letter) {
+                        return letter >= ' ' && letter < 0x7F &&
+                               letter != '"' && letter != '\\';
+                    });
+    return is_plain ? '"' + text + '"' : dump(text);
 }
 
-std::string render_event(event_id const& id, json const& data)
+/// The JSON text is put together by hand: by way of a JSON value it takes
+/// several times as long. finish and extra are JSON text, extra begins with a
+/// comma.
+std::string render_chunk(answer_head const& head, std::string const& delta,
+                         std::string const& finish,
+                         std::string const& extra = {})
 {
-    return "id: " + to_string(id) + "\ndata: " + dump(data) + "\n\n";
+    std::string chunk = R"({"id":")";
+    chunk.append(completion_id(head))
+        .append(R"(","object":"chat.completion.chunk","created":)")
+        .append(std::to_string(head.created_s_))
+        .append(R"(,"model":)")
+        .append(render_string(head.model_))
+        .append(R"(,"choices":[{"index":0,"delta":)")
+        .append(delta)
+        .append(R"(,"finish_reason":)")
+        .append(finish)
+        .append("}]")
+        .append(extra)
+        .append("}");
+    return chunk;
 }
 
 json render_error(refusal_reason reason, run_state state,
@@ -558,21 +591,20 @@
 std::string format_stream_event(answer_head const& head, std::uint32_t index,
                                 std::string const& text)
 {
-    json delta = {{"content", text}};
-    if (index == 0)
-    {
-        delta["role"] = "assistant";
-    }
+    std::string delta = index == 0 ? R"({"role":"assistant",)" : "{";
+    delta.append(R"("content":)").append(render_string(text)).append("}");
     return render_event({head.request_, index},
-                        render_chunk(head, std::move(delta), nullptr));
+                        render_chunk(head, delta, "null"));
 }
 
 std::string format_stream_end(answer_head const& head, std::uint32_t index,
                               finish_reason reason, answer_usage const& usage)
 {
-    json last = render_chunk(head, json::object(), to_string(reason));
-    last["usage"] = render_usage(usage);
-    return render_event({head.request_, index}, last) + "data: [DONE]\n\n";
+    std::string const finish = render_string(to_string(reason));
+    std::string const extra = ",\"usage\":" + dump(render_usage(usage));
+    return render_event({head.request_, index},
+                        render_chunk(head, "{}", finish, extra)) +
+           "data: [DONE]\n\n";
 }
 
 std::string format_stream_error(refusal_reason reason, run_state state,
