--- /dev/null
+++ b/src/transport/companion.cpp
@@ -0,0 +1,604 @@
+// Runtime of the companion. One thread owns all of its state; the bus, the
+// engine client and the timer post to it.
+#include "auburnlb/transport/companion.hpp"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include <asio.hpp>
+
+#include "auburnlb/protocol/stage.hpp"
+#include "auburnlb/state/log.hpp"
+#include "auburnlb/state/metrics.hpp"
+#include "auburnlb/transport/engine_client.hpp"
+#include "auburnlb/transport/http_client.hpp"
+#include "auburnlb/transport/message_bus.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+constexpr milliseconds tick_interval{100};
+/// An entry that has not said hello for this long is no longer told updates.
+constexpr seconds entry_lifetime{30};
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+class companion_runtime final : public companion
+{
+public:
+    explicit companion_runtime(companion_options options)
+        : options_(std::move(options))
+        , work_(asio::make_work_guard(io_))
+        , timer_(io_)
+        , engine_(http_, options_.endpoint_url_)
+    {
+        table_.incarnation_ = options_.incarnation_;
+    }
+
+    ~companion_runtime() override
+    {
+        if (bus_)
+        {
+            bus_->close();
+        }
+        work_.reset();
+        io_.stop();
+        wait();
+    }
+
+    result<void*> open()
+    {
+        auto bus = message_bus::open(
+            options_.bus_address_, options_.incarnation_,
+            [this](envelope received)
+            {
+                asio::post(io_, [this, received = std::move(received)]() mutable
+                           { on_message(std::move(received)); });
+            },
+            [](std::string const&, bool) {},
+            [this]
+            {
+                metrics_.add("auburnlb_garbage_frames_total");
+                log(log_level::warning, log_event::frame_rejected, {},
+                    "a frame on the internal port is no message");
+            });
+        if (!bus)
+        {
+            return bus.error();
+        }
+        bus_ = std::move(bus).value();
+        table_.address_ = bus_->address();
+        thread_ = std::thread([this] { io_.run(); });
+        asio::post(io_, [this] { poll_engine(); });
+        schedule_tick();
+        return static_cast<void*>(nullptr);
+    }
+
+    std::string address() const override { return bus_->address(); }
+
+    void begin_leaving() override
+    {
+        asio::post(io_, [this] { leave(); });
+    }
+
+    void wait() override
+    {
+        if (thread_.joinable())
+        {
+            thread_.join();
+        }
+    }
+
+    std::string render_metrics() const override { return metrics_.render(); }
+
+private:
+    /// A step that was accepted and has not been answered by the engine.
+    struct pending_step
+    {
+        step_frame frame_;
+        std::int32_t priority_ = 0;
+        std::uint32_t prompt_tokens_ = 0;
+        bool is_last_stage_ = false;
+        time_point accepted_at_{};
+    };
+
+    void on_message(envelope received)
+    {
+        std::visit([this, &received](auto& body)
+                   { on_body(received.sender_, body); },
+                   received.body_);
+    }
+
+    /// Messages that are not for a companion.
+    template <class Body>
+    void on_body(incarnation_id /*sender*/, Body& /*body*/)
+    {
+        metrics_.add("auburnlb_unexpected_messages_total");
+    }
+
+    void on_body(incarnation_id /*sender*/, hello& body)
+    {
+        entries_[body.from_address_] = now();
+        hello_reply reply;
+        reply.nonce_ = body.nonce_;
+        reply.from_address_ = table_.address_;
+        reply.endpoint_ = describe();
+        bus_->send(body.from_address_, std::move(reply));
+    }
+
+    void on_body(incarnation_id /*sender*/, step_frame& frame)
+    {
+        step_verdict const verdict = accept_step(table_, frame, now());
+        if (auto const* const reason = std::get_if<refusal_reason>(&verdict))
+        {
+            refuse(frame, *reason);
+            return;
+        }
+        auto const& accepted = std::get<step_accepted>(verdict);
+        if (accepted.replaced_attempt_)
+        {
+            release(frame.request_, *accepted.replaced_attempt_);
+        }
+        stage_stream const& stream = table_.streams_.at(frame.request_);
+        pending_step step;
+        step.priority_ = stream.route_.priority_;
+        step.prompt_tokens_ = stream.route_.prompt_tokens_;
+        step.is_last_stage_ =
+            stream.stage_index_ + 1 == stream.route_.stages_.size();
+        step.accepted_at_ = now();
+        step.frame_ = std::move(frame);
+        waiting_.push_back(std::move(step));
+        pump();
+    }
+
+    void on_body(incarnation_id /*sender*/, cancel_stream& body)
+    {
+        std::optional<std::uint32_t> const released =
+            cancel_at_stage(table_, body, now());
+        if (released)
+        {
+            std::erase_if(waiting_,
+                          [&body](pending_step const& step)
+                          {
+                              return step.frame_.request_ == body.request_ &&
+                                     step.frame_.attempt_ <= body.attempt_;
+                          });
+            release(body.request_, *released);
+            flush_releases();
+        }
+        stop_when_idle();
+    }
+
+    void refuse(step_frame const& frame, refusal_reason reason)
+    {
+        auto const known = table_.streams_.find(frame.request_);
+        std::string entry;
+        if (frame.route_)
+        {
+            entry = frame.route_->entry_address_;
+        }
+        else if (known != table_.streams_.end() && known->second.is_running_)
+        {
+            entry = known->second.route_.entry_address_;
+        }
+        metrics_.count_refusal(reason);
+        log(log_level::info, log_event::frame_rejected,
+            {{"request", to_string(frame.request_)},
+             {"attempt", std::to_string(frame.attempt_)},
+             {"reason", to_string(reason)}},
+            "step frame refused");
+        // Frames of older attempts and repeated positions are late copies; the
+        // stream itself goes on.
+        bool const is_late = reason == refusal_reason::stale_attempt ||
+                             (reason == refusal_reason::wrong_position &&
+                              known != table_.streams_.end() &&
+                              frame.position_ < known->second.next_position_);
+        if (entry.empty() || is_late)
+        {
+            return;
+        }
+        bus_->send(entry, step_refusal{frame.request_, frame.attempt_, reason,
+                                       table_.address_});
+    }
+
+    void release(request_id const& request, std::uint32_t attempt)
+    {
+        releases_.insert(engine_stream_name(request, attempt));
+    }
+
+    /// The engine would create a released stream anew for a step that is still
+    /// on its way to it, so a release waits for the stream's steps.
+    void flush_releases()
+    {
+        std::vector<std::string> ready;
+        for (auto name = releases_.begin(); name != releases_.end();)
+        {
+            if (running_.contains(*name))
+            {
+                ++name;
+                continue;
+            }
+            ready.push_back(*name);
+            name = releases_.erase(name);
+        }
+        if (!ready.empty() && is_engine_up_)
+        {
+            engine_.release(ready, [](result<bool>) {});
+        }
+    }
+
+    void pump()
+    {
+        while (!waiting_.empty() && calls_ < options_.engine_calls_)
+        {
+            std::vector<pending_step> batch;
+            std::vector<engine_step> steps;
+            std::size_t const count =
+                std::min(waiting_.size(), options_.max_batch_);
+            for (std::size_t index = 0; index < count; ++index)
+            {
+                pending_step& step = waiting_.front();
+                steps.push_back(to_engine_step(step));
+                running_.insert(steps.back().stream_);
+                batch.push_back(std::move(step));
+                waiting_.pop_front();
+            }
+            run_batch(std::move(batch), std::move(steps));
+        }
+    }
+
+    static engine_step to_engine_step(pending_step const& step)
+    {
+        engine_step result;
+        result.stream_ =
+            engine_stream_name(step.frame_.request_, step.frame_.attempt_);
+        result.position_ = step.frame_.position_;
+        result.inputs_ = step.frame_.inputs_;
+        result.prompt_tokens_ = step.prompt_tokens_;
+        result.priority_ = step.priority_;
+        result.is_last_stage_ = step.is_last_stage_;
+        return result;
+    }
+
+    void run_batch(std::vector<pending_step> batch,
+                   std::vector<engine_step> steps)
+    {
+        ++calls_;
+        engine_.run(
+            steps,
+            [this, batch = std::move(batch)](
+                result<std::vector<engine_step_result>> outcome) mutable
+            {
+                asio::post(io_, [this, batch = std::move(batch),
+                                 outcome = std::move(outcome)]() mutable
+                           { on_batch(std::move(batch), std::move(outcome)); });
+            });
+    }
+
+    void on_batch(std::vector<pending_step> batch,
+                  result<std::vector<engine_step_result>> outcome)
+    {
+        --calls_;
+        for (pending_step const& step : batch)
+        {
+            running_.erase(running_.find(engine_stream_name(
+                step.frame_.request_, step.frame_.attempt_)));
+        }
+        if (!outcome)
+        {
+            on_engine_lost(outcome.error());
+            for (pending_step const& step : batch)
+            {
+                fail_step(step, refusal_reason::engine_failed);
+            }
+        }
+        else
+        {
+            for (std::size_t index = 0; index < batch.size(); ++index)
+            {
+                on_step_done(batch[index], std::move(outcome.value()[index]));
+            }
+        }
+        flush_releases();
+        pump();
+        stop_when_idle();
+    }
+
+    void on_step_done(pending_step const& step, engine_step_result done)
+    {
+        if (!done.failure_.empty())
+        {
+            fail_step(step, done.failure_ == "full"
+                                ? refusal_reason::engine_full
+                                : refusal_reason::engine_failed);
+            return;
+        }
+        note_step_time(step);
+        std::vector<step_forward> forwards = forward_step(
+            table_, step.frame_,
+            {std::move(done.outputs_), done.is_end_, done.cached_tokens_},
+            load());
+        for (step_forward& forward : forwards)
+        {
+            send_forward(step, std::move(forward));
+        }
+    }
+
+    void send_forward(pending_step const& step, step_forward forward)
+    {
+        if (forward.address_ == table_.address_)
+        {
+            on_body(table_.incarnation_, std::get<step_frame>(forward.body_));
+            return;
+        }
+        bool const is_step = std::holds_alternative<step_frame>(forward.body_);
+        if (bus_->send(forward.address_, std::move(forward.body_)) || !is_step)
+        {
+            return;
+        }
+        metrics_.add("auburnlb_unreachable_stages_total");
+        report(step.frame_, refusal_reason::stream_lost, forward.address_);
+    }
+
+    void fail_step(pending_step const& step, refusal_reason reason)
+    {
+        metrics_.count_refusal(reason);
+        report(step.frame_, reason, table_.address_);
+        cancel_stream const cancel{step.frame_.request_, step.frame_.attempt_};
+        if (cancel_at_stage(table_, cancel, now()))
+        {
+            release(cancel.request_, cancel.attempt_);
+        }
+    }
+
+    void report(step_frame const& frame, refusal_reason reason,
+                std::string const& stage)
+    {
+        auto const known = table_.streams_.find(frame.request_);
+        if (known == table_.streams_.end() || !known->second.is_running_ ||
+            known->second.attempt_ != frame.attempt_)
+        {
+            return;
+        }
+        bus_->send(known->second.route_.entry_address_,
+                   step_refusal{frame.request_, frame.attempt_, reason, stage});
+    }
+
+    void note_step_time(pending_step const& step)
+    {
+        auto const taken =
+            std::chrono::duration_cast<microseconds>(now() - step.accepted_at_);
+        step_time_us_ = (step_time_us_ * 7 + taken.count()) / 8;
+        metrics_.observe("auburnlb_step_seconds", {}, taken);
+    }
+
+    load_report load() const
+    {
+        load_report report;
+        report.active_ = static_cast<std::uint32_t>(running_streams(table_));
+        report.queued_ = static_cast<std::uint32_t>(waiting_.size());
+        report.step_time_us_ = static_cast<std::uint32_t>(step_time_us_);
+        report.kv_free_tokens_ =
+            status_.kv_tokens_ -
+            std::min(status_.kv_tokens_, status_.kv_used_tokens_);
+        return report;
+    }
+
+    endpoint_description describe() const
+    {
+        endpoint_description self;
+        self.name_ = options_.name_;
+        self.address_ = table_.address_;
+        self.incarnation_ = options_.incarnation_;
+        self.data_centre_ = options_.data_centre_;
+        self.region_ = options_.region_;
+        self.service_ = options_.service_;
+        self.kind_ = options_.kind_;
+        self.layers_ = table_.layers_;
+        self.accelerator_ = status_.accelerator_;
+        self.tokens_per_second_ = options_.tokens_per_second_ > 0
+                                      ? options_.tokens_per_second_
+                                      : status_.tokens_per_second_;
+        self.kv_tokens_ = status_.kv_tokens_;
+        self.state_ = table_.is_leaving_ ? host_state::leaving
+                      : is_engine_up_    ? host_state::live
+                                         : host_state::dead;
+        self.load_ = load();
+        return self;
+    }
+
+    void announce()
+    {
+        for (auto const& [entry, seen] : entries_)
+        {
+            bus_->send(entry, endpoint_update{describe()});
+        }
+    }
+
+    void poll_engine()
+    {
+        engine_.status(
+            [this](result<engine_status> status)
+            {
+                asio::post(io_, [this, status = std::move(status)]
+                           { on_engine_status(status); });
+            });
+    }
+
+    void on_engine_status(result<engine_status> const& status)
+    {
+        is_polling_ = false;
+        if (!status)
+        {
+            on_engine_lost(status.error());
+            return;
+        }
+        status_ = status.value();
+        if (is_engine_up_ && table_.layers_ == status_.layers_)
+        {
+            return;
+        }
+        is_engine_up_ = true;
+        table_.layers_ = status_.layers_;
+        log(log_level::info, log_event::engine_back,
+            {{"peer", options_.endpoint_url_}}, "the engine answers");
+        announce();
+    }
+
+    void on_engine_lost(error const& reason)
+    {
+        if (!is_engine_up_)
+        {
+            return;
+        }
+        is_engine_up_ = false;
+        log(log_level::error, log_event::engine_lost,
+            {{"peer", options_.endpoint_url_}}, to_string(reason));
+        // The engine's KV cache is gone with it, so every stream of this stage
+        // has to be resumed elsewhere.
+        for (auto& [request, stream] : table_.streams_)
+        {
+            if (stream.is_running_)
+            {
+                bus_->send(stream.route_.entry_address_,
+                           step_refusal{request, stream.attempt_,
+                                        refusal_reason::engine_failed,
+                                        table_.address_});
+                stream.is_running_ = false;
+                stream.last_activity_ = now();
+            }
+        }
+        waiting_.clear();
+        announce();
+    }
+
+    void schedule_tick()
+    {
+        timer_.expires_after(tick_interval);
+        timer_.async_wait(
+            [this](std::error_code failure)
+            {
+                if (!failure)
+                {
+                    on_tick();
+                    schedule_tick();
+                }
+            });
+    }
+
+    void on_tick()
+    {
+        std::erase_if(entries_, [](auto const& entry)
+                      { return now() - entry.second > entry_lifetime; });
+        for (released_stream const& released :
+             expire_streams(table_, now(), options_.stream_idle_limit_,
+                            options_.tombstone_lifetime_))
+        {
+            release(released.request_, released.attempt_);
+        }
+        flush_releases();
+        if (!is_polling_ && now() - polled_at_ > options_.engine_poll_)
+        {
+            is_polling_ = true;
+            polled_at_ = now();
+            poll_engine();
+        }
+        stop_when_idle();
+    }
+
+    void leave()
+    {
+        if (table_.is_leaving_)
+        {
+            return;
+        }
+        table_.is_leaving_ = true;
+        leaving_since_ = now();
+        log(log_level::info, log_event::process_stopping, {},
+            "new work is refused from now on");
+        announce();
+        stop_when_idle();
+    }
+
+    void stop_when_idle()
+    {
+        if (!table_.is_leaving_)
+        {
+            return;
+        }
+        bool const is_overdue = now() - leaving_since_ > options_.drain_limit_;
+        bool const is_idle =
+            running_streams(table_) == 0 && calls_ == 0 && releases_.empty();
+        // The announcement gets a moment to leave through the sockets.
+        bool const is_announced = now() - leaving_since_ > tick_interval;
+        if ((is_idle && is_announced) || is_overdue)
+        {
+            work_.reset();
+            io_.stop();
+        }
+    }
+
+    companion_options const options_;
+    metrics_registry metrics_;
+    // Destroyed after the client, whose last handlers still post to it.
+    asio::io_context io_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    asio::steady_timer timer_;
+    http_client http_;
+    engine_client engine_;
+    std::unique_ptr<message_bus> bus_;
+    std::thread thread_;
+
+    // What follows belongs to thread_.
+    stage_table table_;
+    std::deque<pending_step> waiting_;
+    /// Engine streams with a step at the engine, one entry for each step.
+    std::multiset<std::string> running_;
+    std::set<std::string> releases_;
+    std::size_t calls_ = 0;
+    /// Entries by address, with the time of their last hello.
+    std::map<std::string, time_point> entries_;
+    engine_status status_;
+    bool is_engine_up_ = false;
+    bool is_polling_ = false;
+    time_point polled_at_{};
+    time_point leaving_since_{};
+    std::int64_t step_time_us_ = 0;
+};
+
+} // namespace
+
+incarnation_id make_incarnation()
+{
+    std::random_device device;
+    std::uniform_int_distribution<incarnation_id> range(1);
+    return range(device);
+}
+
+result<std::unique_ptr<companion>> companion::start(companion_options options)
+{
+    if (options.incarnation_ == 0)
+    {
+        options.incarnation_ = make_incarnation();
+    }
+    auto runtime = std::make_unique<companion_runtime>(std::move(options));
+    result<void*> const opened = runtime->open();
+    if (!opened)
+    {
+        return opened.error();
+    }
+    return std::unique_ptr<companion>(std::move(runtime));
+}
+
+} // namespace auburnlb
