Declare each setting once and read checked settings files

The daemons need typed settings with defaults, ranges and errors that say what is allowed. Each setting is declared once in the catalogue; the JSON Schema and the tables of docs/SETTINGS.md are made from it and compared with the committed files by a test.

Unknown names are found first, because the schema's own message does not say which names exist.

--- /dev/null
+++ b/test/state/settings_test.cpp
@@ -0,0 +1,147 @@
+// Tests of settings files and of the documents made from the catalogue.
+#include <fstream>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "auburnlb/state/json_schema.hpp"
+#include "auburnlb/state/settings.hpp"
+
+using namespace auburnlb;
+namespace catalogue = auburnlb::settings_catalogue;
+
+namespace
+{
+
+std::string read_source(std::string const& path)
+{
+    std::ifstream file(std::string(AUBURNLB_SOURCE_DIR) + "/" + path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::size_t count_of(std::string const& text, std::string const& part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + 1))
+    {
+        ++count;
+    }
+    return count;
+}
+
+struct bad_file
+{
+    char const* json_;
+    char const* field_;
+    char const* value_;
+    char const* allowed_;
+};
+
+} // namespace
+
+TEST(settings, absent_fields_have_their_defaults)
+{
+    settings const defaults = settings::parse("f.json", "{}").value();
+    EXPECT_EQ(defaults.get(catalogue::peers_address), "tcp://127.0.0.1:0");
+    EXPECT_EQ(defaults.get(catalogue::callers_port), 0);
+    EXPECT_EQ(defaults.get(catalogue::timing_beat),
+              std::chrono::milliseconds(250));
+    EXPECT_FALSE(defaults.get(catalogue::admin_enabled));
+}
+
+TEST(settings, stated_fields_are_read_in_their_types)
+{
+    settings const parsed =
+        settings::parse("f.json", R"({"node": {"name": "surat-1"},
+            "callers": {"port": 8080},
+            "admin": {"enabled": true, "token": "t"},
+            "endpoint": {"tokens_per_second": 40, "kv_tokens": 7},
+            "timing": {"drain_limit_s": 5, "beat_ms": 20}})")
+            .value();
+    EXPECT_EQ(parsed.get(catalogue::node_name), "surat-1");
+    EXPECT_EQ(parsed.get(catalogue::callers_port), 8080);
+    EXPECT_TRUE(parsed.get(catalogue::admin_enabled));
+    EXPECT_EQ(parsed.get(catalogue::endpoint_tokens_per_second), 40.0);
+    EXPECT_EQ(parsed.get(catalogue::endpoint_kv_tokens), 7U);
+    EXPECT_EQ(parsed.get(catalogue::timing_drain_limit),
+              std::chrono::seconds(5));
+    EXPECT_EQ(parsed.get(catalogue::timing_beat),
+              std::chrono::milliseconds(20));
+}
+
+TEST(settings, bad_files_are_refused_naming_file_field_value_and_allowed)
+{
+    bad_file const cases[] = {
+        {R"({"nodes": {}})", "nodes", "{}", "node, peers"},
+        {R"({"node": 3})", "node", "3", "an object"},
+        {R"({"node": {"nam": "x"}})", "node.nam", "\"x\"", "name, data_centre"},
+        {R"({"callers": {"port": 65536}})", "callers.port", "65536",
+         "0 to 65535"},
+        {R"({"callers": {"port": -1}})", "callers.port", "-1", "0 to 65535"},
+        {R"({"callers": {"port": "80"}})", "callers.port", "\"80\"", "integer"},
+        {R"({"callers": {"threads": 1.5}})", "callers.threads", "1.5",
+         "integer"},
+        {R"({"callers": {"max_body_bytes": 1e30}})", "callers.max_body_bytes",
+         "1e+30", "integer"},
+        {R"({"log": {"level": "loud"}})", "log.level", "\"loud\"",
+         "debug, info, warning, error"},
+        {R"({"admin": {"enabled": 1}})", "admin.enabled", "1", "true or false"},
+        {R"({"admin": {"enabled": true}})", "admin.token", "\"\"", "non-empty"},
+        {R"([1])", "(document)", "[1]", "an object"},
+    };
+    for (bad_file const& bad : cases)
+    {
+        auto const parsed = settings::parse("f.json", bad.json_);
+        ASSERT_FALSE(parsed) << bad.json_;
+        EXPECT_EQ(parsed.error().code_, error_code::invalid_input);
+        EXPECT_EQ(parsed.error().peer_, "f.json");
+        std::string const& detail = parsed.error().detail_;
+        EXPECT_NE(detail.find(std::string("field ") + bad.field_),
+                  std::string::npos)
+            << detail;
+        EXPECT_NE(detail.find(bad.value_), std::string::npos) << detail;
+        EXPECT_NE(detail.find(bad.allowed_), std::string::npos) << detail;
+    }
+}
+
+TEST(settings, text_that_is_no_json_and_an_absent_file_are_errors)
+{
+    auto const broken = settings::parse("f.json", "{\"node\": ");
+    ASSERT_FALSE(broken);
+    EXPECT_NE(broken.error().detail_.find("parse error"), std::string::npos);
+    auto const absent = settings::load("/nonexistent/f.json");
+    ASSERT_FALSE(absent);
+    EXPECT_EQ(absent.error().code_, error_code::not_found);
+}
+
+TEST(settings, a_required_field_without_value_is_named)
+{
+    settings const defaults = settings::parse("f.json", "{}").value();
+    auto const missing = defaults.require(catalogue::node_name);
+    ASSERT_TRUE(missing);
+    EXPECT_NE(missing->detail_.find("node.name"), std::string::npos);
+}
+
+TEST(settings, every_declared_setting_is_in_the_catalogue_within_its_range)
+{
+    std::string const header =
+        read_source("include/auburnlb/state/settings.hpp");
+    EXPECT_EQ(count_of(header, "inline constexpr setting<"),
+              describe_settings().size());
+    for (setting_description const& which : describe_settings())
+    {
+        std::string const json = "{\"" + which.section_ + "\": {\"" +
+                                 which.key_ + "\": " + which.default_ + "}}";
+        EXPECT_TRUE(settings::parse("f.json", json)) << json;
+    }
+}
+
+TEST(settings, committed_schema_and_document_equal_the_catalogue)
+{
+    EXPECT_EQ(read_source("schema/settings.schema.json"), settings_schema());
+    EXPECT_NE(read_source("docs/SETTINGS.md").find(settings_reference()),
+              std::string::npos);
+}
