--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -535,7 +535,9 @@
         return refuse(request.ticket_, refusal_reason::deadline_unreachable,
                       milliseconds{0});
     }
-    if (state.waiting_.empty() && !is_full(state))
+    // While the service is not full, whatever still waits after a tick is held
+    // back by the limits of its own workspace.
+    if (workspace.queue_.empty() && !is_full(state))
     {
         start(state, found->second, request.ticket_, request.token_cost_);
         return accept(request.ticket_);
--- a/src/coordination/chain_choice.cpp
+++ b/src/coordination/chain_choice.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// An alternative must be less loaded by this factor to displace the endpoint
-/// whose turn it is. Smaller differences are within what reports can show.
-constexpr double displacement_factor = 1.2;
 /// A prefix is followed to an endpoint that is loaded by at most this factor
 /// more than the endpoint whose turn it is.
 constexpr double affinity_load_factor = 1.25;
@@ -165,15 +162,17 @@
     return std::max(own, view.reported_ + change * deciders);
 }
 
-/// Load in proportion to the flow that is planned through the endpoint.
-double relative_load(chain_walk const& walk, std::uint32_t endpoint)
+/// Load in proportion to the flow that is planned through the endpoint, with
+/// further requests added to those in progress.
+double relative_load(chain_walk const& walk, std::uint32_t endpoint,
+                     double further)
 {
     planned_endpoint const& planned = walk.plan_.endpoints_[endpoint];
     double const capacity =
         planned.flow_ > 0 ? planned.flow_ : rate_of(planned.description_);
     double const in_progress =
         estimate_in_progress(view_of(walk, endpoint), walk.state_.deciders_);
-    return (in_progress + 1) / capacity;
+    return (in_progress + further) / capacity;
 }
 
 bool is_open(chain_walk const& walk, std::uint32_t endpoint,
@@ -236,7 +235,7 @@
     for (std::uint32_t const index : open.indexes_)
     {
         double const load =
-            relative_load(walk, hop.candidates_[index].endpoint_);
+            relative_load(walk, hop.candidates_[index].endpoint_, 1);
         if (load < best_load)
         {
             best = index;
@@ -341,14 +340,14 @@
                             std::vector<double>& credits, bool with_prefix)
 {
     std::uint32_t const turn = pick_by_turn(hop, open, credits);
-    double const turn_load =
-        relative_load(walk, hop.candidates_[turn].endpoint_);
+    std::uint32_t const turn_endpoint = hop.candidates_[turn].endpoint_;
     if (with_prefix)
     {
         std::uint32_t const preferred = pick_by_prefix(walk, hop, open);
         double const load =
-            relative_load(walk, hop.candidates_[preferred].endpoint_);
-        if (load <= turn_load * affinity_load_factor)
+            relative_load(walk, hop.candidates_[preferred].endpoint_, 1);
+        if (load <=
+            relative_load(walk, turn_endpoint, 1) * affinity_load_factor)
         {
             credits[preferred] -= open.total_;
             return preferred;
@@ -358,9 +357,12 @@
     // round robin would insist on an endpoint that has slowed down.
     credits[turn] -= open.total_;
     std::uint32_t const other = pick_at_random(walk, hop, open);
-    double const other_load =
-        relative_load(walk, hop.candidates_[other].endpoint_);
-    return other_load * displacement_factor < turn_load ? other : turn;
+    // To displace the turn, the other must be less loaded even with the
+    // request that it would take, and with those that the other deciders would
+    // send there for the same reason.
+    double const other_load = relative_load(
+        walk, hop.candidates_[other].endpoint_, walk.state_.deciders_);
+    return other_load < relative_load(walk, turn_endpoint, 0) ? other : turn;
 }
 
 /// The endpoint chosen at a hop, or no_candidate.
