--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -63,6 +63,15 @@
                                        peer.endpoint_->incarnation_,
                                        retry_reason::stage_died});
     }
+    bool const is_engine_lost =
+        was_alive && !is_replaced && peer.endpoint_ &&
+        peer.endpoint_->state_ != host_state::dead &&
+        fresh.state_ == host_state::dead;
+    if (is_engine_lost)
+    {
+        actions.emplace_back(peer_lost{peer.host_.address_, fresh.incarnation_,
+                                       retry_reason::engine_failed});
+    }
     bool const is_changed = !was_alive || !peer.endpoint_ ||
                             !is_same_but_load(*peer.endpoint_, fresh);
     peer.endpoint_ = fresh;
--- a/src/transport/companion.cpp
+++ b/src/transport/companion.cpp
@@ -465,8 +465,10 @@
         is_engine_up_ = false;
         log(log_level::error, log_event::engine_lost,
             {{"peer", options_.endpoint_url_}}, to_string(reason));
-        // The engine's KV cache is gone with it, so every stream of this stage
-        // has to be resumed elsewhere.
+        // Entries learn of the loss before any refusal, so that they can tell
+        // the streams that ran here from later ones. The engine's KV cache is
+        // gone with it: every stream of this stage has to be resumed elsewhere.
+        announce();
         for (auto& [request, stream] : table_.streams_)
         {
             if (stream.is_running_)
@@ -480,7 +482,6 @@
             }
         }
         waiting_.clear();
-        announce();
     }
 
     void schedule_tick()
--- /dev/null
+++ b/src/transport/stream_service.cpp
@@ -0,0 +1,670 @@
+// Runtime of model requests at an entry: carries out what the decisions on
+// admission, choice, suspicion and streams say.
+#include "auburnlb/transport/stream_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "auburnlb/state/log.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// A caller that reads slower than the answer grows is cut off here, so that
+/// it cannot hold the entry's memory.
+constexpr std::size_t max_unsent_bytes = 4U << 20U;
+
+/// A stream without a chain asks for one again after this long.
+constexpr milliseconds chain_retry{50};
+
+/// After this long without a chain, endpoints that were avoided may be used
+/// again: those that are live by then have proved it since.
+constexpr milliseconds exclusion_lifetime{1'000};
+
+/// Bytes of the prompt that decide which endpoints may hold its prefix.
+constexpr std::size_t prefix_bytes = 256;
+
+/// Share of a token's cost that one prompt token has, as prefill runs many
+/// positions at once.
+constexpr double prefill_cost = 0.1;
+
+std::uint32_t count_words(std::string const& text)
+{
+    std::uint32_t words = 0;
+    bool is_inside = false;
+    for (char const letter : text)
+    {
+        bool const is_blank = letter == ' ' || letter == '\n' || letter == '\t';
+        words += !is_blank && !is_inside ? 1 : 0;
+        is_inside = !is_blank;
+    }
+    return words;
+}
+
+std::uint64_t hash_prefix(std::string const& prompt)
+{
+    return prompt.size() < prefix_bytes
+               ? 0
+               : XXH3_64bits(prompt.data(), prefix_bytes);
+}
+
+std::int64_t unix_seconds()
+{
+    return std::chrono::duration_cast<seconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+std::string quoted(std::string const& label, std::string const& value)
+{
+    return label + "=\"" + value + "\"";
+}
+
+} // namespace
+
+struct stream_service::active_stream
+{
+    stream_call call_;
+    stream_state state_;
+    request_fingerprint fingerprint_ = 0;
+    answer_head head_;
+    std::string text_;
+    double token_cost_ = 0;
+    std::uint32_t cached_tokens_ = 0;
+    time_point admitted_at_{};
+    time_point last_token_at_{};
+    /// When the stream last had a chain; set while it waits for one.
+    std::optional<time_point> chainless_since_;
+    time_point next_chain_try_{};
+    bool is_admitted_ = false;
+    bool is_begun_ = false;
+    /// Whether the current attempt is counted at its endpoints.
+    bool is_counted_ = false;
+};
+
+struct stream_service::service_limits
+{
+    std::shared_ptr<service_config const> config_;
+    admission_state admission_;
+    retry_budget retries_;
+};
+
+stream_service::stream_service(stream_environment environment)
+    : environment_(std::move(environment))
+    , choice_(make_choice_state(environment_.incarnation_))
+{
+}
+
+stream_service::~stream_service() = default;
+
+stream_service::service_limits&
+stream_service::limits_of(service_config const& config)
+{
+    std::unique_ptr<service_limits>& slot = services_[config.name_];
+    if (!slot)
+    {
+        slot = std::make_unique<service_limits>();
+        environment_.view_.read(
+            [&](routing_view const& view)
+            {
+                auto const plan = view.plan_.services_.find(config.name_);
+                double const bound =
+                    plan == view.plan_.services_.end()
+                        ? 0
+                        : plan->second.bound_.tokens_per_second_;
+                slot->config_ = find_service(view, config.name_);
+                slot->admission_ =
+                    make_admission(config, {view.entry_index_, view.entries_},
+                                   bound, environment_.clock_.now());
+            });
+        slot->retries_ = make_retry_budget(config.retry_ratio_);
+    }
+    return *slot;
+}
+
+void stream_service::on_view_changed()
+{
+    environment_.view_.read(
+        [this](routing_view const& view)
+        {
+            choice_.deciders_ = view.entries_;
+            forget_absent(choice_, view.plan_);
+            for (auto& [name, limits] : services_)
+            {
+                auto const config = find_service(view, name);
+                auto const plan = view.plan_.services_.find(name);
+                if (!config || plan == view.plan_.services_.end())
+                {
+                    continue;
+                }
+                limits->config_ = config;
+                limits->retries_.ratio_ = config->retry_ratio_;
+                reconfigure(limits->admission_, *config,
+                            {view.entry_index_, view.entries_},
+                            plan->second.bound_.tokens_per_second_,
+                            environment_.clock_.now());
+            }
+        });
+}
+
+void stream_service::submit(stream_call call)
+{
+    time_point const now = environment_.clock_.now();
+    auto stream = std::make_unique<active_stream>();
+    service_config const& config = *call.config_;
+    request_id const id{environment_.incarnation_, ++last_sequence_};
+    stream->state_.request_ = id;
+    stream->state_.limits_ = environment_.limits_;
+    stream->state_.prompt_ = call.request_.prompt_;
+    stream->state_.deadline_ =
+        call.received_at_ +
+        call.options_.timeout_.value_or(config.default_deadline_);
+    stream->head_ = {id, config.name_, unix_seconds()};
+    stream->fingerprint_ =
+        fingerprint_of(call.workspace_, config.name_, call.request_.prompt_);
+    std::uint32_t& max_tokens = call.request_.max_tokens_;
+    max_tokens = max_tokens == 0 ? config.max_tokens_
+                                 : std::min(max_tokens, config.max_tokens_);
+    stream->token_cost_ =
+        max_tokens + prefill_cost * count_words(call.request_.prompt_);
+    call.reply_->on_closed(
+        [this, id] { environment_.post_([this, id] { on_caller_left(id); }); });
+    stream->call_ = std::move(call);
+    active_stream& added = *stream;
+    streams_.emplace(id.sequence_, std::move(stream));
+    environment_.metrics_.add("auburnlb_requests_total",
+                              quoted("service", config.name_));
+    if (may_run(suspicion_, added.fingerprint_, now) == run_permission::refuse)
+    {
+        log(log_level::warning, log_event::request_quarantined,
+            {{"request", to_string(id)}, {"workspace", added.call_.workspace_}},
+            "endpoints were lost under this request");
+        refuse(added, refusal_reason::suspected_crash, run_state::not_run,
+               milliseconds{0});
+        return;
+    }
+    admission_request const asked{id.sequence_,
+                                  added.call_.workspace_,
+                                  added.call_.options_.priority_,
+                                  added.token_cost_,
+                                  added.state_.deadline_,
+                                  added.call_.request_.is_stream_};
+    decide({admit(limits_of(config).admission_, asked, now)});
+}
+
+void stream_service::decide(std::vector<admission_decision> const& decisions)
+{
+    for (admission_decision const& decision : decisions)
+    {
+        auto const found = streams_.find(decision.ticket_);
+        if (found == streams_.end())
+        {
+            continue;
+        }
+        if (decision.verdict_ == admission_verdict::admit)
+        {
+            start(*found->second);
+        }
+        else if (decision.verdict_ == admission_verdict::refuse)
+        {
+            refuse(*found->second, decision.reason_, run_state::not_run,
+                   decision.retry_after_);
+        }
+    }
+}
+
+void stream_service::start(active_stream& stream)
+{
+    stream.is_admitted_ = true;
+    stream.admitted_at_ = environment_.clock_.now();
+    on_request_begun(limits_of(*stream.call_.config_).retries_);
+    begin(stream);
+}
+
+bool stream_service::begin(active_stream& stream)
+{
+    time_point const now = environment_.clock_.now();
+    std::set<std::string> excluded = stream.state_.excluded_;
+    switch (may_run(suspicion_, stream.fingerprint_, now))
+    {
+    case run_permission::refuse:
+        apply(stream, {fail_stream{refusal_reason::suspected_crash}});
+        return false;
+    case run_permission::allow_isolated:
+        excluded.merge(isolated_from(suspicion_, now));
+        break;
+    case run_permission::allow:
+        break;
+    }
+    std::string const& service = stream.call_.config_->name_;
+    chain_route route;
+    std::uint64_t version = 0;
+    std::uint32_t const prompt_tokens = count_words(stream.state_.prompt_);
+    environment_.view_.read(
+        [&](routing_view const& view)
+        {
+            auto const config = find_service(view, service);
+            auto chain =
+                choose_chain(view.plan_, service, choice_, excluded,
+                             hash_prefix(stream.state_.prompt_),
+                             prompt_tokens + stream.call_.request_.max_tokens_);
+            if (config && chain)
+            {
+                route.stages_ = std::move(*chain);
+                route.model_layers_ = config->layers_;
+                version = config->version_;
+            }
+        });
+    if (route.stages_.empty())
+    {
+        if (!stream.chainless_since_)
+        {
+            stream.chainless_since_ = now;
+        }
+        if (now - *stream.chainless_since_ > exclusion_lifetime)
+        {
+            stream.state_.excluded_.clear();
+        }
+        stream.next_chain_try_ = now + chain_retry;
+        return false;
+    }
+    stream.chainless_since_.reset();
+    route.entry_address_ = environment_.entry_address_;
+    route.service_ = service;
+    route.prompt_tokens_ = prompt_tokens;
+    route.max_tokens_ = stream.call_.request_.max_tokens_;
+    route.priority_ = stream.call_.options_.priority_;
+    note_begin(choice_, route.stages_);
+    stream.is_counted_ = true;
+    std::vector<std::string> addresses;
+    for (chain_stage const& stage : route.stages_)
+    {
+        addresses.push_back(stage.address_);
+    }
+    note_run(suspicion_, stream.state_.request_, stream.fingerprint_, addresses,
+             static_cast<std::uint32_t>(stream.state_.tokens_.size()));
+    step_frame frame =
+        begin_attempt(stream.state_, std::move(route), version, now);
+    stream.is_begun_ = true;
+    if (!environment_.bus_.send(addresses.front(), std::move(frame)))
+    {
+        apply(stream, on_stage_lost(stream.state_, addresses.front(),
+                                    retry_reason::stage_died, now));
+    }
+    return true;
+}
+
+void stream_service::apply(active_stream& stream, stream_actions actions)
+{
+    for (stream_action const& action : actions)
+    {
+        std::visit([this, &stream](auto const& each)
+                   { apply_one(stream, each); },
+                   action);
+    }
+}
+
+void stream_service::apply_one(active_stream& stream,
+                               deliver_token const& action)
+{
+    time_point const now = environment_.clock_.now();
+    admission_state& admission = limits_of(*stream.call_.config_).admission_;
+    std::string const label = quoted("service", stream.head_.model_);
+    if (action.index_ == 0)
+    {
+        deliver_first(stream);
+    }
+    else
+    {
+        on_token_interval(admission, now - stream.last_token_at_);
+        environment_.metrics_.observe("auburnlb_token_interval_seconds", label,
+                                      now - stream.last_token_at_);
+    }
+    stream.last_token_at_ = now;
+    environment_.metrics_.add("auburnlb_tokens_total", label);
+    suspicion_update update =
+        on_progress(suspicion_, stream.state_.request_, action.index_);
+    if (!update.crashes_.empty())
+    {
+        environment_.broadcast_(std::move(update));
+    }
+    if (stream.call_.request_.is_stream_)
+    {
+        stream.call_.reply_->write(
+            format_stream_event(stream.head_, action.index_, action.text_));
+        if (stream.call_.reply_->unsent_bytes() > max_unsent_bytes)
+        {
+            on_caller_left(stream.state_.request_);
+            return;
+        }
+    }
+    else
+    {
+        stream.text_ += action.text_;
+    }
+    if (action.is_end_)
+    {
+        finish(stream, true);
+    }
+}
+
+void stream_service::deliver_first(active_stream& stream)
+{
+    time_point const now = environment_.clock_.now();
+    on_first_token(limits_of(*stream.call_.config_).admission_,
+                   now - stream.admitted_at_);
+    environment_.metrics_.observe("auburnlb_first_token_seconds",
+                                  quoted("service", stream.head_.model_),
+                                  now - stream.call_.received_at_);
+    if (stream.call_.request_.is_stream_)
+    {
+        stream.call_.reply_->begin_stream(200, stream_headers());
+    }
+}
+
+void stream_service::apply_one(active_stream& stream,
+                               restart_stream const& action)
+{
+    end_attempt(stream);
+    environment_.metrics_.count_retry(action.reason_);
+    log(log_level::info, log_event::stream_resumed,
+        {{"request", to_string(stream.state_.request_)},
+         {"peer", action.peer_},
+         {"reason", to_string(action.reason_)},
+         {"token", std::to_string(stream.state_.tokens_.size())}},
+        "a new attempt goes on after the tokens already sent");
+    retry_budget& retries = limits_of(*stream.call_.config_).retries_;
+    if (!try_spend(retries, action.reason_))
+    {
+        apply(stream, {fail_stream{refusal_reason::retry_budget_exhausted}});
+        return;
+    }
+    begin(stream);
+}
+
+void stream_service::apply_one(active_stream& /*stream*/,
+                               probe_stage const& action)
+{
+    environment_.probe_(action.address_);
+}
+
+void stream_service::apply_one(active_stream& stream,
+                               cancel_attempt const& action)
+{
+    for (std::string const& address : action.addresses_)
+    {
+        environment_.bus_.send(
+            address, cancel_stream{stream.state_.request_, action.attempt_});
+    }
+}
+
+void stream_service::apply_one(active_stream& stream, fail_stream const& action)
+{
+    run_state const state =
+        stream.is_begun_ ? run_state::ran : run_state::not_run;
+    refuse(stream, action.reason_, state, milliseconds{0});
+}
+
+void stream_service::apply_one(active_stream& /*stream*/,
+                               drop_frame const& /*action*/)
+{
+    environment_.metrics_.add("auburnlb_dropped_frames_total");
+}
+
+void stream_service::refuse(active_stream& stream, refusal_reason reason,
+                            run_state state, milliseconds retry_after)
+{
+    environment_.metrics_.count_refusal(reason);
+    log(log_level::info, log_event::request_refused,
+        {{"request", to_string(stream.state_.request_)},
+         {"reason", to_string(reason)},
+         {"run_state", to_string(state)}},
+        "the caller gets an error");
+    std::string const message = std::string("request ") +
+                                to_string(stream.state_.request_) +
+                                " ended: " + to_string(reason);
+    bool const is_streaming =
+        stream.call_.request_.is_stream_ && !stream.state_.tokens_.empty();
+    if (is_streaming)
+    {
+        stream.call_.reply_->write(format_stream_error(reason, state, message));
+        stream.call_.reply_->end_stream();
+    }
+    else
+    {
+        std::optional<seconds> wait;
+        if (retry_after > milliseconds{0})
+        {
+            wait = std::chrono::ceil<seconds>(retry_after);
+        }
+        stream.call_.reply_->send(format_error(reason, state, message, wait));
+    }
+    finish(stream, false);
+}
+
+void stream_service::finish(active_stream& stream, bool is_complete)
+{
+    time_point const now = environment_.clock_.now();
+    request_id const id = stream.state_.request_;
+    admission_state& admission = limits_of(*stream.call_.config_).admission_;
+    if (is_complete)
+    {
+        auto const count =
+            static_cast<std::uint32_t>(stream.state_.tokens_.size());
+        finish_reason const reason = count >= stream.call_.request_.max_tokens_
+                                         ? finish_reason::length
+                                         : finish_reason::stop;
+        answer_usage const usage{count_words(stream.state_.prompt_),
+                                 stream.cached_tokens_, count};
+        if (stream.call_.request_.is_stream_)
+        {
+            stream.call_.reply_->write(
+                format_stream_end(stream.head_, count, reason, usage));
+            stream.call_.reply_->end_stream();
+        }
+        else
+        {
+            stream.call_.reply_->send(
+                format_completion(stream.head_, stream.text_, reason, usage));
+        }
+        environment_.metrics_.add("auburnlb_answers_total",
+                                  quoted("service", stream.head_.model_));
+    }
+    stream.state_.is_ended_ = true;
+    end_attempt(stream);
+    suspicion_update update = on_run_end(suspicion_, id, is_complete);
+    if (!update.crashes_.empty())
+    {
+        environment_.broadcast_(std::move(update));
+    }
+    if (stream.is_admitted_)
+    {
+        stream.is_admitted_ = false;
+        double const cost =
+            std::min<double>(stream.token_cost_,
+                             static_cast<double>(stream.state_.tokens_.size()));
+        on_finish(admission, id.sequence_, cost, now - stream.admitted_at_);
+    }
+    else
+    {
+        on_leave(admission, id.sequence_);
+    }
+    ended_.push_back(id.sequence_);
+}
+
+void stream_service::end_attempt(active_stream& stream)
+{
+    if (stream.is_counted_)
+    {
+        stream.is_counted_ = false;
+        note_end(choice_, stream.state_.route_.stages_);
+    }
+}
+
+void stream_service::on_caller_left(request_id const& request)
+{
+    active_stream* const stream = find(request);
+    if (stream == nullptr)
+    {
+        return;
+    }
+    environment_.metrics_.add("auburnlb_cancelled_total");
+    log(log_level::info, log_event::stream_cancelled,
+        {{"request", to_string(request)}}, "the caller left");
+    apply(*stream, abandon(stream->state_));
+    finish(*stream, false);
+}
+
+stream_service::active_stream* stream_service::find(request_id const& request)
+{
+    if (request.entry_ != environment_.incarnation_)
+    {
+        return nullptr;
+    }
+    auto const found = streams_.find(request.sequence_);
+    return found == streams_.end() || found->second->state_.is_ended_
+               ? nullptr
+               : found->second.get();
+}
+
+void stream_service::on_token(token_frame const& frame)
+{
+    active_stream* const stream = find(frame.request_);
+    if (stream == nullptr)
+    {
+        environment_.metrics_.add("auburnlb_dropped_frames_total");
+        return;
+    }
+    if (!stream->state_.route_.stages_.empty())
+    {
+        on_load(choice_, stream->state_.route_.stages_.back().address_,
+                frame.load_);
+    }
+    stream->cached_tokens_ += frame.cached_tokens_;
+    apply(*stream,
+          auburnlb::on_token(stream->state_, frame, environment_.clock_.now()));
+    sweep();
+}
+
+void stream_service::on_refusal(step_refusal const& refusal)
+{
+    active_stream* const stream = find(refusal.request_);
+    if (stream != nullptr)
+    {
+        apply(*stream, auburnlb::on_refusal(stream->state_, refusal,
+                                            environment_.clock_.now()));
+    }
+    sweep();
+}
+
+void stream_service::on_peer_lost(std::string const& address,
+                                  incarnation_id incarnation,
+                                  retry_reason reason)
+{
+    time_point const now = environment_.clock_.now();
+    // A silent peer may be paused or cut off; only a death is held against the
+    // requests that ran there.
+    if (reason != retry_reason::stage_silent)
+    {
+        suspicion_update update = on_endpoint_lost(suspicion_, address, now);
+        if (!update.crashes_.empty())
+        {
+            environment_.broadcast_(std::move(update));
+        }
+    }
+    for (auto& [sequence, stream] : streams_)
+    {
+        auto const& stages = stream->state_.route_.stages_;
+        bool const is_hit =
+            std::any_of(stages.begin(), stages.end(),
+                        [&](chain_stage const& stage) {
+                            return stage.address_ == address &&
+                                   stage.incarnation_ == incarnation;
+                        });
+        if (is_hit && stream->is_counted_)
+        {
+            apply(*stream, on_stage_lost(stream->state_, address, reason, now));
+        }
+    }
+    sweep();
+}
+
+void stream_service::on_peer_answered(std::string const& address,
+                                      incarnation_id incarnation)
+{
+    time_point const now = environment_.clock_.now();
+    for (auto& [sequence, stream] : streams_)
+    {
+        if (stream->state_.is_probing_)
+        {
+            apply(*stream,
+                  on_probe_answer(stream->state_, address, incarnation, now));
+        }
+    }
+    sweep();
+}
+
+void stream_service::on_suspicion(suspicion_update const& update)
+{
+    merge_suspicion(suspicion_, update, environment_.clock_.now());
+}
+
+suspicion_update stream_service::suspicions() const
+{
+    return all_suspicions(suspicion_, environment_.clock_.now());
+}
+
+void stream_service::on_tick()
+{
+    time_point const now = environment_.clock_.now();
+    for (auto& [sequence, stream] : streams_)
+    {
+        if (stream->state_.is_ended_)
+        {
+            continue;
+        }
+        if (stream->chainless_since_)
+        {
+            if (now >= stream->state_.deadline_)
+            {
+                refuse(*stream, refusal_reason::no_chain,
+                       stream->is_begun_ ? run_state::ran : run_state::not_run,
+                       seconds{1});
+            }
+            else if (now >= stream->next_chain_try_)
+            {
+                begin(*stream);
+            }
+            continue;
+        }
+        apply(*stream, auburnlb::on_tick(stream->state_, now));
+    }
+    expire_suspicions(suspicion_, now);
+    sweep();
+}
+
+void stream_service::sweep()
+{
+    for (auto& [name, limits] : services_)
+    {
+        decide(
+            auburnlb::on_tick(limits->admission_, environment_.clock_.now()));
+    }
+    for (std::uint64_t const sequence : ended_)
+    {
+        streams_.erase(sequence);
+    }
+    ended_.clear();
+}
+
+std::size_t stream_service::in_progress() const
+{
+    return streams_.size();
+}
+
+} // namespace auburnlb
