Answer the administration API independently of HTTP

The handler takes a request with method, path, body, token and author and answers with a status and JSON over an abstract object store, so that tests drive it without sockets. The loser of a race gets 409 with the newer version, its author and the fields that differ from the version it expected.

Weighed: to say on a conflict what the loser's own change would now alter. Ruled out, because an operator needs to know what the other one did; the replaced content is kept, so that the comparison is one more read.

--- /dev/null
+++ b/test/coordination/admin_api_test.cpp
@@ -0,0 +1,221 @@
+// Tests of the administration API over a store in memory.
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "auburnlb/coordination/admin_api.hpp"
+#include "auburnlb/coordination/configuration.hpp"
+#include "coordination/memory_store.hpp"
+#include "coordination/sample_answers.hpp"
+
+using namespace auburnlb;
+using namespace auburnlb::test;
+using nlohmann::json;
+
+namespace
+{
+
+class admin_api_test : public testing::Test
+{
+protected:
+    admin_response call(std::string const& method, std::string const& path,
+                        json const& body = json(),
+                        std::string const& token = "secret")
+    {
+        admin_response response{0, ""};
+        api_.handle({method, "/admin/v1/" + path, body.dump(), token, "asha"},
+                    [&](admin_response answer)
+                    {
+                        EXPECT_EQ(response.status_, 0);
+                        response = std::move(answer);
+                    });
+        store_.settle();
+        return response;
+    }
+
+    std::uint64_t put_first()
+    {
+        auto const response =
+            call("PUT", "services/kalai-writer",
+                 {{"expected_version", 0},
+                  {"change_id", "c1"},
+                  {"questionnaire",
+                   json::parse(render_questionnaire(model_answers()))}});
+        EXPECT_EQ(response.status_, 200) << response.body_;
+        return json::parse(response.body_).at("version");
+    }
+
+    json amendment(std::uint64_t expected, char const* id, int tokens)
+    {
+        return {{"expected_version", expected},
+                {"change_id", id},
+                {"comment", "more"},
+                {"amendments", {{"max_tokens", tokens}}}};
+    }
+
+    memory_store store_;
+    int accepted_ = 0;
+    admin_api api_{store_,
+                   "secret",
+                   {[] { return std::string("{\"ready\": true}"); },
+                    [](std::string const& endpoint,
+                       std::function<void(result<std::string>)> const& handler)
+                    {
+                        if (endpoint != "engine-1")
+                        {
+                            handler(error{error_code::not_found, "drain", "",
+                                          "no such endpoint"});
+                            return;
+                        }
+                        handler(std::string("{\"state\": \"leaving\"}"));
+                    },
+                    [this](std::string const&, std::uint64_t,
+                           std::string const&) { ++accepted_; },
+                    []
+                    {
+                        return std::string("{}");
+                    }}};
+};
+
+} // namespace
+
+TEST_F(admin_api_test, a_wrong_or_absent_token_is_refused_everywhere)
+{
+    for (char const* path :
+         {"services", "status", "version", "services/kalai-writer", "nowhere"})
+    {
+        EXPECT_EQ(call("GET", path, json(), "wrong").status_, 401) << path;
+        EXPECT_EQ(call("GET", path, json(), "").status_, 401) << path;
+        EXPECT_EQ(call("GET", path, json(), "secret ").status_, 401) << path;
+    }
+    EXPECT_TRUE(store_.log().empty());
+}
+
+TEST_F(admin_api_test, a_service_is_applied_shown_listed_and_amended)
+{
+    std::uint64_t const first = put_first();
+    auto const amended =
+        call("PATCH", "services/kalai-writer", amendment(first, "c2", 2'000));
+    ASSERT_EQ(amended.status_, 200) << amended.body_;
+    EXPECT_EQ(json::parse(amended.body_)["changes"][0]["field"], "max_tokens");
+    auto const shown = json::parse(call("GET", "services/kalai-writer").body_);
+    EXPECT_EQ(shown["fields"]["max_tokens"]["value"], 2'000);
+    EXPECT_EQ(shown["fields"]["max_tokens"]["origin"], "amended");
+    EXPECT_EQ(shown["note"]["author"], "asha");
+    auto const listed = json::parse(call("GET", "services").body_);
+    EXPECT_EQ(listed["services"][0]["version"], shown["version"]);
+    EXPECT_EQ(accepted_, 2);
+}
+
+TEST_F(admin_api_test, the_loser_of_a_race_learns_who_changed_what)
+{
+    std::uint64_t const first = put_first();
+    call("PATCH", "services/kalai-writer", amendment(first, "c2", 2'000));
+    auto const lost =
+        call("PATCH", "services/kalai-writer", amendment(first, "c3", 3'000));
+    ASSERT_EQ(lost.status_, 409);
+    auto const body = json::parse(lost.body_);
+    EXPECT_GT(body["version"], first);
+    EXPECT_EQ(body["note"]["author"], "asha");
+    ASSERT_EQ(body["changes"].size(), 1U);
+    EXPECT_EQ(body["changes"][0]["field"], "max_tokens");
+    EXPECT_EQ(body["changes"][0]["before"], 480);
+    EXPECT_EQ(body["changes"][0]["after"], 2'000);
+}
+
+TEST_F(admin_api_test, the_same_change_id_is_accepted_once)
+{
+    std::uint64_t const first = put_first();
+    auto const once =
+        call("PATCH", "services/kalai-writer", amendment(first, "c2", 2'000));
+    auto const again =
+        call("PATCH", "services/kalai-writer", amendment(first, "c2", 2'000));
+    EXPECT_EQ(again.status_, 200);
+    EXPECT_EQ(json::parse(again.body_)["version"],
+              json::parse(once.body_)["version"]);
+}
+
+TEST_F(admin_api_test, earlier_content_returns_as_a_new_version)
+{
+    std::uint64_t const first = put_first();
+    auto const amended = json::parse(
+        call("PATCH", "services/kalai-writer", amendment(first, "c2", 2'000))
+            .body_);
+    auto const back = call("POST", "services/kalai-writer/rollback",
+                           {{"expected_version", amended["version"]},
+                            {"change_id", "c3"},
+                            {"to_version", first}});
+    ASSERT_EQ(back.status_, 200) << back.body_;
+    EXPECT_GT(json::parse(back.body_)["version"], amended["version"]);
+    auto const shown = json::parse(call("GET", "services/kalai-writer").body_);
+    EXPECT_EQ(shown["fields"]["max_tokens"]["value"], 480);
+    auto const history =
+        json::parse(call("GET", "services/kalai-writer/history").body_);
+    ASSERT_EQ(history["versions"].size(), 3U);
+    EXPECT_EQ(history["versions"][2]["version"], first);
+    auto const old =
+        call("GET", "services/kalai-writer/history/" + std::to_string(first));
+    EXPECT_EQ(json::parse(old.body_)["note"]["change_id"], "c1");
+}
+
+TEST_F(admin_api_test, bad_requests_name_what_is_wrong)
+{
+    std::uint64_t const first = put_first();
+    struct bad_request
+    {
+        char const* method_;
+        char const* path_;
+        json body_;
+        int status_;
+        char const* part_;
+    };
+    bad_request const cases[] = {
+        {"PATCH", "services/kalai-writer", json(), 400, "JSON object"},
+        {"PATCH",
+         "services/kalai-writer",
+         {{"change_id", "x"}},
+         400,
+         "expected_version"},
+        {"PATCH",
+         "services/kalai-writer",
+         {{"expected_version", -1}},
+         400,
+         "-1"},
+        {"PATCH",
+         "services/kalai-writer",
+         {{"expected_version", 1}},
+         400,
+         "change_id"},
+        {"PATCH", "services/kalai-writer", {{"expected", 1}}, 400, "unknown"},
+        {"PUT", "services/kalai-writer", amendment(first, "c", 1), 400,
+         "questionnaire"},
+        {"PATCH", "services/kalai-writer", amendment(first, "c", 0), 400,
+         "max_tokens"},
+        {"PATCH", "services/other", amendment(first, "c", 1), 404, "other"},
+        {"GET", "services/other", json(), 404, "other"},
+        {"GET", "services/kalai-writer/history/99", json(), 404, "99"},
+        {"GET", "nowhere", json(), 404, "nowhere"},
+        {"DELETE", "services/kalai-writer", json(), 405, "DELETE"},
+        {"POST", "status", json(), 405, "POST"},
+        {"GET", "endpoints/engine-1/drain", json(), 405, "GET"},
+        {"POST", "endpoints/engine-2/drain", json(), 404, "endpoint"},
+    };
+    for (bad_request const& bad : cases)
+    {
+        auto const response = call(bad.method_, bad.path_, bad.body_);
+        EXPECT_EQ(response.status_, bad.status_) << response.body_;
+        EXPECT_NE(response.body_.find(bad.part_), std::string::npos)
+            << response.body_;
+    }
+    EXPECT_EQ(call("POST", "endpoints/engine-1/drain").status_, 202);
+    EXPECT_EQ(json::parse(call("GET", "services").body_)["services"].size(),
+              1U);
+}
+
+TEST_F(admin_api_test, an_unreachable_platform_is_reported_as_such)
+{
+    admin_response response;
+    api_.handle({"GET", "/admin/v1/services", "", "secret", ""},
+                [&](admin_response answer) { response = std::move(answer); });
+    store_.run(0, call_fate::unreachable);
+    EXPECT_EQ(response.status_, 503);
+}
