Add the HTTP, engine and platform clients with their stand-ins

The whole path needs its adapters and something to talk to. The HTTP client runs libcurl's multi interface on one thread.

libcurl sends a request again by itself when a reused connection closes before the first byte of the answer, although the peer may have run it. Ruled out: a fresh connection for every write, which costs a handshake each. Chosen: a body that refuses to be rewound, so that libcurl gives up once any of it was sent, and a fresh connection only for writes without a body. Removing either guard made does_not_repeat_a_request_whose_reused_connection_broke fail.

"unreachable" is decided by the bytes written to any connection, not by the kind of failure alone, so a connect that times out counts and a silent server does not.

--- a/include/auburnlb/transport/platform_client.hpp
+++ b/include/auburnlb/transport/platform_client.hpp
@@ -34,7 +34,9 @@
     template <class Value>
     using handler = std::function<void(result<Value>)>;
 
-    platform_client(http_client& http, std::string base_url);
+    /// The timeout bounds each call; a watch gets its wait on top.
+    platform_client(http_client& http, std::string base_url,
+                    milliseconds call_timeout = milliseconds(3'000));
 
     void get(std::string const& kind, std::string const& name,
              handler<platform_object> handler);
@@ -59,6 +61,7 @@
 private:
     http_client& http_;
     std::string base_url_;
+    milliseconds call_timeout_;
 };
 
 } // namespace auburnlb
--- /dev/null
+++ b/src/transport/engine_client.cpp
@@ -0,0 +1,204 @@
+// The model engine's HTTP interface with JSON bodies.
+#include "auburnlb/transport/engine_client.hpp"
+
+#include <exception>
+#include <stdexcept>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_server_error = 500;
+/// A step may wait in the engine's queue behind long prefills.
+constexpr milliseconds run_timeout{120'000};
+constexpr milliseconds control_timeout{5'000};
+constexpr std::size_t max_detail_bytes = 200;
+
+json to_json(engine_step const& step)
+{
+    return {
+        {"stream", step.stream_},     {"position", step.position_},
+        {"inputs", step.inputs_},     {"prompt_tokens", step.prompt_tokens_},
+        {"priority", step.priority_}, {"last_stage", step.is_last_stage_}};
+}
+
+engine_step_result parse_step_result(json const& value)
+{
+    engine_step_result parsed;
+    parsed.stream_ = value.at("stream").get<std::string>();
+    parsed.failure_ = value.value("failure", "");
+    parsed.outputs_ = value.value("outputs", std::vector<std::string>{});
+    parsed.is_end_ = value.value("end", false);
+    parsed.cached_tokens_ = value.value("cached_tokens", 0U);
+    return parsed;
+}
+
+engine_status parse_status(json const& value)
+{
+    engine_status parsed;
+    auto const& layers = value.at("layers");
+    parsed.layers_ = {layers.at(0).get<std::uint32_t>(),
+                      layers.at(1).get<std::uint32_t>()};
+    parsed.accelerator_ = value.at("accelerator").get<std::string>();
+    parsed.tokens_per_second_ = value.at("tokens_per_second").get<double>();
+    parsed.kv_tokens_ = value.at("kv_tokens").get<std::uint64_t>();
+    parsed.kv_used_tokens_ = value.at("kv_used_tokens").get<std::uint64_t>();
+    parsed.streams_ = value.at("streams").get<std::uint32_t>();
+    parsed.queued_ = value.at("queued").get<std::uint32_t>();
+    return parsed;
+}
+
+std::vector<engine_step_result>
+parse_results(json const& value, std::vector<std::string> const& streams)
+{
+    std::vector<engine_step_result> parsed;
+    for (auto const& entry : value.at("results"))
+    {
+        parsed.push_back(parse_step_result(entry));
+    }
+    if (parsed.size() != streams.size())
+    {
+        throw std::runtime_error("the number of results differs from the "
+                                 "number of steps");
+    }
+    for (std::size_t index = 0; index < streams.size(); ++index)
+    {
+        if (parsed[index].stream_ != streams[index])
+        {
+            throw std::runtime_error("result " + std::to_string(index) +
+                                     " names stream " + parsed[index].stream_);
+        }
+    }
+    return parsed;
+}
+
+error_code classify(int status)
+{
+    if (status == status_not_found)
+    {
+        return error_code::not_found;
+    }
+    if (status == status_conflict)
+    {
+        return error_code::conflict;
+    }
+    // A failing engine may have run the steps before it failed.
+    return status >= status_server_error ? error_code::answer_lost
+                                         : error_code::refused;
+}
+
+/// Parses the body of an answer; one that does not parse counts as lost.
+template <class Value, class Parser>
+result<Value> parse_answer(result<http_response> const& answer,
+                           std::string const& step, std::string const& peer,
+                           Parser const& parser)
+{
+    error failure{error_code::answer_lost, step, peer, {}};
+    if (!answer)
+    {
+        failure.code_ = answer.error().code_;
+        failure.detail_ = answer.error().detail_;
+        return failure;
+    }
+    http_response const& response = answer.value();
+    if (response.status_ != status_ok)
+    {
+        failure.code_ = classify(response.status_);
+        failure.detail_ = "status " + std::to_string(response.status_) + ": " +
+                          response.body_.substr(0, max_detail_bytes);
+        return failure;
+    }
+    try
+    {
+        return Value(parser(json::parse(response.body_)));
+    }
+    catch (std::exception const& parse_failure)
+    {
+        failure.detail_ = parse_failure.what();
+        return failure;
+    }
+}
+
+/// Sends a request and hands its parsed answer on.
+template <class Value, class Parser>
+void exchange(http_client& http, http_request&& request, std::string step,
+              std::string peer, Parser parser,
+              engine_client::handler<Value> handler)
+{
+    http.send(std::move(request),
+              [step = std::move(step), peer = std::move(peer),
+               parser = std::move(parser), handler = std::move(handler)](
+                  result<http_response> const& answer)
+              { handler(parse_answer<Value>(answer, step, peer, parser)); });
+}
+
+} // namespace
+
+engine_client::engine_client(http_client& http, std::string base_url)
+    : http_(http)
+    , base_url_(std::move(base_url))
+{
+}
+
+void engine_client::run(std::vector<engine_step> const& steps,
+                        handler<std::vector<engine_step_result>> handler)
+{
+    json body{{"steps", json::array()}};
+    std::vector<std::string> streams;
+    for (auto const& step : steps)
+    {
+        body["steps"].push_back(to_json(step));
+        streams.push_back(step.stream_);
+    }
+    http_request request{
+        "POST", base_url_ + "/v1/steps", {}, body.dump(), run_timeout};
+    exchange<std::vector<engine_step_result>>(
+        http_, std::move(request), "run steps", base_url_,
+        [streams = std::move(streams)](json const& value)
+        { return parse_results(value, streams); },
+        std::move(handler));
+}
+
+void engine_client::release(std::vector<std::string> const& streams,
+                            handler<bool> handler)
+{
+    json const body{{"streams", streams}};
+    http_request request{
+        "POST", base_url_ + "/v1/release", {}, body.dump(), control_timeout};
+    exchange<bool>(
+        http_, std::move(request), "release streams", base_url_,
+        [](json const&) { return true; }, std::move(handler));
+}
+
+void engine_client::status(handler<engine_status> handler)
+{
+    http_request request{
+        "GET", base_url_ + "/v1/status", {}, {}, control_timeout};
+    exchange<engine_status>(http_, std::move(request), "read engine status",
+                            base_url_, &parse_status, std::move(handler));
+}
+
+void engine_client::order_layers(layer_range layers,
+                                 std::uint64_t fencing_number,
+                                 handler<bool> handler)
+{
+    json const body{{"layers", {layers.first_, layers.end_}},
+                    {"fencing_number", fencing_number}};
+    http_request request{
+        "POST", base_url_ + "/v1/orders", {}, body.dump(), control_timeout};
+    exchange<bool>(
+        http_, std::move(request), "order layers", base_url_,
+        [](json const&) { return true; }, std::move(handler));
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,418 @@
+// HTTP client on one thread that drives libcurl's multi interface.
+#include "auburnlb/transport/http_client.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <strings.h>
+#include <thread>
+#include <unordered_map>
+
+#include <curl/curl.h>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+constexpr char const* send_step = "send HTTP request";
+/// Connections that are kept open for later requests, over all hosts.
+constexpr long max_idle_connections = 4'096;
+constexpr std::size_t max_pooled_handles = 256;
+/// Upper limit of one wait; a wakeup ends it earlier.
+constexpr int poll_timeout_ms = 1'000;
+
+/// One request in progress. Owned by the client's thread once it started.
+struct transfer
+{
+    http_request request_;
+    http_client::response_handler handler_;
+    http_response response_;
+    /// Bytes of the body handed to libcurl. Never rewound.
+    std::size_t body_sent_ = 0;
+    curl_slist* header_list_ = nullptr;
+
+    transfer() = default;
+    transfer(transfer const&) = delete;
+    transfer& operator=(transfer const&) = delete;
+    ~transfer() { curl_slist_free_all(header_list_); }
+};
+
+void initialize_libcurl()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+std::size_t on_body(char* data, std::size_t size, std::size_t count,
+                    void* context)
+{
+    static_cast<transfer*>(context)->response_.body_.append(data, size * count);
+    return size * count;
+}
+
+std::string trim(std::string const& text)
+{
+    auto const first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string::npos)
+    {
+        return {};
+    }
+    auto const last = text.find_last_not_of(" \t\r\n");
+    return text.substr(first, last - first + 1);
+}
+
+std::size_t on_header(char* data, std::size_t size, std::size_t count,
+                      void* context)
+{
+    auto& response = static_cast<transfer*>(context)->response_;
+    std::string const line(data, size * count);
+    if (line.rfind("HTTP/", 0) == 0)
+    {
+        // A status line starts a new header block, for example after "100".
+        response.headers_.clear();
+        return size * count;
+    }
+    auto const colon = line.find(':');
+    if (colon != std::string::npos)
+    {
+        response.headers_.emplace_back(trim(line.substr(0, colon)),
+                                       trim(line.substr(colon + 1)));
+    }
+    return size * count;
+}
+
+std::size_t on_read(char* buffer, std::size_t size, std::size_t count,
+                    void* context)
+{
+    auto& running = *static_cast<transfer*>(context);
+    std::string const& body = running.request_.body_;
+    std::size_t const bytes =
+        std::min(size * count, body.size() - running.body_sent_);
+    std::copy_n(body.data() + running.body_sent_, bytes, buffer);
+    running.body_sent_ += bytes;
+    return bytes;
+}
+
+/// Refuses to rewind the body, which makes libcurl give up instead of sending
+/// the request again on another connection.
+int on_seek(void* /*context*/, curl_off_t /*offset*/, int /*origin*/)
+{
+    return CURL_SEEKFUNC_FAIL;
+}
+
+bool is_safe_method(std::string const& method)
+{
+    return method == "GET" || method == "HEAD";
+}
+
+void set_headers(CURL* easy, transfer& running)
+{
+    auto append = [&](std::string const& line)
+    {
+        running.header_list_ =
+            curl_slist_append(running.header_list_, line.c_str());
+    };
+    append("Expect:");
+    if (!running.request_.body_.empty() &&
+        find_header(running.request_.headers_, "Content-Type").empty())
+    {
+        append("Content-Type: application/json");
+    }
+    for (auto const& [name, value] : running.request_.headers_)
+    {
+        // libcurl drops a header without a value unless it ends in ";".
+        std::string line = name;
+        line += value.empty() ? ";" : ": ";
+        append(line + value);
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, running.header_list_);
+}
+
+/// libcurl sends a request again when a reused connection closes before the
+/// first byte of the answer, although the peer may have run it. A body that
+/// cannot be rewound prevents that; a request without a body takes a fresh
+/// connection, for which libcurl has no second try.
+void set_body(CURL* easy, transfer& running)
+{
+    http_request const& request = running.request_;
+    if (request.method_ == "HEAD")
+    {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (is_safe_method(request.method_) && request.body_.empty())
+    {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+        return;
+    }
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method_.c_str());
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, &on_read);
+    curl_easy_setopt(easy, CURLOPT_READDATA, &running);
+    curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, &on_seek);
+    curl_easy_setopt(easy, CURLOPT_SEEKDATA, &running);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body_.size()));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+                     request.body_.empty() ? 1L : 0L);
+}
+
+void set_options(CURL* easy, transfer& running)
+{
+    http_request const& request = running.request_;
+    auto const timeout = std::max<long>(1, request.timeout_.count());
+    curl_easy_setopt(easy, CURLOPT_URL, request.url_.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, timeout);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &running);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &running);
+    set_headers(easy, running);
+    set_body(easy, running);
+}
+
+/// Bytes of the request that were written to any connection.
+long bytes_written(CURL* easy)
+{
+    long bytes = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &bytes);
+    return bytes;
+}
+
+error_code classify(CURLcode code, long written)
+{
+    switch (code)
+    {
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+        return error_code::invalid_input;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+        return written == 0 ? error_code::unreachable : error_code::answer_lost;
+    case CURLE_OPERATION_TIMEDOUT:
+        return written == 0 ? error_code::unreachable : error_code::timeout;
+    default:
+        return error_code::answer_lost;
+    }
+}
+
+std::string peer_of(std::string const& url)
+{
+    auto const scheme = url.find("://");
+    auto const first = scheme == std::string::npos ? 0 : scheme + 3;
+    return url.substr(first, url.find('/', first) - first);
+}
+
+error make_error(error_code code, transfer const& running, std::string detail)
+{
+    return {code, send_step, peer_of(running.request_.url_), std::move(detail)};
+}
+
+} // namespace
+
+std::string find_header(http_headers const& headers, std::string const& name)
+{
+    for (auto const& [key, value] : headers)
+    {
+        if (strcasecmp(key.c_str(), name.c_str()) == 0)
+        {
+            return value;
+        }
+    }
+    return {};
+}
+
+struct http_client::impl
+{
+    CURLM* multi_ = nullptr;
+    std::mutex mutex_;
+    /// Requests that the thread has not taken yet; guarded by mutex_.
+    std::vector<std::unique_ptr<transfer>> waiting_;
+    std::atomic<bool> is_stopping_{false};
+    /// Only the thread touches the members below.
+    std::unordered_map<CURL*, std::unique_ptr<transfer>> running_;
+    std::vector<CURL*> pool_;
+    std::thread thread_;
+
+    impl();
+    ~impl();
+    void enqueue(std::unique_ptr<transfer> next);
+    std::vector<std::unique_ptr<transfer>> take_waiting();
+    void run();
+    void start(std::unique_ptr<transfer> next);
+    void finish_done();
+    void finish(CURL* easy, CURLcode code);
+    void fail_all();
+    CURL* acquire_handle();
+    void recycle(CURL* easy);
+};
+
+http_client::impl::impl()
+{
+    initialize_libcurl();
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_idle_connections);
+    curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    thread_ = std::thread([this] { run(); });
+}
+
+http_client::impl::~impl()
+{
+    is_stopping_ = true;
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    for (CURL* easy : pool_)
+    {
+        curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(multi_);
+}
+
+void http_client::impl::enqueue(std::unique_ptr<transfer> next)
+{
+    {
+        std::lock_guard const lock(mutex_);
+        waiting_.push_back(std::move(next));
+    }
+    curl_multi_wakeup(multi_);
+}
+
+std::vector<std::unique_ptr<transfer>> http_client::impl::take_waiting()
+{
+    std::lock_guard const lock(mutex_);
+    return std::exchange(waiting_, {});
+}
+
+void http_client::impl::run()
+{
+    while (!is_stopping_)
+    {
+        for (auto& next : take_waiting())
+        {
+            start(std::move(next));
+        }
+        int still_running = 0;
+        curl_multi_perform(multi_, &still_running);
+        finish_done();
+        curl_multi_poll(multi_, nullptr, 0, poll_timeout_ms, nullptr);
+    }
+    fail_all();
+}
+
+CURL* http_client::impl::acquire_handle()
+{
+    if (pool_.empty())
+    {
+        return curl_easy_init();
+    }
+    CURL* easy = pool_.back();
+    pool_.pop_back();
+    return easy;
+}
+
+void http_client::impl::recycle(CURL* easy)
+{
+    if (pool_.size() >= max_pooled_handles)
+    {
+        curl_easy_cleanup(easy);
+        return;
+    }
+    curl_easy_reset(easy);
+    pool_.push_back(easy);
+}
+
+void http_client::impl::start(std::unique_ptr<transfer> next)
+{
+    CURL* easy = acquire_handle();
+    set_options(easy, *next);
+    running_.emplace(easy, std::move(next));
+    if (curl_multi_add_handle(multi_, easy) != CURLM_OK)
+    {
+        finish(easy, CURLE_FAILED_INIT);
+    }
+}
+
+void http_client::impl::finish_done()
+{
+    int remaining = 0;
+    while (CURLMsg* const message = curl_multi_info_read(multi_, &remaining))
+    {
+        if (message->msg == CURLMSG_DONE)
+        {
+            finish(message->easy_handle, message->data.result);
+        }
+    }
+}
+
+void http_client::impl::finish(CURL* easy, CURLcode code)
+{
+    auto const found = running_.find(easy);
+    auto const done = std::move(found->second);
+    running_.erase(found);
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    long const written = bytes_written(easy);
+    curl_multi_remove_handle(multi_, easy);
+    recycle(easy);
+    if (code != CURLE_OK)
+    {
+        done->handler_(make_error(classify(code, written), *done,
+                                  curl_easy_strerror(code)));
+        return;
+    }
+    done->response_.status_ = static_cast<int>(status);
+    done->handler_(std::move(done->response_));
+}
+
+void http_client::impl::fail_all()
+{
+    auto running = std::exchange(running_, {});
+    for (auto& [easy, stopped] : running)
+    {
+        curl_multi_remove_handle(multi_, easy);
+        curl_easy_cleanup(easy);
+        stopped->handler_(make_error(error_code::answer_lost, *stopped,
+                                     "the client was stopped"));
+    }
+    for (auto& stopped : take_waiting())
+    {
+        stopped->handler_(make_error(error_code::answer_lost, *stopped,
+                                     "the client was stopped"));
+    }
+}
+
+http_client::http_client()
+    : impl_(std::make_unique<impl>())
+{
+}
+
+http_client::~http_client() = default;
+
+void http_client::send(http_request request, response_handler handler)
+{
+    auto next = std::make_unique<transfer>();
+    next->request_ = std::move(request);
+    next->handler_ = std::move(handler);
+    impl_->enqueue(std::move(next));
+}
+
+result<http_response> http_client::send_and_wait(http_request request)
+{
+    auto promise = std::make_shared<std::promise<result<http_response>>>();
+    auto future = promise->get_future();
+    send(std::move(request), [promise](result<http_response> response)
+         { promise->set_value(std::move(response)); });
+    return future.get();
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/test/transport/http_client_test.cpp
@@ -0,0 +1,178 @@
+// Tests of the HTTP client: what it says when an answer does not come.
+#include "auburnlb/transport/http_client.hpp"
+
+#include <atomic>
+#include <future>
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fake_http.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+using fakes::fake_http_server;
+using fakes::fake_reply;
+
+/// A server that executes each request and then answers or drops it.
+struct counting_server
+{
+    std::atomic<int> executions_{0};
+    std::atomic<bool> drops_{false};
+    std::unique_ptr<fake_http_server> server_ = fake_http_server::start(
+        0,
+        [this](incoming_request const& request,
+               std::shared_ptr<fake_reply> const& reply)
+        {
+            ++executions_;
+            if (drops_)
+            {
+                reply->drop();
+                return;
+            }
+            reply->send({200, {{"X-Method", request.method_}}, request.body_});
+        });
+
+    http_request request(std::string method, std::string body) const
+    {
+        return {std::move(method),
+                fakes::loopback_url(server_->port()) + "/x",
+                {},
+                std::move(body)};
+    }
+};
+
+/// A listening socket that nobody accepts from or reads.
+struct silent_listener
+{
+    int socket_ = socket(AF_INET, SOCK_STREAM, 0);
+    std::uint16_t port_ = 0;
+
+    silent_listener()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* const generic = reinterpret_cast<sockaddr*>(&address);
+        EXPECT_EQ(bind(socket_, generic, size), 0);
+        EXPECT_EQ(listen(socket_, 8), 0);
+        getsockname(socket_, generic, &size);
+        port_ = ntohs(address.sin_port);
+    }
+    ~silent_listener() { close(socket_); }
+};
+
+} // namespace
+
+TEST(http_client, returns_status_headers_and_body)
+{
+    counting_server server;
+    http_client client;
+    auto const answer = client.send_and_wait(server.request("PUT", "pan"));
+    ASSERT_TRUE(answer) << to_string(answer.error());
+    EXPECT_EQ(answer.value().status_, 200);
+    EXPECT_EQ(find_header(answer.value().headers_, "x-METHOD"), "PUT");
+    EXPECT_EQ(answer.value().body_, "pan");
+}
+
+TEST(http_client, runs_many_requests_at_once)
+{
+    counting_server server;
+    http_client client;
+    std::vector<std::future<std::string>> answers;
+    for (int index = 0; index < 200; ++index)
+    {
+        auto promise = std::make_shared<std::promise<std::string>>();
+        answers.push_back(promise->get_future());
+        client.send(server.request("POST", std::to_string(index)),
+                    [promise](result<http_response> const& answer)
+                    {
+                        promise->set_value(answer ? answer.value().body_
+                                                  : to_string(answer.error()));
+                    });
+    }
+    for (int index = 0; index < 200; ++index)
+    {
+        EXPECT_EQ(answers[index].get(), std::to_string(index));
+    }
+}
+
+TEST(http_client, does_not_repeat_a_request_whose_reused_connection_broke)
+{
+    counting_server server;
+    http_client client;
+    for (std::string const body : {"", "reserve a hide"})
+    {
+        for (std::string const method : {"POST", "PUT", "DELETE"})
+        {
+            SCOPED_TRACE(::testing::Message() << method << " " << body);
+            server.drops_ = false;
+            ASSERT_TRUE(client.send_and_wait(server.request("POST", "first")));
+            server.drops_ = true;
+            server.executions_ = 0;
+            auto const answer =
+                client.send_and_wait(server.request(method, body));
+            ASSERT_FALSE(answer);
+            EXPECT_EQ(answer.error().code_, error_code::answer_lost);
+            EXPECT_EQ(server.executions_, 1);
+        }
+    }
+}
+
+TEST(http_client, says_unreachable_when_nobody_listens)
+{
+    std::uint16_t port = 0;
+    {
+        silent_listener const listener;
+        port = listener.port_;
+    }
+    http_client client;
+    auto const answer = client.send_and_wait(
+        {"POST", fakes::loopback_url(port) + "/x", {}, "body"});
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().code_, error_code::unreachable);
+    EXPECT_EQ(answer.error().peer_, "127.0.0.1:" + std::to_string(port));
+}
+
+TEST(http_client, says_timeout_when_the_server_is_silent)
+{
+    silent_listener const listener;
+    http_client client;
+    http_request request{
+        "POST", fakes::loopback_url(listener.port_) + "/x", {}, "body"};
+    request.timeout_ = milliseconds(100);
+    auto const answer = client.send_and_wait(std::move(request));
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().code_, error_code::timeout);
+}
+
+TEST(http_client, fails_what_still_runs_when_destroyed)
+{
+    silent_listener const listener;
+    std::promise<error_code> failed;
+    {
+        http_client client;
+        client.send({"GET", fakes::loopback_url(listener.port_), {}, {}},
+                    [&](result<http_response> const& answer)
+                    { failed.set_value(answer.error().code_); });
+    }
+    EXPECT_EQ(failed.get_future().get(), error_code::answer_lost);
+}
+
+TEST(http_client, names_a_url_that_it_cannot_take)
+{
+    http_client client;
+    auto const answer = client.send_and_wait({"GET", "gopher://x/", {}, {}});
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().code_, error_code::invalid_input);
+}
+
+} // namespace auburnlb
