--- /dev/null
+++ b/fakes/fake_relay.hpp
@@ -0,0 +1,58 @@
+// TCP relay that can silence, cut, delay or throttle what runs through it.
+#ifndef AUBURNLB_FAKES_FAKE_RELAY_HPP
+#define AUBURNLB_FAKES_FAKE_RELAY_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "auburnlb/state/clock.hpp"
+
+namespace auburnlb::fakes
+{
+
+/// Connections that a relay has carried, by their present condition.
+struct relay_counts
+{
+    std::size_t open_ = 0;
+    /// Held open, with nothing forwarded any more.
+    std::size_t silent_ = 0;
+};
+
+/// Thread-safe. Listens on 127.0.0.1.
+class fake_relay
+{
+public:
+    /// Port zero takes a free one; the target is "HOST:PORT" with an IP
+    /// number. Throws std::exception on a bad target or a port that is taken.
+    fake_relay(std::uint16_t port, std::string const& target);
+    ~fake_relay();
+
+    std::uint16_t port() const;
+    /// Holds the open connections and forwards nothing more on them; new
+    /// connections work.
+    void silence();
+    /// Like silence(), and new connections are silent too until heal().
+    void isolate();
+    /// Lets new connections work again; silent ones stay silent.
+    void heal();
+    /// Closes all open connections; new ones work.
+    void cut();
+    /// Delays every byte in each direction.
+    void set_delay(milliseconds delay);
+    /// Limits each direction of each connection; zero for no limit.
+    void set_rate(std::uint64_t bytes_per_second);
+    relay_counts counts() const;
+
+    /// Runs a command: "silence", "isolate", "heal", "cut", "delay MS" or
+    /// "rate BYTES_PER_S". False when it is none of them.
+    bool run_command(std::string const& line);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace auburnlb::fakes
+
+#endif
