--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -9,13 +9,16 @@
 #include <utility>
 
 #include <asio.hpp>
+#include <nlohmann/json.hpp>
 
-#include "auburnlb/state/service_object.hpp"
+#include "auburnlb/coordination/admin_api.hpp"
 #include "auburnlb/state/log.hpp"
+#include "auburnlb/state/service_object.hpp"
 #include "auburnlb/transport/caller_api.hpp"
 #include "auburnlb/transport/companion.hpp"
 #include "auburnlb/transport/digest.hpp"
 #include "auburnlb/transport/platform_client.hpp"
+#include "auburnlb/transport/platform_store.hpp"
 #include "auburnlb/transport/stream_service.hpp"
 
 namespace auburnlb
@@ -70,6 +73,7 @@
         , watch_timer_(io_)
         , planner_(1)
         , platform_(http_, options_.platform_url_)
+        , store_(platform_)
     {
         peers_.limits_ = options_.peers_;
     }
@@ -142,6 +146,8 @@
         callers_ = std::move(callers).value();
         if (options_.is_admin_enabled_)
         {
+            admin_api_ = std::make_unique<admin_api>(
+                store_, options_.admin_token_, make_admin_hooks());
             auto admin = http_server::start(
                 options_.admin_, [this](incoming_request request,
                                         std::shared_ptr<http_reply> reply)
@@ -319,7 +325,105 @@
                          metrics_.render()});
             return;
         }
-        reply->send({404, {}, "no such path\n"});
+        constexpr std::string_view bearer = "Bearer ";
+        admin_request asked;
+        asked.method_ = request.method_;
+        asked.path_ = request.path_;
+        asked.body_ = request.body_;
+        asked.author_ = find_header(request.headers_, "X-Operator");
+        std::string const token =
+            find_header(request.headers_, "Authorization");
+        if (token.starts_with(bearer))
+        {
+            asked.token_ = token.substr(bearer.size());
+        }
+        admin_api_->handle(asked,
+                           [reply](admin_response answer)
+                           {
+                               reply->send(
+                                   {answer.status_,
+                                    {{"Content-Type", "application/json"}},
+                                    std::move(answer.body_)});
+                           });
+    }
+
+    admin_hooks make_admin_hooks()
+    {
+        admin_hooks hooks;
+        hooks.status_ = [this]
+        {
+            return status_json();
+        };
+        hooks.version_ = []
+        {
+            return R"({"version":"0.1.0"})";
+        };
+        hooks.drain_ = [](std::string const& endpoint,
+                          std::function<void(result<std::string>)> const& done)
+        {
+            done(error{error_code::not_found, "drain", endpoint,
+                       "no such endpoint"});
+        };
+        return hooks;
+    }
+
+    std::string status_json() const
+    {
+        nlohmann::ordered_json status;
+        status["entry"] = options_.name_;
+        status["services"] = nlohmann::ordered_json::array();
+        status["endpoints"] = nlohmann::ordered_json::array();
+        view_.read(
+            [&status](routing_view const& view)
+            {
+                status["entries"] = view.entries_;
+                for (auto const& [name, config] : view.fleet_.services_)
+                {
+                    status["services"].push_back(
+                        describe_service(view, *config));
+                }
+                for (auto const& endpoint : view.fleet_.endpoints_)
+                {
+                    status["endpoints"].push_back(describe_endpoint(endpoint));
+                }
+            });
+        return status.dump();
+    }
+
+    static nlohmann::ordered_json describe_service(routing_view const& view,
+                                                   service_config const& config)
+    {
+        nlohmann::ordered_json text{{"name", config.name_},
+                                    {"version", config.version_}};
+        auto const plan = view.plan_.services_.find(config.name_);
+        if (plan == view.plan_.services_.end())
+        {
+            return text;
+        }
+        text["bound_tokens_per_second"] =
+            plan->second.bound_.tokens_per_second_;
+        for (auto const& limit : plan->second.bound_.limits_)
+        {
+            text["limited_by"].push_back(limit.endpoints_);
+        }
+        return text;
+    }
+
+    static nlohmann::ordered_json
+    describe_endpoint(endpoint_description const& endpoint)
+    {
+        char const* const state = endpoint.state_ == host_state::live ? "live"
+                                  : endpoint.state_ == host_state::leaving
+                                      ? "leaving"
+                                      : "dead";
+        return {{"name", endpoint.name_},
+                {"address", endpoint.address_},
+                {"service", endpoint.service_},
+                {"data_centre", endpoint.data_centre_},
+                {"state", state},
+                {"layers", {endpoint.layers_.first_, endpoint.layers_.end_}},
+                {"accelerator", endpoint.accelerator_},
+                {"tokens_per_second", endpoint.tokens_per_second_}};
     }
 
     // Everything below runs on the core thread.
@@ -701,6 +805,8 @@
     asio::thread_pool planner_;
     http_client http_;
     platform_client platform_;
+    platform_store store_;
+    std::unique_ptr<admin_api> admin_api_;
     std::unique_ptr<message_bus> bus_;
     std::unique_ptr<stream_service> streams_;
     std::unique_ptr<http_server> callers_;
