--- a/include/auburnlb/coordination/admission.hpp
+++ b/include/auburnlb/coordination/admission.hpp
@@ -112,6 +112,11 @@
     double token_cost_ = 0;
 };
 
+/// Part of the limit by which requests of workspaces below their share may
+/// exceed it. So a small workspace need not wait for a large one's requests to
+/// end.
+inline constexpr double limit_headroom = 0.15;
+
 /// Limits and queues of one service at one entry. Not thread-safe.
 struct admission_state
 {
@@ -145,7 +150,10 @@
     double first_token_s_ = 0;
     double service_time_s_ = 0;
     double mean_cost_ = 0;
+    /// Sum of the weights of workspaces that have a queue.
     double active_weight_ = 0;
+    /// Sum of the weights of workspaces that have requests in progress.
+    double busy_weight_ = 0;
 };
 
 /// How limits over all entries are split: this entry's place among the live.
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -96,6 +96,20 @@
            workspace.in_flight_ < workspace.max_in_flight_;
 }
 
+/// Whether a request may start above the limit because its workspace has less
+/// in progress than its share of the limit.
+bool has_headroom(admission_state const& state,
+                  workspace_admission const& workspace)
+{
+    double const weight = workspace.weight_;
+    double const others =
+        state.busy_weight_ - (workspace.in_flight_ > 0 ? weight : 0);
+    double const share = state.limit_ * weight / (others + weight);
+    return workspace.in_flight_ + 1 <= share &&
+           static_cast<double>(state.in_progress_.size()) + 1 <=
+               state.limit_ * (1 + limit_headroom);
+}
+
 /// Requests that end in a second while the service is full.
 double completion_rate(admission_state const& state)
 {
@@ -148,6 +162,7 @@
            double token_cost)
 {
     workspace_admission& workspace = state.workspaces_[index];
+    state.busy_weight_ += workspace.in_flight_ == 0 ? workspace.weight_ : 0;
     workspace.in_flight_ += 1;
     workspace.bucket_ -= token_cost;
     add_to_mean(state.mean_cost_, token_cost);
@@ -294,6 +309,22 @@
     }
 }
 
+bool is_blocked(workspace_admission const& workspace)
+{
+    return !has_room(workspace) || !has_rate(workspace);
+}
+
+/// Starts the first request of a workspace's queue.
+void start_first(admission_state& state, std::uint32_t index,
+                 std::vector<admission_decision>& decisions)
+{
+    auto const first = state.workspaces_[index].queue_.begin();
+    queued_request const request = first->second;
+    decisions.push_back(accept(request.ticket_));
+    start(state, index, request.ticket_, request.token_cost_);
+    remove_waiting(state, index, queue_key(first->first));
+}
+
 /// Starts requests of one workspace while its deficit covers them. Gives
 /// whether the workspace may have more to send in this round.
 void serve(admission_state& state, std::uint32_t index, time_point now,
@@ -304,29 +335,39 @@
     while (!workspace.queue_.empty() && !is_full(state))
     {
         auto const first = workspace.queue_.begin();
-        if (!has_room(workspace) || !has_rate(workspace) ||
+        if (is_blocked(workspace) ||
             first->second.token_cost_ > workspace.deficit_)
         {
             return;
         }
         workspace.deficit_ -= first->second.token_cost_;
-        decisions.push_back(accept(first->second.ticket_));
-        start(state, index, first->second.ticket_, first->second.token_cost_);
-        remove_waiting(state, index, queue_key(first->first));
+        start_first(state, index, decisions);
     }
 }
 
-bool is_blocked(workspace_admission const& workspace)
-{
-    return !has_room(workspace) || !has_rate(workspace);
-}
-
 /// Tokens that each round grants to a workspace of weight 1.
 double quantum(admission_state const& state)
 {
     return std::max(1.0, state.mean_cost_);
 }
 
+/// Serves workspaces that have less in progress than their share, also above
+/// the limit.
+void serve_headroom(admission_state& state, time_point now,
+                    std::vector<admission_decision>& decisions)
+{
+    for (std::uint32_t const index : state.round_)
+    {
+        workspace_admission& workspace = state.workspaces_[index];
+        refill(workspace, now);
+        while (!workspace.queue_.empty() && !is_blocked(workspace) &&
+               has_headroom(state, workspace))
+        {
+            start_first(state, index, decisions);
+        }
+    }
+}
+
 /// Serves the queues round by round until the service is full or every queue
 /// is empty or held back by its workspace's own limits.
 void serve_rounds(admission_state& state, time_point now,
@@ -464,10 +505,10 @@
         workspace_admission& workspace = state.workspaces_[index->second];
         double const old_weight = workspace.weight_;
         apply_equal_share(workspace, limits, share);
-        if (workspace.is_active_)
-        {
-            state.active_weight_ += workspace.weight_ - old_weight;
-        }
+        state.active_weight_ +=
+            workspace.is_active_ ? workspace.weight_ - old_weight : 0;
+        state.busy_weight_ +=
+            workspace.in_flight_ > 0 ? workspace.weight_ - old_weight : 0;
         if (is_new)
         {
             workspace.refilled_ = now;
@@ -537,7 +578,8 @@
     }
     // While the service is not full, whatever still waits after a tick is held
     // back by the limits of its own workspace.
-    if (workspace.queue_.empty() && !is_full(state))
+    if (workspace.queue_.empty() &&
+        (!is_full(state) || has_headroom(state, workspace)))
     {
         start(state, found->second, request.ticket_, request.token_cost_);
         return accept(request.ticket_);
@@ -570,6 +612,7 @@
     workspace_admission& workspace =
         state.workspaces_[found->second.workspace_];
     workspace.in_flight_ -= 1;
+    state.busy_weight_ -= workspace.in_flight_ == 0 ? workspace.weight_ : 0;
     workspace.bucket_ += found->second.token_cost_ - token_cost;
     add_to_mean(state.service_time_s_, to_seconds(since_admission));
     state.in_progress_.erase(found);
@@ -596,6 +639,7 @@
     {
         refuse_expired(state, index, now, decisions);
     }
+    serve_headroom(state, now, decisions);
     drop_empty_queues(state);
     serve_rounds(state, now, decisions);
     return decisions;
