--- a/test/process/cluster.py
+++ b/test/process/cluster.py
@@ -149,8 +149,8 @@
     """The right text of an answer, by the reference arithmetic."""
     done = subprocess.run(
         [os.path.join(BUILD, "fake-expected_answer"), "--layers", str(layers),
-         "--tokens", str(tokens), "--content", prompt],
-        check=True, capture_output=True, text=True)
+         "--tokens", str(tokens)],
+        input=prompt + "\n", check=True, capture_output=True, text=True)
     return done.stdout.rstrip("\n")
 
 
