Serve calls of plain services at the entry; drain; split the entry by job

Cause: the entry's file held routing of callers, status and watches at once, and had no path for plain services. Weighed: draining by marking the host at the platform (lags) against telling the companion, whose refusal works at once.

--- a/include/auburnlb/protocol/messages.hpp
+++ b/include/auburnlb/protocol/messages.hpp
@@ -190,10 +190,19 @@
     bool operator==(suspicion_update const&) const = default;
 };
 
+/// Asks a companion to finish what runs and stop. Pinned to an incarnation, so
+/// that a delayed copy never stops a successor.
+struct drain_request
+{
+    incarnation_id target_incarnation_ = 0;
+
+    bool operator==(drain_request const&) const = default;
+};
+
 using message =
     std::variant<step_frame, token_frame, step_refusal, cancel_stream, hello,
                  hello_reply, endpoint_update, config_request, config_push,
-                 call_request, call_reply, suspicion_update>;
+                 call_request, call_reply, suspicion_update, drain_request>;
 
 /// A message with its sender.
 struct envelope
--- /dev/null
+++ b/include/auburnlb/transport/call_service.hpp
@@ -0,0 +1,93 @@
+// Calls of plain services at an entry.
+#ifndef AUBURNLB_TRANSPORT_CALL_SERVICE_HPP
+#define AUBURNLB_TRANSPORT_CALL_SERVICE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "auburnlb/coordination/chain_choice.hpp"
+#include "auburnlb/coordination/retry_budget.hpp"
+#include "auburnlb/protocol/call.hpp"
+#include "auburnlb/protocol/claim_shards.hpp"
+#include "auburnlb/state/metrics.hpp"
+#include "auburnlb/state/snapshot_cell.hpp"
+#include "auburnlb/transport/caller_api.hpp"
+#include "auburnlb/transport/http_server.hpp"
+#include "auburnlb/transport/message_bus.hpp"
+#include "auburnlb/transport/routing_view.hpp"
+
+namespace auburnlb
+{
+
+/// One caller's call of a plain service.
+struct plain_call
+{
+    std::shared_ptr<service_config const> config_;
+    std::string workspace_;
+    std::string method_;
+    /// Path below the service's own, with the query; begins with '/'.
+    std::string path_;
+    http_headers headers_;
+    std::string body_;
+    caller_options options_;
+    /// Only the outcome of the key is asked for.
+    bool is_lookup_ = false;
+    std::shared_ptr<http_reply> reply_;
+    time_point received_at_{};
+};
+
+/// All functions are called on the entry's core thread.
+class call_service
+{
+public:
+    call_service(message_bus& bus, metrics_registry& metrics,
+                 snapshot_cell<routing_view> const& view,
+                 clock_source const& clock, std::string entry_address,
+                 incarnation_id incarnation);
+    ~call_service();
+
+    void submit(plain_call call);
+    void on_reply(call_reply const& reply);
+    void on_peer_lost(std::string const& address, incarnation_id incarnation);
+    /// A newer table of the homes of a service's keys.
+    void on_claim_table(std::string const& service, std::string const& json);
+    /// Called at least every 50 ms.
+    void on_tick();
+    std::size_t in_progress() const;
+
+private:
+    struct active_call;
+
+    void apply(active_call& call, call_actions const& actions);
+    void route(active_call& call);
+    bool may_retry(active_call& call, route_call const& action);
+    void send(active_call& call, std::string const& address,
+              incarnation_id incarnation);
+    void reply_error(active_call& call, refusal_reason reason, run_state state);
+    void end_attempt(active_call& call);
+    void finish(active_call& call);
+    void sweep();
+
+    message_bus& bus_;
+    metrics_registry& metrics_;
+    snapshot_cell<routing_view> const& view_;
+    clock_source const& clock_;
+    std::string const entry_address_;
+    incarnation_id const incarnation_;
+    std::uint64_t last_sequence_ = 0;
+    choice_state choice_;
+    std::map<std::string, claim_table> tables_;
+    std::map<std::string, retry_budget> retries_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<active_call>> calls_;
+    /// Calls that ended and are freed by the next sweep.
+    std::vector<std::uint64_t> ended_;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/transport/caller_front.hpp
@@ -0,0 +1,68 @@
+// What an entry does with a caller's HTTP request before its core thread takes
+// it: routes it, checks key and body, and refuses what is wrong.
+#ifndef AUBURNLB_TRANSPORT_CALLER_FRONT_HPP
+#define AUBURNLB_TRANSPORT_CALLER_FRONT_HPP
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "auburnlb/state/metrics.hpp"
+#include "auburnlb/state/snapshot_cell.hpp"
+#include "auburnlb/transport/call_service.hpp"
+#include "auburnlb/transport/http_server.hpp"
+#include "auburnlb/transport/routing_view.hpp"
+#include "auburnlb/transport/stream_service.hpp"
+
+namespace auburnlb
+{
+
+/// Where admissible requests go, and what decides on the others.
+struct caller_front_environment
+{
+    snapshot_cell<routing_view> const& view_;
+    metrics_registry& metrics_;
+    clock_source const& clock_;
+    std::atomic<bool> const& is_leaving_;
+    std::size_t max_body_bytes_ = 0;
+    std::function<void(stream_call)> submit_stream_;
+    std::function<void(plain_call)> submit_call_;
+};
+
+/// Thread-safe: runs on the HTTP server's threads and reads the view under RCU.
+///
+///     GET  /healthz, /readyz                 for the balancer
+///     GET  /v1/models
+///     POST /v1/chat/completions              model services
+///     ANY  /services/<service>/<path>        plain services
+///     GET  /v1/outcomes/<service>            outcome of an Idempotency-Key
+class caller_front
+{
+public:
+    explicit caller_front(caller_front_environment environment);
+
+    void handle(incoming_request request, std::shared_ptr<http_reply> reply);
+
+private:
+    void on_ready(http_reply& reply) const;
+    void on_chat(incoming_request const& request,
+                 std::shared_ptr<http_reply> reply);
+    void on_call(incoming_request request, std::shared_ptr<http_reply> reply,
+                 std::string const& rest, bool is_lookup);
+    void refuse(http_reply& reply, refusal_reason reason,
+                std::string const& message,
+                std::optional<seconds> retry_after = std::nullopt);
+    /// Checks key and body size; refuses and gives false when they are wrong.
+    bool is_allowed(http_reply& reply, std::string const& service,
+                    service_config const* config, service_kind kind,
+                    std::string const& workspace, std::size_t body_bytes);
+
+    caller_front_environment const environment_;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/transport/status_report.hpp
@@ -0,0 +1,17 @@
+// What an entry tells operators of its services and endpoints.
+#ifndef AUBURNLB_TRANSPORT_STATUS_REPORT_HPP
+#define AUBURNLB_TRANSPORT_STATUS_REPORT_HPP
+
+#include <string>
+
+#include "auburnlb/transport/routing_view.hpp"
+
+namespace auburnlb
+{
+
+/// The JSON object of GET /admin/v1/status.
+std::string render_status(std::string const& entry, routing_view const& view);
+
+} // namespace auburnlb
+
+#endif
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -72,6 +72,7 @@
                 value.body_, value.reason_, value.run_state_, value.is_replay_,
                 value.load_)
 AUBURNLB_FIELDS(suspicion_update, value.crashes_)
+AUBURNLB_FIELDS(drain_request, value.target_incarnation_)
 
 template <class Type>
 concept has_fields = requires(Type& value)
--- a/src/transport/companion.cpp
+++ b/src/transport/companion.cpp
@@ -180,6 +180,14 @@
         stop_when_idle();
     }
 
+    void on_body(incarnation_id /*sender*/, drain_request& body)
+    {
+        if (body.target_incarnation_ == options_.incarnation_)
+        {
+            leave();
+        }
+    }
+
     void refuse(step_frame const& frame, refusal_reason reason)
     {
         auto const known = table_.streams_.find(frame.request_);
--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -12,13 +12,16 @@
 #include <nlohmann/json.hpp>
 
 #include "auburnlb/coordination/admin_api.hpp"
+#include "auburnlb/coordination/configuration.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/service_object.hpp"
-#include "auburnlb/transport/caller_api.hpp"
+#include "auburnlb/transport/call_service.hpp"
+#include "auburnlb/transport/caller_front.hpp"
 #include "auburnlb/transport/companion.hpp"
-#include "auburnlb/transport/digest.hpp"
+#include "auburnlb/transport/object_watch.hpp"
 #include "auburnlb/transport/platform_client.hpp"
 #include "auburnlb/transport/platform_store.hpp"
+#include "auburnlb/transport/status_report.hpp"
 #include "auburnlb/transport/stream_service.hpp"
 
 namespace auburnlb
@@ -70,10 +73,36 @@
         , work_(asio::make_work_guard(io_))
         , tick_timer_(io_)
         , hosts_timer_(io_)
-        , watch_timer_(io_)
         , planner_(1)
         , platform_(http_, options_.platform_url_)
         , store_(platform_)
+        , service_watch_(io_, platform_, "services", options_.watch_wait_,
+                         options_.incarnation_,
+                         {[this](platform_object const& object)
+                          { take_configuration(object); },
+                          [this](bool is_reachable)
+                          {
+                              note_platform(is_reachable);
+                          }})
+        , table_watch_(io_, platform_, claim_table_kind, options_.watch_wait_,
+                       options_.incarnation_ + 1,
+                       {[this](platform_object const& object) {
+                            calls_->on_claim_table(object.name_, object.value_);
+                        },
+                        [](bool) {
+                        }})
+        , front_({view_, metrics_, clock_, is_leaving_,
+                  options_.callers_.max_body_bytes_,
+                  [this](stream_call call)
+                  {
+                      asio::post(io_, [this, call = std::move(call)]() mutable
+                                 { streams_->submit(std::move(call)); });
+                  },
+                  [this](plain_call call)
+                  {
+                      asio::post(io_, [this, call = std::move(call)]() mutable
+                                 { calls_->submit(std::move(call)); });
+                  }})
     {
         peers_.limits_ = options_.peers_;
     }
@@ -135,10 +164,13 @@
             {
                 asio::post(io_, std::move(work));
             }});
+        calls_ = std::make_unique<call_service>(*bus_, metrics_, view_, clock_,
+                                                bus_->address(),
+                                                options_.incarnation_);
         auto callers = http_server::start(
             options_.callers_,
             [this](incoming_request request, std::shared_ptr<http_reply> reply)
-            { on_request(std::move(request), std::move(reply)); });
+            { front_.handle(std::move(request), std::move(reply)); });
         if (!callers)
         {
             return callers.error();
@@ -163,7 +195,8 @@
                    [this]
                    {
                        poll_hosts();
-                       watch_services();
+                       service_watch_.start();
+                       table_watch_.start();
                        schedule_tick();
                    });
         return static_cast<void*>(nullptr);
@@ -192,129 +225,6 @@
     std::string render_metrics() const override { return metrics_.render(); }
 
 private:
-    // Callers. These run on the HTTP server's threads.
-
-    void on_request(incoming_request request, std::shared_ptr<http_reply> reply)
-    {
-        if (request.path_ == "/healthz")
-        {
-            reply->send({200, {}, "ok\n"});
-            return;
-        }
-        if (request.path_ == "/readyz")
-        {
-            bool const is_ready =
-                !is_leaving_ &&
-                view_.read([](routing_view const& view)
-                           { return !view.fleet_.services_.empty(); });
-            reply->send({is_ready ? 200 : 503,
-                         {},
-                         is_ready ? "ready\n" : "not ready\n"});
-            return;
-        }
-        if (is_leaving_)
-        {
-            refuse(*reply, refusal_reason::entry_stopping,
-                   "this entry host is stopping", seconds{1});
-            return;
-        }
-        if (request.path_ == "/v1/models" && request.method_ == "GET")
-        {
-            reply->send(format_model_list(model_names()));
-            return;
-        }
-        if (request.path_ == "/v1/chat/completions" &&
-            request.method_ == "POST")
-        {
-            on_chat(request, std::move(reply));
-            return;
-        }
-        refuse(*reply, refusal_reason::unknown_path,
-               "no such path: " + request.method_ + " " + request.path_);
-    }
-
-    void refuse(http_reply& reply, refusal_reason reason,
-                std::string const& message,
-                std::optional<seconds> retry_after = std::nullopt)
-    {
-        metrics_.count_refusal(reason);
-        reply.send(
-            format_error(reason, run_state::not_run, message, retry_after));
-    }
-
-    std::vector<std::string> model_names() const
-    {
-        return view_.read(
-            [](routing_view const& view)
-            {
-                std::vector<std::string> names;
-                for (auto const& [name, config] : view.fleet_.services_)
-                {
-                    if (config->kind_ == service_kind::model)
-                    {
-                        names.push_back(name);
-                    }
-                }
-                return names;
-            });
-    }
-
-    void on_chat(incoming_request const& request,
-                 std::shared_ptr<http_reply> reply)
-    {
-        auto options = parse_caller_options(request.headers_);
-        if (!options)
-        {
-            refuse(*reply, refusal_for(options.error()),
-                   options.error().detail_);
-            return;
-        }
-        auto chat = parse_chat_request(request.body_,
-                                       options_.callers_.max_body_bytes_);
-        if (!chat)
-        {
-            refuse(*reply, refusal_for(chat.error()), chat.error().detail_);
-            return;
-        }
-        stream_call call;
-        call.request_ = std::move(chat).value();
-        call.options_ = std::move(options).value();
-        call.reply_ = std::move(reply);
-        call.received_at_ = clock_.now();
-        std::string const digest = sha256_hex(call.options_.bearer_key_);
-        view_.read(
-            [&](routing_view const& view)
-            {
-                call.config_ = find_service(view, call.request_.model_);
-                call.workspace_ =
-                    find_workspace(view, call.request_.model_, digest);
-            });
-        if (!call.config_ || call.config_->kind_ != service_kind::model)
-        {
-            refuse(*call.reply_, refusal_reason::unknown_service,
-                   "field model: no model service named \"" +
-                       call.request_.model_ + "\"");
-            return;
-        }
-        if (call.workspace_.empty())
-        {
-            refuse(*call.reply_, refusal_reason::unauthorized,
-                   "header Authorization: the key belongs to no workspace of " +
-                       call.request_.model_);
-            return;
-        }
-        if (request.body_.size() > call.config_->max_body_bytes_)
-        {
-            refuse(*call.reply_, refusal_reason::body_too_large,
-                   "the body has " + std::to_string(request.body_.size()) +
-                       " bytes, " + call.request_.model_ + " takes " +
-                       std::to_string(call.config_->max_body_bytes_));
-            return;
-        }
-        asio::post(io_, [this, call = std::move(call)]() mutable
-                   { streams_->submit(std::move(call)); });
-    }
-
     void on_admin(incoming_request const& request,
                   std::shared_ptr<http_reply> const& reply)
     {
@@ -352,80 +262,32 @@
         admin_hooks hooks;
         hooks.status_ = [this]
         {
-            return status_json();
+            return view_.read([this](routing_view const& view)
+                              { return render_status(options_.name_, view); });
         };
         hooks.version_ = []
         {
             return R"({"version":"0.1.0"})";
         };
-        hooks.drain_ = [](std::string const& endpoint,
-                          std::function<void(result<std::string>)> const& done)
+        hooks.drain_ = [this](std::string const& endpoint,
+                              std::function<void(result<std::string>)> done)
         {
-            done(error{error_code::not_found, "drain", endpoint,
-                       "no such endpoint"});
+            asio::post(io_, [this, endpoint, done = std::move(done)]
+                       { done(drain(endpoint)); });
+        };
+        hooks.on_accepted_ = [this](std::string const& service,
+                                    std::uint64_t version,
+                                    std::string const& text)
+        {
+            asio::post(io_,
+                       [this, service, version, text] {
+                           take_configuration({service_object_kind, service,
+                                               version, text, false});
+                       });
         };
         return hooks;
     }
 
-    std::string status_json() const
-    {
-        nlohmann::ordered_json status;
-        status["entry"] = options_.name_;
-        status["services"] = nlohmann::ordered_json::array();
-        status["endpoints"] = nlohmann::ordered_json::array();
-        view_.read(
-            [&status](routing_view const& view)
-            {
-                status["entries"] = view.entries_;
-                for (auto const& [name, config] : view.fleet_.services_)
-                {
-                    status["services"].push_back(
-                        describe_service(view, *config));
-                }
-                for (auto const& endpoint : view.fleet_.endpoints_)
-                {
-                    status["endpoints"].push_back(describe_endpoint(endpoint));
-                }
-            });
-        return status.dump();
-    }
-
-    static nlohmann::ordered_json describe_service(routing_view const& view,
-                                                   service_config const& config)
-    {
-        nlohmann::ordered_json text{{"name", config.name_},
-                                    {"version", config.version_}};
-        auto const plan = view.plan_.services_.find(config.name_);
-        if (plan == view.plan_.services_.end())
-        {
-            return text;
-        }
-        text["bound_tokens_per_second"] =
-            plan->second.bound_.tokens_per_second_;
-        for (auto const& limit : plan->second.bound_.limits_)
-        {
-            text["limited_by"].push_back(limit.endpoints_);
-        }
-        return text;
-    }
-
-    static nlohmann::ordered_json
-    describe_endpoint(endpoint_description const& endpoint)
-    {
-        char const* const state = endpoint.state_ == host_state::live ? "live"
-                                  : endpoint.state_ == host_state::leaving
-                                      ? "leaving"
-                                      : "dead";
-        return {{"name", endpoint.name_},
-                {"address", endpoint.address_},
-                {"service", endpoint.service_},
-                {"data_centre", endpoint.data_centre_},
-                {"state", state},
-                {"layers", {endpoint.layers_.first_, endpoint.layers_.end_}},
-                {"accelerator", endpoint.accelerator_},
-                {"tokens_per_second", endpoint.tokens_per_second_}};
-    }
-
     // Everything below runs on the core thread.
 
     void on_message(envelope received)
@@ -451,6 +313,11 @@
         streams_->on_refusal(body);
     }
 
+    void on_body(incarnation_id /*sender*/, call_reply& body)
+    {
+        calls_->on_reply(body);
+    }
+
     void on_body(incarnation_id sender, hello_reply& body)
     {
         apply(on_hello_reply(peers_, body, sender, clock_.now()));
@@ -546,6 +413,7 @@
         metrics_.add("auburnlb_peers_lost_total");
         streams_->on_peer_lost(action.address_, action.incarnation_,
                                action.reason_);
+        calls_->on_peer_lost(action.address_, action.incarnation_);
     }
 
     void apply_one(peer_answered const& action)
@@ -611,6 +479,32 @@
             static_cast<std::uint32_t>(std::distance(entries.begin(), own))};
     }
 
+    /// Asks the companion to leave; its refusals and its announcement then
+    /// reach every entry.
+    result<std::string> drain(std::string const& name)
+    {
+        for (endpoint_description const& endpoint : known_endpoints(peers_))
+        {
+            if (endpoint.name_ != name)
+            {
+                continue;
+            }
+            if (endpoint.state_ == host_state::dead ||
+                !bus_->send(endpoint.address_,
+                            drain_request{endpoint.incarnation_}))
+            {
+                return error{error_code::unreachable, "drain endpoint",
+                             endpoint.address_,
+                             "endpoint " + name + " does not answer"};
+            }
+            return nlohmann::ordered_json{{"endpoint", name},
+                                          {"state", "leaving"}}
+                .dump();
+        }
+        return error{error_code::not_found, "drain endpoint", name,
+                     "there is no endpoint " + name};
+    }
+
     // The platform.
 
     void poll_hosts()
@@ -650,40 +544,6 @@
             });
     }
 
-    void watch_services()
-    {
-        platform_.watch("services", watched_version_, options_.watch_wait_,
-                        [this](result<std::vector<platform_object>> changes)
-                        {
-                            asio::post(io_, [this, changes = std::move(changes)]
-                                       { on_services(changes); });
-                        });
-    }
-
-    void on_services(result<std::vector<platform_object>> const& changes)
-    {
-        note_platform(changes.has_value());
-        if (changes)
-        {
-            for (platform_object const& object : changes.value())
-            {
-                watched_version_ = std::max(watched_version_, object.version_);
-                take_configuration(object);
-            }
-            watch_services();
-            return;
-        }
-        watch_timer_.expires_after(platform_retry_);
-        watch_timer_.async_wait(
-            [this](std::error_code failure)
-            {
-                if (!failure)
-                {
-                    watch_services();
-                }
-            });
-    }
-
     /// A lower version is never in force after a higher one.
     void take_configuration(platform_object const& object)
     {
@@ -757,6 +617,7 @@
     {
         apply(on_peer_tick(peers_, clock_.now()));
         streams_->on_tick();
+        calls_->on_tick();
         stop_when_idle();
     }
 
@@ -784,6 +645,7 @@
             callers_->drain();
         }
         bool const is_idle = is_drained_ && streams_->in_progress() == 0 &&
+                             calls_->in_progress() == 0 &&
                              since > 2 * balancer_notice;
         if (is_idle || since > options_.drain_limit_)
         {
@@ -801,24 +663,26 @@
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     asio::steady_timer tick_timer_;
     asio::steady_timer hosts_timer_;
-    asio::steady_timer watch_timer_;
     asio::thread_pool planner_;
     http_client http_;
     platform_client platform_;
     platform_store store_;
     std::unique_ptr<admin_api> admin_api_;
+    object_watch service_watch_;
+    object_watch table_watch_;
+    std::atomic<bool> is_leaving_{false};
+    caller_front front_;
     std::unique_ptr<message_bus> bus_;
     std::unique_ptr<stream_service> streams_;
+    std::unique_ptr<call_service> calls_;
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<http_server> admin_;
     std::thread thread_;
-    std::atomic<bool> is_leaving_{false};
 
     // What follows belongs to thread_.
     peer_table peers_;
     /// Each the highest version seen.
     std::map<std::string, std::shared_ptr<service_config const>> services_;
-    std::uint64_t watched_version_ = 0;
     std::uint64_t last_nonce_ = 0;
     bool is_planning_ = false;
     bool is_plan_due_ = false;
--- /dev/null
+++ b/src/transport/object_watch.cpp
@@ -0,0 +1,77 @@
+// The loop of watches, with backoff.
+#include "auburnlb/transport/object_watch.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <asio/post.hpp>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+constexpr milliseconds backoff_min{100};
+constexpr milliseconds backoff_max{5'000};
+
+} // namespace
+
+object_watch::object_watch(asio::io_context& io, platform_client& platform,
+                           std::string kind, milliseconds wait,
+                           std::uint64_t seed, callbacks callbacks)
+    : io_(io)
+    , platform_(platform)
+    , kind_(std::move(kind))
+    , wait_(wait)
+    , callbacks_(std::move(callbacks))
+    , timer_(io)
+    , random_(seed)
+{
+}
+
+void object_watch::start()
+{
+    ask();
+}
+
+void object_watch::ask()
+{
+    platform_.watch(kind_, version_, wait_,
+                    [this](result<std::vector<platform_object>> changes)
+                    {
+                        asio::post(io_, [this, changes = std::move(changes)]
+                                   { on_answer(changes); });
+                    });
+}
+
+void object_watch::on_answer(
+    result<std::vector<platform_object>> const& changes)
+{
+    callbacks_.on_reachable_(changes.has_value());
+    if (changes)
+    {
+        backoff_ = milliseconds{0};
+        for (platform_object const& object : changes.value())
+        {
+            version_ = std::max(version_, object.version_);
+            callbacks_.on_object_(object);
+        }
+        ask();
+        return;
+    }
+    backoff_ = std::clamp(backoff_ * 2, backoff_min, backoff_max);
+    std::uniform_int_distribution<milliseconds::rep> jitter(
+        backoff_.count() / 2, backoff_.count());
+    timer_.expires_after(milliseconds(jitter(random_)));
+    timer_.async_wait(
+        [this](std::error_code failure)
+        {
+            if (!failure)
+            {
+                ask();
+            }
+        });
+}
+
+} // namespace auburnlb
--- a/test/protocol/messages_test.cpp
+++ b/test/protocol/messages_test.cpp
@@ -54,6 +54,7 @@
                        true,
                        {}}},
         {1, suspicion_update{{{3, 1}}}},
+        {1, drain_request{5}},
     };
 }
 
