--- a/include/auburnlb/transport/admin_client.hpp
+++ b/include/auburnlb/transport/admin_client.hpp
@@ -12,7 +12,7 @@
 {
 
 /// Header that carries the operator's name.
-inline constexpr char author_header[] = "X-Auburnlb-Author";
+inline constexpr char author_header[] = "X-Operator";
 
 /// Sends a request to the API at the base URL, such as
 /// "http://127.0.0.1:9090", and waits.
