Let a caller's running answer move to another entry

Cause: with an entry its callers lost answers that the stages went on computing. Weighed: answers kept in the platform or in other entries; the last stage has the tokens anyway, and asking all last stages happens only when an entry dies. Conclusion: an answer outlives its entry by the grace of the stages.

--- a/include/auburnlb/protocol/messages.hpp
+++ b/include/auburnlb/protocol/messages.hpp
@@ -39,6 +39,9 @@
     /// Answer tokens wanted at most, counted from the answer's start.
     std::uint32_t max_tokens_ = 0;
     std::int32_t priority_ = 0;
+    /// Answer tokens that earlier attempts gave, so that the last stage knows
+    /// the whole answer.
+    std::vector<std::string> delivered_;
 
     bool operator==(chain_route const&) const = default;
 };
@@ -199,10 +202,34 @@
     bool operator==(drain_request const&) const = default;
 };
 
+/// Another entry sees a running answer through, because its own is gone.
+struct adopt_stream
+{
+    request_id request_;
+    std::string entry_address_;
+
+    bool operator==(adopt_stream const&) const = default;
+};
+
+/// The last stage hands a running answer to the entry that adopts it.
+struct stream_adopted
+{
+    request_id request_;
+    std::uint32_t attempt_ = 0;
+    std::uint64_t service_version_ = 0;
+    chain_route route_;
+    /// Every answer token so far.
+    std::vector<std::string> tokens_;
+    bool is_end_ = false;
+
+    bool operator==(stream_adopted const&) const = default;
+};
+
 using message =
     std::variant<step_frame, token_frame, step_refusal, cancel_stream, hello,
                  hello_reply, endpoint_update, config_request, config_push,
-                 call_request, call_reply, suspicion_update, drain_request>;
+                 call_request, call_reply, suspicion_update, drain_request,
+                 adopt_stream, stream_adopted>;
 
 /// A message with its sender.
 struct envelope
--- a/include/auburnlb/protocol/stage.hpp
+++ b/include/auburnlb/protocol/stage.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -31,6 +32,10 @@
     /// Index of this stage in the route.
     std::size_t stage_index_ = 0;
     std::uint64_t service_version_ = 0;
+    /// At the last stage every answer token, so that another entry can adopt
+    /// the stream; empty elsewhere.
+    std::vector<std::string> tokens_;
+    bool is_end_ = false;
     time_point last_activity_{};
 
     bool operator==(stage_stream const&) const = default;
@@ -82,7 +87,7 @@
 
 /// Messages that follow from a step that ran. Empty when the stream was
 /// cancelled or replaced meanwhile, so that no late result leaves the stage.
-std::vector<step_forward> forward_step(stage_table const& table,
+std::vector<step_forward> forward_step(stage_table& table,
                                        step_frame const& frame,
                                        step_output output,
                                        load_report const& load);
@@ -93,6 +98,12 @@
                                              cancel_stream const& cancel,
                                              time_point now);
 
+/// Sends what follows of a stream to another entry. Gives the answer so far at
+/// the last stage, and nothing elsewhere or for a stream that does not run.
+std::optional<stream_adopted> adopt_at_stage(stage_table& table,
+                                             adopt_stream const& adoption,
+                                             time_point now);
+
 /// An attempt whose KV cache has to be released.
 struct released_stream
 {
@@ -103,11 +114,12 @@
     auto operator<=>(released_stream const&) const = default;
 };
 
-/// Ends streams of one entry, all streams that were idle for longer than
+/// Ends streams of lost entries, all streams that were idle for longer than
 /// idle_limit, and forgets tombstones older than tombstone_lifetime.
-std::vector<released_stream> expire_streams(stage_table& table, time_point now,
-                                            nanoseconds idle_limit,
-                                            nanoseconds tombstone_lifetime);
+std::vector<released_stream>
+expire_streams(stage_table& table, time_point now, nanoseconds idle_limit,
+               nanoseconds tombstone_lifetime,
+               std::set<std::string> const& lost_entries);
 
 /// Number of streams that are not tombstones.
 std::size_t running_streams(stage_table const& table);
--- a/include/auburnlb/transport/entry.hpp
+++ b/include/auburnlb/transport/entry.hpp
@@ -30,6 +30,8 @@
     std::string admin_token_;
     peer_limits peers_;
     stream_limits streams_;
+    /// How long a stream with a key waits for its caller to come back.
+    milliseconds resume_grace_{10'000};
     milliseconds hosts_poll_{500};
     milliseconds watch_wait_{10'000};
     /// After this long a planned stop ends even with requests in progress.
--- a/include/auburnlb/transport/stream_service.hpp
+++ b/include/auburnlb/transport/stream_service.hpp
@@ -46,6 +46,8 @@
     std::string entry_address_;
     incarnation_id incarnation_ = 0;
     stream_limits limits_;
+    /// How long a stream with a key waits for its caller to come back.
+    milliseconds resume_grace_{10'000};
     /// Asks a stage whether it lives.
     std::function<void(std::string const& address)> probe_;
     /// Tells the other entries about suspects.
@@ -64,6 +66,9 @@
     void submit(stream_call call);
     void on_token(token_frame const& frame);
     void on_refusal(step_refusal const& refusal);
+    /// The last stage of a running answer hands it to this entry, or tells
+    /// that another entry has taken it.
+    void on_adopted(stream_adopted const& adopted);
     /// An incarnation of a companion, or the engine beside it, is gone.
     void on_peer_lost(std::string const& address, incarnation_id incarnation,
                       retry_reason reason);
@@ -91,19 +96,31 @@
     void apply_one(active_stream& stream, cancel_attempt const& action);
     void apply_one(active_stream& stream, fail_stream const& action);
     void apply_one(active_stream& stream, drop_frame const& action);
+    active_stream& add(stream_call call, request_id const& id);
+    void resume(stream_call call);
+    void ask_for_stream(active_stream& stream);
+    void continue_output(active_stream& stream, std::uint32_t from);
+    void on_tick(active_stream& stream, time_point now);
     void deliver_first(active_stream& stream);
+    void open_output(active_stream& stream);
     void finish(active_stream& stream, bool is_complete);
     void end_attempt(active_stream& stream);
     void refuse(active_stream& stream, refusal_reason reason, run_state state,
                 milliseconds retry_after);
     void decide(std::vector<admission_decision> const& decisions);
     void sweep();
-    void on_caller_left(request_id const& request);
+    void watch_caller(http_reply& reply, request_id const& id);
+    void on_caller_left(request_id const& request, http_reply const* closed);
+    void cancel(active_stream& stream);
+    void take_over(active_stream& stream, stream_adopted const& adopted);
     active_stream* find(request_id const& request);
 
     stream_environment const environment_;
     std::uint64_t last_sequence_ = 0;
+    /// By ticket, which is local to this entry. An adopted stream keeps the
+    /// request identifier of the entry that began it.
     std::unordered_map<std::uint64_t, std::unique_ptr<active_stream>> streams_;
+    std::unordered_map<request_id, std::uint64_t> tickets_;
     std::map<std::string, std::unique_ptr<service_limits>> services_;
     choice_state choice_;
     crash_suspicion suspicion_;
--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -63,10 +63,9 @@
                                        peer.endpoint_->incarnation_,
                                        retry_reason::stage_died});
     }
-    bool const is_engine_lost =
-        was_alive && !is_replaced && peer.endpoint_ &&
-        peer.endpoint_->state_ != host_state::dead &&
-        fresh.state_ == host_state::dead;
+    bool const is_engine_lost = was_alive && !is_replaced && peer.endpoint_ &&
+                                peer.endpoint_->state_ != host_state::dead &&
+                                fresh.state_ == host_state::dead;
     if (is_engine_lost)
     {
         actions.emplace_back(peer_lost{peer.host_.address_, fresh.incarnation_,
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -47,7 +47,7 @@
 AUBURNLB_FIELDS(chain_stage, value.address_, value.incarnation_, value.layers_)
 AUBURNLB_FIELDS(chain_route, value.entry_address_, value.service_,
                 value.model_layers_, value.stages_, value.prompt_tokens_,
-                value.max_tokens_, value.priority_)
+                value.max_tokens_, value.priority_, value.delivered_)
 AUBURNLB_FIELDS(step_frame, value.request_, value.attempt_, value.position_,
                 value.next_layer_, value.service_version_, value.inputs_,
                 value.route_)
@@ -73,6 +73,10 @@
                 value.load_)
 AUBURNLB_FIELDS(suspicion_update, value.crashes_)
 AUBURNLB_FIELDS(drain_request, value.target_incarnation_)
+AUBURNLB_FIELDS(adopt_stream, value.request_, value.entry_address_)
+AUBURNLB_FIELDS(stream_adopted, value.request_, value.attempt_,
+                value.service_version_, value.route_, value.tokens_,
+                value.is_end_)
 
 template <class Type>
 concept has_fields = requires(Type& value)
--- a/src/protocol/stage.cpp
+++ b/src/protocol/stage.cpp
@@ -73,10 +73,23 @@
     fresh.stage_index_ = *own;
     fresh.service_version_ = frame.service_version_;
     fresh.last_activity_ = now;
+    if (*own + 1 == route.stages_.size())
+    {
+        fresh.tokens_ = route.delivered_;
+    }
     table.streams_[frame.request_] = std::move(fresh);
     return accepted;
 }
 
+/// Turns a stream into a tombstone.
+void forget_content(stage_stream& stream, time_point now)
+{
+    stream.is_running_ = false;
+    stream.route_ = {};
+    stream.tokens_.clear();
+    stream.last_activity_ = now;
+}
+
 step_frame next_frame(step_frame const& frame, std::uint32_t position,
                       std::uint32_t layer, std::vector<std::string> inputs)
 {
@@ -90,7 +103,7 @@
     return next;
 }
 
-std::vector<step_forward> forward_token(stage_stream const& stream,
+std::vector<step_forward> forward_token(stage_stream& stream,
                                         step_frame const& frame,
                                         step_output output,
                                         load_report const& load)
@@ -106,6 +119,8 @@
     token.is_end_ = output.is_end_ || index + 1 >= stream.route_.max_tokens_;
     token.cached_tokens_ = output.cached_tokens_;
     token.load_ = load;
+    stream.tokens_.push_back(token.text_);
+    stream.is_end_ = token.is_end_;
     if (!token.is_end_)
     {
         // The next token's step starts from here and not from the entry: the
@@ -158,7 +173,7 @@
     return step_accepted{};
 }
 
-std::vector<step_forward> forward_step(stage_table const& table,
+std::vector<step_forward> forward_step(stage_table& table,
                                        step_frame const& frame,
                                        step_output output,
                                        load_report const& load)
@@ -169,7 +184,7 @@
     {
         return {};
     }
-    stage_stream const& stream = found->second;
+    stage_stream& stream = found->second;
     if (stream.stage_index_ + 1 == stream.route_.stages_.size())
     {
         return forward_token(stream, frame, std::move(output), load);
@@ -208,28 +223,48 @@
         released = stream.attempt_;
     }
     stream.attempt_ = cancel.attempt_;
-    stream.is_running_ = false;
-    stream.route_ = {};
-    stream.last_activity_ = now;
+    forget_content(stream, now);
     return released;
 }
 
-std::vector<released_stream> expire_streams(stage_table& table, time_point now,
-                                            nanoseconds idle_limit,
-                                            nanoseconds tombstone_lifetime)
+std::optional<stream_adopted>
+adopt_at_stage(stage_table& table, adopt_stream const& adoption, time_point now)
+{
+    auto const found = table.streams_.find(adoption.request_);
+    if (found == table.streams_.end() || !found->second.is_running_)
+    {
+        return std::nullopt;
+    }
+    stage_stream& stream = found->second;
+    stream.route_.entry_address_ = adoption.entry_address_;
+    stream.last_activity_ = now;
+    if (stream.stage_index_ + 1 != stream.route_.stages_.size())
+    {
+        return std::nullopt;
+    }
+    return stream_adopted{adoption.request_,       stream.attempt_,
+                          stream.service_version_, stream.route_,
+                          stream.tokens_,          stream.is_end_};
+}
+
+std::vector<released_stream>
+expire_streams(stage_table& table, time_point now, nanoseconds idle_limit,
+               nanoseconds tombstone_lifetime,
+               std::set<std::string> const& lost_entries)
 {
     std::vector<released_stream> released;
     for (auto entry = table.streams_.begin(); entry != table.streams_.end();)
     {
         stage_stream& stream = entry->second;
         nanoseconds const idle = now - stream.last_activity_;
-        if (stream.is_running_ && idle > idle_limit)
+        bool const is_given_up =
+            idle > idle_limit ||
+            lost_entries.contains(stream.route_.entry_address_);
+        if (stream.is_running_ && is_given_up)
         {
             released.push_back(
                 {entry->first, stream.attempt_, stream.route_.entry_address_});
-            stream.is_running_ = false;
-            stream.route_ = {};
-            stream.last_activity_ = now;
+            forget_content(stream, now);
         }
         else if (!stream.is_running_ && idle > tombstone_lifetime)
         {
--- a/src/protocol/stream.cpp
+++ b/src/protocol/stream.cpp
@@ -136,6 +136,7 @@
     frame.inputs_.push_back(state.prompt_);
     frame.inputs_.insert(frame.inputs_.end(), state.tokens_.begin(),
                          state.tokens_.end());
+    state.route_.delivered_ = state.tokens_;
     frame.route_ = state.route_;
     return frame;
 }
--- a/src/transport/companion.cpp
+++ b/src/transport/companion.cpp
@@ -151,6 +151,7 @@
             release(frame.request_, *accepted.replaced_attempt_);
         }
         stage_stream const& stream = table_.streams_.at(frame.request_);
+        entries_.try_emplace(stream.route_.entry_address_, now());
         pending_step step;
         step.priority_ = stream.route_.priority_;
         step.prompt_tokens_ = stream.route_.prompt_tokens_;
@@ -180,6 +181,46 @@
         stop_when_idle();
     }
 
+    void on_body(incarnation_id /*sender*/, adopt_stream& body)
+    {
+        entries_[body.entry_address_] = now();
+        auto const known = table_.streams_.find(body.request_);
+        std::string const former = known == table_.streams_.end()
+                                       ? std::string()
+                                       : known->second.route_.entry_address_;
+        std::optional<stream_adopted> adopted =
+            adopt_at_stage(table_, body, now());
+        // The adopting entry tells every stage; the last one knows already.
+        if (!adopted || former == body.entry_address_)
+        {
+            return;
+        }
+        // The former entry may live, its caller having lost only the
+        // connection; it must not go on with the stream.
+        metrics_.add("auburnlb_adopted_streams_total");
+        bus_->send(former, *adopted);
+        bus_->send(body.entry_address_, std::move(*adopted));
+    }
+
+    /// Entries without a sign of life for so long that no caller of theirs
+    /// will be resumed. Forgets those that nothing refers to any more.
+    std::set<std::string> lost_entries()
+    {
+        std::set<std::string> lost;
+        for (auto entry = entries_.begin(); entry != entries_.end();)
+        {
+            nanoseconds const silent = now() - entry->second;
+            if (silent > options_.stream_idle_limit_)
+            {
+                lost.insert(entry->first);
+            }
+            entry = silent > entry_lifetime + options_.stream_idle_limit_
+                        ? entries_.erase(entry)
+                        : std::next(entry);
+        }
+        return lost;
+    }
+
     void on_body(incarnation_id /*sender*/, drain_request& body)
     {
         if (body.target_incarnation_ == options_.incarnation_)
@@ -508,11 +549,9 @@
 
     void on_tick()
     {
-        std::erase_if(entries_, [](auto const& entry)
-                      { return now() - entry.second > entry_lifetime; });
         for (released_stream const& released :
              expire_streams(table_, now(), options_.stream_idle_limit_,
-                            options_.tombstone_lifetime_))
+                            options_.tombstone_lifetime_, lost_entries()))
         {
             release(released.request_, released.attempt_);
         }
--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -192,6 +192,7 @@
     options.streams_.silence_ = values.get(timing_stream_silence);
     options.streams_.probe_timeout_ = values.get(timing_probe_timeout);
     options.drain_limit_ = values.get(timing_drain_limit);
+    options.resume_grace_ = values.get(timing_resume_grace);
     options.hosts_poll_ = values.get(timing_hosts_poll);
     options.watch_wait_ = values.get(timing_watch_wait);
     return options;
--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -156,7 +156,7 @@
         bus_ = std::move(bus).value();
         streams_ = std::make_unique<stream_service>(stream_environment{
             *bus_, metrics_, view_, clock_, bus_->address(),
-            options_.incarnation_, options_.streams_,
+            options_.incarnation_, options_.streams_, options_.resume_grace_,
             [this](std::string const& address)
             { apply(probe_peer(peers_, address, clock_.now())); },
             [this](suspicion_update const& update) { broadcast(update); },
@@ -313,6 +313,11 @@
         streams_->on_refusal(body);
     }
 
+    void on_body(incarnation_id /*sender*/, stream_adopted& body)
+    {
+        streams_->on_adopted(body);
+    }
+
     void on_body(incarnation_id /*sender*/, call_reply& body)
     {
         calls_->on_reply(body);
--- a/src/transport/stream_service.cpp
+++ b/src/transport/stream_service.cpp
@@ -9,6 +9,8 @@
 
 #include "auburnlb/state/log.hpp"
 
+#include "active_stream.hpp"
+
 namespace auburnlb
 {
 
@@ -67,33 +69,6 @@
 
 } // namespace
 
-struct stream_service::active_stream
-{
-    stream_call call_;
-    stream_state state_;
-    request_fingerprint fingerprint_ = 0;
-    answer_head head_;
-    std::string text_;
-    double token_cost_ = 0;
-    std::uint32_t cached_tokens_ = 0;
-    time_point admitted_at_{};
-    time_point last_token_at_{};
-    /// When the stream last had a chain; set while it waits for one.
-    std::optional<time_point> chainless_since_;
-    time_point next_chain_try_{};
-    bool is_admitted_ = false;
-    bool is_begun_ = false;
-    /// Whether the current attempt is counted at its endpoints.
-    bool is_counted_ = false;
-};
-
-struct stream_service::service_limits
-{
-    std::shared_ptr<service_config const> config_;
-    admission_state admission_;
-    retry_budget retries_;
-};
-
 stream_service::stream_service(stream_environment environment)
     : environment_(std::move(environment))
     , choice_(make_choice_state(environment_.incarnation_))
@@ -152,12 +127,12 @@
         });
 }
 
-void stream_service::submit(stream_call call)
+stream_service::active_stream& stream_service::add(stream_call call,
+                                                   request_id const& id)
 {
-    time_point const now = environment_.clock_.now();
-    auto stream = std::make_unique<active_stream>();
     service_config const& config = *call.config_;
-    request_id const id{environment_.incarnation_, ++last_sequence_};
+    auto stream = std::make_unique<active_stream>();
+    stream->ticket_ = ++last_sequence_;
     stream->state_.request_ = id;
     stream->state_.limits_ = environment_.limits_;
     stream->state_.prompt_ = call.request_.prompt_;
@@ -172,13 +147,36 @@
                                  : std::min(max_tokens, config.max_tokens_);
     stream->token_cost_ =
         max_tokens + prefill_cost * count_words(call.request_.prompt_);
-    call.reply_->on_closed(
-        [this, id] { environment_.post_([this, id] { on_caller_left(id); }); });
-    stream->call_ = std::move(call);
-    active_stream& added = *stream;
-    streams_.emplace(id.sequence_, std::move(stream));
+    watch_caller(*call.reply_, id);
     environment_.metrics_.add("auburnlb_requests_total",
                               quoted("service", config.name_));
+    stream->call_ = std::move(call);
+    active_stream& added = *stream;
+    tickets_[id] = added.ticket_;
+    streams_.emplace(added.ticket_, std::move(stream));
+    return added;
+}
+
+void stream_service::watch_caller(http_reply& reply, request_id const& id)
+{
+    reply.on_closed(
+        [this, id, closed = &reply] {
+            environment_.post_([this, id, closed]
+                               { on_caller_left(id, closed); });
+        });
+}
+
+void stream_service::submit(stream_call call)
+{
+    if (call.options_.last_event_)
+    {
+        resume(std::move(call));
+        return;
+    }
+    time_point const now = environment_.clock_.now();
+    request_id const id{environment_.incarnation_, last_sequence_ + 1};
+    active_stream& added = add(std::move(call), id);
+    service_config const& config = *added.call_.config_;
     if (may_run(suspicion_, added.fingerprint_, now) == run_permission::refuse)
     {
         log(log_level::warning, log_event::request_quarantined,
@@ -188,7 +186,7 @@
                milliseconds{0});
         return;
     }
-    admission_request const asked{id.sequence_,
+    admission_request const asked{added.ticket_,
                                   added.call_.workspace_,
                                   added.call_.options_.priority_,
                                   added.token_cost_,
@@ -339,7 +337,7 @@
             format_stream_event(stream.head_, action.index_, action.text_));
         if (stream.call_.reply_->unsent_bytes() > max_unsent_bytes)
         {
-            on_caller_left(stream.state_.request_);
+            on_caller_left(stream.state_.request_, stream.call_.reply_.get());
             return;
         }
     }
@@ -361,8 +359,14 @@
     environment_.metrics_.observe("auburnlb_first_token_seconds",
                                   quoted("service", stream.head_.model_),
                                   now - stream.call_.received_at_);
-    if (stream.call_.request_.is_stream_)
+    open_output(stream);
+}
+
+void stream_service::open_output(active_stream& stream)
+{
+    if (stream.call_.request_.is_stream_ && !stream.is_output_open_)
     {
+        stream.is_output_open_ = true;
         stream.call_.reply_->begin_stream(200, stream_headers());
     }
 }
@@ -428,9 +432,7 @@
     std::string const message = std::string("request ") +
                                 to_string(stream.state_.request_) +
                                 " ended: " + to_string(reason);
-    bool const is_streaming =
-        stream.call_.request_.is_stream_ && !stream.state_.tokens_.empty();
-    if (is_streaming)
+    if (stream.is_output_open_)
     {
         stream.call_.reply_->write(format_stream_error(reason, state, message));
         stream.call_.reply_->end_stream();
@@ -488,13 +490,13 @@
         double const cost =
             std::min<double>(stream.token_cost_,
                              static_cast<double>(stream.state_.tokens_.size()));
-        on_finish(admission, id.sequence_, cost, now - stream.admitted_at_);
+        on_finish(admission, stream.ticket_, cost, now - stream.admitted_at_);
     }
     else
     {
-        on_leave(admission, id.sequence_);
+        on_leave(admission, stream.ticket_);
     }
-    ended_.push_back(id.sequence_);
+    ended_.push_back(stream.ticket_);
 }
 
 void stream_service::end_attempt(active_stream& stream)
@@ -506,27 +508,42 @@
     }
 }
 
-void stream_service::on_caller_left(request_id const& request)
+void stream_service::on_caller_left(request_id const& request,
+                                    http_reply const* closed)
 {
     active_stream* const stream = find(request);
-    if (stream == nullptr)
+    // A caller that came back has another reply by now.
+    if (stream == nullptr || stream->call_.reply_.get() != closed)
     {
         return;
     }
+    if (stream->call_.options_.idempotency_key_ && stream->is_begun_)
+    {
+        stream->phase_ = active_stream::caller_phase::detached;
+        stream->phase_end_ =
+            environment_.clock_.now() + environment_.resume_grace_;
+        return;
+    }
+    cancel(*stream);
+}
+
+void stream_service::cancel(active_stream& stream)
+{
     environment_.metrics_.add("auburnlb_cancelled_total");
     log(log_level::info, log_event::stream_cancelled,
-        {{"request", to_string(request)}}, "the caller left");
-    apply(*stream, abandon(stream->state_));
-    finish(*stream, false);
+        {{"request", to_string(stream.state_.request_)}}, "the caller left");
+    apply(stream, abandon(stream.state_));
+    finish(stream, false);
 }
 
 stream_service::active_stream* stream_service::find(request_id const& request)
 {
-    if (request.entry_ != environment_.incarnation_)
+    auto const ticket = tickets_.find(request);
+    if (ticket == tickets_.end())
     {
         return nullptr;
     }
-    auto const found = streams_.find(request.sequence_);
+    auto const found = streams_.find(ticket->second);
     return found == streams_.end() || found->second->state_.is_ended_
                ? nullptr
                : found->second.get();
@@ -622,32 +639,50 @@
 void stream_service::on_tick()
 {
     time_point const now = environment_.clock_.now();
-    for (auto& [sequence, stream] : streams_)
+    for (auto& [ticket, stream] : streams_)
     {
-        if (stream->state_.is_ended_)
+        if (!stream->state_.is_ended_)
         {
-            continue;
-        }
-        if (stream->chainless_since_)
-        {
-            if (now >= stream->state_.deadline_)
-            {
-                refuse(*stream, refusal_reason::no_chain,
-                       stream->is_begun_ ? run_state::ran : run_state::not_run,
-                       seconds{1});
-            }
-            else if (now >= stream->next_chain_try_)
-            {
-                begin(*stream);
-            }
-            continue;
+            on_tick(*stream, now);
         }
-        apply(*stream, auburnlb::on_tick(stream->state_, now));
     }
     expire_suspicions(suspicion_, now);
     sweep();
 }
 
+void stream_service::on_tick(active_stream& stream, time_point now)
+{
+    using caller_phase = active_stream::caller_phase;
+    bool const is_phase_over =
+        stream.phase_ != caller_phase::connected && now >= stream.phase_end_;
+    if (is_phase_over && stream.phase_ == caller_phase::adopting)
+    {
+        refuse(stream, refusal_reason::stream_lost, run_state::ran,
+               milliseconds{0});
+        return;
+    }
+    if (is_phase_over)
+    {
+        cancel(stream);
+        return;
+    }
+    if (!stream.chainless_since_)
+    {
+        apply(stream, auburnlb::on_tick(stream.state_, now));
+        return;
+    }
+    if (now >= stream.state_.deadline_)
+    {
+        refuse(stream, refusal_reason::no_chain,
+               stream.is_begun_ ? run_state::ran : run_state::not_run,
+               seconds{1});
+    }
+    else if (now >= stream.next_chain_try_)
+    {
+        begin(stream);
+    }
+}
+
 void stream_service::sweep()
 {
     for (auto& [name, limits] : services_)
@@ -655,9 +690,14 @@
         decide(
             auburnlb::on_tick(limits->admission_, environment_.clock_.now()));
     }
-    for (std::uint64_t const sequence : ended_)
+    for (std::uint64_t const ticket : ended_)
     {
-        streams_.erase(sequence);
+        auto const ended = streams_.find(ticket);
+        if (ended != streams_.end())
+        {
+            tickets_.erase(ended->second->state_.request_);
+            streams_.erase(ended);
+        }
     }
     ended_.clear();
 }
--- a/test/protocol/messages_test.cpp
+++ b/test/protocol/messages_test.cpp
@@ -55,6 +55,8 @@
                        {}}},
         {1, suspicion_update{{{3, 1}}}},
         {1, drain_request{5}},
+        {1, adopt_stream{id, "tcp://a"}},
+        {1, stream_adopted{id, 2, 3, route, {"t"}, true}},
     };
 }
 
--- a/test/protocol/stage_test.cpp
+++ b/test/protocol/stage_test.cpp
@@ -98,20 +98,62 @@
     EXPECT_EQ(forward_step(table, second, {{"out"}, false, 0}, {}).size(), 1U);
 }
 
+TEST(stage, the_last_stage_hands_its_whole_answer_to_an_adopting_entry)
+{
+    stage_table table = make_table();
+    table.layers_ = {4, 6};
+    table.address_ = "c";
+    table.incarnation_ = 30;
+    step_frame frame = make_first_frame();
+    frame.next_layer_ = 4;
+    frame.inputs_ = {"p", "a"};
+    frame.route_->entry_address_ = "old";
+    frame.route_->max_tokens_ = 9;
+    frame.route_->delivered_ = {"x"};
+    accept_step(table, frame, start);
+    forward_step(table, frame, {{"y"}, false, 0}, {});
+    auto const adopted = adopt_at_stage(table, {{1, 1}, "new"}, start);
+    ASSERT_TRUE(adopted);
+    EXPECT_EQ(adopted->tokens_, (std::vector<std::string>{"x", "y"}));
+    step_frame next = frame;
+    next.route_.reset();
+    next.position_ = 2;
+    next.inputs_ = {"b"};
+    accept_step(table, next, start);
+    auto const forwards = forward_step(table, next, {{"z"}, false, 0}, {});
+    ASSERT_EQ(forwards.size(), 2U);
+    EXPECT_EQ(forwards[1].address_, "new");
+    EXPECT_FALSE(adopt_at_stage(table, {{1, 2}, "new"}, start));
+}
+
+TEST(stage, streams_of_a_lost_entry_expire)
+{
+    stage_table table = make_table();
+    step_frame frame = make_first_frame();
+    frame.route_->entry_address_ = "entry";
+    accept_step(table, frame, start);
+    EXPECT_TRUE(
+        expire_streams(table, start, seconds(10), seconds(60), {"other"})
+            .empty());
+    EXPECT_EQ(expire_streams(table, start, seconds(10), seconds(60), {"entry"})
+                  .size(),
+              1U);
+}
+
 TEST(stage, idle_streams_and_old_tombstones_expire)
 {
     stage_table table = make_table();
     accept_step(table, make_first_frame(), start);
     EXPECT_EQ(running_streams(table), 1U);
     EXPECT_TRUE(
-        expire_streams(table, start + seconds(9), seconds(10), seconds(60))
+        expire_streams(table, start + seconds(9), seconds(10), seconds(60), {})
             .empty());
     EXPECT_EQ(
-        expire_streams(table, start + seconds(11), seconds(10), seconds(60))
+        expire_streams(table, start + seconds(11), seconds(10), seconds(60), {})
             .size(),
         1U);
     EXPECT_EQ(running_streams(table), 0U);
     EXPECT_EQ(table.streams_.size(), 1U);
-    expire_streams(table, start + seconds(90), seconds(10), seconds(60));
+    expire_streams(table, start + seconds(90), seconds(10), seconds(60), {});
     EXPECT_TRUE(table.streams_.empty());
 }
