Name dead incarnations explicitly before a take-over

A fresh table may name a home that this process has not met yet. Taking every unknown home for dead sealed the logs of healthy homes at each start, so the view now lists the incarnations that are thought dead.

--- a/include/auburnlb/protocol/claim_shards.hpp
+++ b/include/auburnlb/protocol/claim_shards.hpp
@@ -61,20 +61,9 @@
 /// The home to which an entry sends a keyed call; an empty address if none.
 shard_home home_of(claim_table const& table, std::string const& key);
 
-/// An endpoint of the service as this process knows it.
-struct claim_candidate
-{
-    std::string address_;
-    incarnation_id incarnation_ = 0;
-    /// Takes new shards. A leaving endpoint exists but takes none.
-    bool is_live_ = false;
-
-    bool operator==(claim_candidate const&) const = default;
-};
-
-/// The live endpoint wished for by rendezvous hash; empty without one.
+/// The endpoint wished for by rendezvous hash; empty without one.
 std::string wished_home(std::uint32_t shard,
-                        std::vector<claim_candidate> const& candidates);
+                        std::vector<std::string> const& live_addresses);
 
 /// What a home knows when it plans.
 struct claim_view
@@ -84,7 +73,11 @@
     std::vector<shard_ownership> owned_;
     /// Shards whose hand-over is durable, to be taken off the table.
     std::vector<std::uint32_t> released_;
-    std::vector<claim_candidate> candidates_;
+    /// Addresses of endpoints that take new shards.
+    std::vector<std::string> live_;
+    /// Incarnations that are thought dead. A wrong guess costs the home a new
+    /// log, never a second run.
+    std::vector<incarnation_id> gone_;
     std::int64_t wall_clock_ms_ = 0;
     seconds key_lifetime_{3'600};
 };
--- a/src/protocol/claim_shards.cpp
+++ b/src/protocol/claim_shards.cpp
@@ -43,12 +43,8 @@
     {
         return log != view.log_;
     }
-    return std::none_of(view.candidates_.begin(), view.candidates_.end(),
-                        [&](claim_candidate const& candidate)
-                        {
-                            return candidate.address_ == address &&
-                                   candidate.incarnation_ == log.incarnation_;
-                        });
+    return std::count(view.gone_.begin(), view.gone_.end(), log.incarnation_) >
+           0;
 }
 
 /// Whether a shard's home can no longer serve it.
@@ -375,19 +371,18 @@
 }
 
 std::string wished_home(std::uint32_t shard,
-                        std::vector<claim_candidate> const& candidates)
+                        std::vector<std::string> const& live_addresses)
 {
     std::string best;
     std::uint64_t best_score = 0;
-    for (auto const& candidate : candidates)
+    for (auto const& address : live_addresses)
     {
-        std::uint64_t const score = XXH3_64bits_withSeed(
-            candidate.address_.data(), candidate.address_.size(), shard);
-        if (candidate.is_live_ &&
-            (best.empty() || score > best_score ||
-             (score == best_score && candidate.address_ < best)))
+        std::uint64_t const score =
+            XXH3_64bits_withSeed(address.data(), address.size(), shard);
+        if (best.empty() || score > best_score ||
+            (score == best_score && address < best))
         {
-            best = candidate.address_;
+            best = address;
             best_score = score;
         }
     }
@@ -413,8 +408,8 @@
         }
         bool const is_free =
             home.address_.empty() || is_gone(table, home, view);
-        if (is_free && (is_named_here ||
-                        wished_home(shard, view.candidates_) == view.address_))
+        if (is_free &&
+            (is_named_here || wished_home(shard, view.live_) == view.address_))
         {
             shards.push_back(shard);
         }
@@ -431,7 +426,7 @@
         {
             continue;
         }
-        std::string const wished = wished_home(shard, view.candidates_);
+        std::string const wished = wished_home(shard, view.live_);
         if (!wished.empty() && wished != view.address_)
         {
             shards.push_back(shard);
