Let a graceful stop see when the last byte of a reply was taken

Cause: stop() ends the server's threads at once, so a process that stops when its requests are answered could cut the bytes still on their way. http_server now tells its requests in progress, up to the last byte, and its open connections; a stop waits for zero of the first after drain().

--- a/include/auburnlb/transport/http_server.hpp
+++ b/include/auburnlb/transport/http_server.hpp
@@ -43,7 +43,7 @@
     /// Bytes written and not yet taken by the connection.
     virtual std::size_t unsent_bytes() const = 0;
     /// Called at most once, from a server thread, when the connection closes
-    /// before the reply is complete; by on_closed itself when it has already
+    /// before send() or end_stream(); by on_closed itself when it has already
     /// closed. Not called for connections that stop() closes.
     virtual void on_closed(std::function<void()> handler) = 0;
 };
@@ -81,6 +81,13 @@
     /// Stops accepting and asks for "Connection: close" on every later reply;
     /// what is in progress goes on.
     virtual void drain() = 0;
+    /// Requests received whose reply was not yet taken by the connection to the
+    /// last byte. A graceful stop waits for zero after drain().
+    virtual std::size_t requests_in_progress() const = 0;
+    /// Connections open, idle ones included. After drain() each closes with its
+    /// next reply, or at the read timeout.
+    virtual std::size_t open_connections() const = 0;
+    /// Closes everything at once; no handler runs after it returns.
     virtual void stop() = 0;
 };
 
--- a/src/transport/http_exchange.cpp
+++ b/src/transport/http_exchange.cpp
@@ -32,12 +32,13 @@
 
 void exchange::send(http_response response)
 {
+    std::function<void()> dropped;
     std::lock_guard lock(mutex_);
     if (phase_ != phase::waiting)
     {
         return;
     }
-    phase_ = phase::ended;
+    dropped = end();
     unsent_bytes_ += response.body_.size();
     queued_.whole_ = std::move(response);
     schedule_writer();
@@ -69,12 +70,13 @@
 
 void exchange::end_stream()
 {
+    std::function<void()> dropped;
     std::lock_guard lock(mutex_);
     if (phase_ != phase::streaming)
     {
         return;
     }
-    phase_ = phase::ended;
+    dropped = end();
     queued_.is_end_ = true;
     schedule_writer();
 }
@@ -83,7 +85,7 @@
 {
     {
         std::lock_guard lock(mutex_);
-        if (is_complete_)
+        if (phase_ == phase::ended)
         {
             return;
         }
@@ -98,6 +100,7 @@
 
 void exchange::abandon()
 {
+    std::function<void()> dropped;
     std::lock_guard lock(mutex_);
     if (phase_ == phase::ended)
     {
@@ -114,10 +117,19 @@
                          "the request was dropped without an answer");
         unsent_bytes_ += queued_.whole_->body_.size();
     }
-    phase_ = phase::ended;
+    dropped = end();
     schedule_writer();
 }
 
+/// The mutex is held. From here on a closed connection concerns nobody. Gives
+/// the handler, which must be destroyed without the mutex: it may hold the last
+/// reference to a reply.
+std::function<void()> exchange::end()
+{
+    phase_ = phase::ended;
+    return std::exchange(closed_handler_, nullptr);
+}
+
 /// The mutex is held.
 void exchange::schedule_writer()
 {
@@ -249,14 +261,11 @@
 /// The last byte was taken by the connection. On a server thread.
 void exchange::complete()
 {
-    std::function<void()> dropped;
     bool has_writer = false;
     {
         std::lock_guard lock(mutex_);
-        is_complete_ = true;
         context_ = nullptr;
         has_writer = has_writer_;
-        dropped = std::exchange(closed_handler_, nullptr);
     }
     if (!has_writer)
     {
@@ -296,10 +305,11 @@
 
 void exchange::detach()
 {
+    std::function<void()> dropped;
     std::lock_guard lock(mutex_);
     context_ = nullptr;
     queued_ = {};
-    closed_handler_ = nullptr;
+    dropped = std::exchange(closed_handler_, nullptr);
     stream_.reset();
     stream_connection_.reset();
     request_.reset();
@@ -319,6 +329,7 @@
     shard& part = shard_for(id);
     std::lock_guard lock(part.mutex_);
     part.connections_[id].exchanges_.push_back(std::move(added));
+    ++exchange_count_;
 }
 
 void connection_table::remove(restinio::connection_id_t id,
@@ -331,8 +342,9 @@
     {
         return;
     }
-    std::erase_if(found->second.exchanges_,
-                  [&](auto const& each) { return each.get() == removed; });
+    exchange_count_ -=
+        std::erase_if(found->second.exchanges_,
+                      [&](auto const& each) { return each.get() == removed; });
     part.erase_if_unused(found);
 }
 
--- a/src/transport/http_exchange.hpp
+++ b/src/transport/http_exchange.hpp
@@ -76,6 +76,7 @@
         }
     };
 
+    std::function<void()> end();
     void schedule_writer();
     void run_writer();
     std::optional<batch> take_batch();
@@ -96,7 +97,6 @@
     batch queued_;
     /// Whether a writer is posted or runs.
     bool has_writer_ = false;
-    bool is_complete_ = false;
     std::function<void()> closed_handler_;
 
     std::atomic<std::size_t> unsent_bytes_{0};
@@ -130,6 +130,8 @@
     void detach_all();
 
     std::size_t open_count() const { return open_count_; }
+    /// Exchanges that still hold their connection.
+    std::size_t exchange_count() const { return exchange_count_; }
 
 private:
     struct connection
@@ -164,6 +166,7 @@
 
     std::array<shard, 16> shards_;
     std::atomic<std::size_t> open_count_{0};
+    std::atomic<std::size_t> exchange_count_{0};
 };
 
 /// Tells the table of connections that open and close.
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -130,6 +130,16 @@
         }
     }
 
+    std::size_t requests_in_progress() const override
+    {
+        return table_.exchange_count();
+    }
+
+    std::size_t open_connections() const override
+    {
+        return table_.open_count();
+    }
+
     void stop() override { shut_down(); }
 
 private:
