Guard a plain endpoint with a gate that runs keyed calls at most once

The gate carries out the actions of claim home and take-over against the platform, sends calls without a key at most once, refuses by number while leaving or for another incarnation, and gives its shards back with their outcomes before it stops. A home whose log is older than the keys' lifetime goes on in a new one, since segments are only removed behind a seal.

A newcomer first never got its share: its last look at the table was before the release, and nothing told it. It now keeps looking while it is wished for shards that it does not serve.

--- /dev/null
+++ b/include/auburnlb/transport/call_gate.hpp
@@ -0,0 +1,94 @@
+// The companion's gate before a plain endpoint: the only way to it.
+#ifndef AUBURNLB_TRANSPORT_CALL_GATE_HPP
+#define AUBURNLB_TRANSPORT_CALL_GATE_HPP
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "auburnlb/protocol/claim_log.hpp"
+#include "auburnlb/protocol/messages.hpp"
+#include "auburnlb/state/clock.hpp"
+#include "auburnlb/state/fleet.hpp"
+#include "auburnlb/state/metrics.hpp"
+#include "auburnlb/state/service_config.hpp"
+#include "auburnlb/transport/http_client.hpp"
+#include "auburnlb/transport/platform_client.hpp"
+
+namespace auburnlb
+{
+
+/// How one gate is set up. Immutable once it runs.
+struct call_gate_options
+{
+    std::string endpoint_url_;
+    std::string service_;
+    /// nng address of this companion.
+    std::string address_;
+    incarnation_id incarnation_ = 0;
+    /// Bounds of the claim home; the lifetime of keys comes from the service's
+    /// configuration.
+    claim_home_settings home_settings_;
+    /// Share of the platform's writes a second for all homes of the service;
+    /// stretches the group interval as homes are added.
+    std::size_t claim_writes_per_second_ = 300;
+    /// Calls at the endpoint at most; more are refused.
+    std::size_t max_in_progress_ = 1'000;
+    /// Pause between two looks at the table of homes while shards move.
+    milliseconds table_interval_{1'000};
+    /// The same while nothing is to be done.
+    milliseconds table_refresh_{30'000};
+    /// A home that is dead in the fleet's view for this long is replaced.
+    milliseconds dead_after_{3'000};
+    /// Shards move to a newcomer after the fleet was unchanged for this long.
+    milliseconds settle_after_{5'000};
+    /// A leaving gate stops waiting for the table after this long.
+    milliseconds hand_over_limit_{10'000};
+};
+
+/// Runs the calls of one plain endpoint. A call without a key is sent at most
+/// once; a keyed call runs at most once over all endpoints of the service.
+/// Thread-safe; its handlers run on the HTTP client's thread and on its own.
+/// Invariant: only a call whose claim is durable reaches the endpoint, unless
+/// it carries no key or may be repeated.
+class call_gate
+{
+public:
+    /// Sends a message to a peer, as message_bus::send.
+    using send_function =
+        std::function<void(std::string const& peer, message body)>;
+    /// The service's configuration; null while it is not known.
+    using config_function =
+        std::function<std::shared_ptr<service_config const>()>;
+
+    call_gate(http_client& http, platform_client& platform,
+              call_gate_options options, send_function send,
+              clock_source& clock, metrics_registry& metrics,
+              config_function config);
+    /// The HTTP client may outlive the gate: late answers are dropped.
+    ~call_gate();
+    call_gate(call_gate const&) = delete;
+    call_gate& operator=(call_gate const&) = delete;
+
+    /// Answers with a call_reply to the call's reply_to_, sooner or later.
+    void on_call(call_request call);
+    /// Every endpoint that this process knows, its own included.
+    void on_fleet(std::vector<endpoint_description> const& endpoints);
+    /// From now on new calls are refused and shards are given back.
+    void begin_leaving();
+    /// Whether no call is in progress and, when leaving, no shard is held.
+    bool is_idle() const;
+    load_report load() const;
+    /// Shards of which this gate is the home.
+    std::size_t owned_shards() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/src/transport/call_gate.cpp
@@ -0,0 +1,482 @@
+// Runtime of the gate: calls, the claim home's actions and the gate's thread.
+#include "call_gate_impl.hpp"
+
+#include <algorithm>
+
+#include "auburnlb/state/log.hpp"
+
+namespace auburnlb
+{
+namespace
+{
+
+constexpr milliseconds shortest_wait{1};
+constexpr milliseconds longest_wait{50};
+
+} // namespace
+
+put_status to_put_status(result<std::uint64_t> const& answer)
+{
+    if (answer)
+    {
+        return put_status::created;
+    }
+    switch (answer.error().code_)
+    {
+    case error_code::conflict:
+        return put_status::conflict;
+    case error_code::unreachable:
+    case error_code::refused:
+        return put_status::not_sent;
+    default:
+        return put_status::lost;
+    }
+}
+
+// The gate's own thread.
+
+time_point call_gate::impl::next_wake() const
+{
+    time_point const now = clock_.now();
+    time_point wake = now + longest_wait;
+    if (home_)
+    {
+        if (auto const due = auburnlb::next_wake(*home_))
+        {
+            wake = std::min(wake, *due);
+        }
+    }
+    return std::max(wake, now + shortest_wait);
+}
+
+void call_gate::impl::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!is_stopped_)
+    {
+        changed_.wait_for(lock, next_wake() - clock_.now());
+        lock.unlock();
+        locked([this] { on_tick(); });
+        lock.lock();
+    }
+}
+
+void call_gate::impl::on_tick()
+{
+    if (!ensure_home())
+    {
+        return;
+    }
+    feed(claim_event{tick{}});
+    if (clock_.now() >= next_look_)
+    {
+        maintain();
+    }
+}
+
+// Calls.
+
+load_report call_gate::impl::load() const
+{
+    load_report report;
+    report.active_ = static_cast<std::uint32_t>(in_progress_);
+    report.queued_ =
+        home_ ? static_cast<std::uint32_t>(home_->queue_.size()) : 0;
+    report.step_time_us_ = static_cast<std::uint32_t>(step_time_us_);
+    return report;
+}
+
+void call_gate::impl::answer(call_request const& call, call_reply reply)
+{
+    reply.request_ = call.request_;
+    reply.load_ = load();
+    outbox_.emplace_back(call.reply_to_, std::move(reply));
+}
+
+void call_gate::impl::refuse(call_request const& call, refusal_reason reason,
+                             run_state state)
+{
+    metrics_.count_refusal(reason);
+    call_reply reply;
+    reply.reason_ = reason;
+    reply.run_state_ = state;
+    answer(call, std::move(reply));
+}
+
+void call_gate::impl::on_call(call_request call)
+{
+    bool const is_stale = call.target_incarnation_ != 0 &&
+                          call.target_incarnation_ != options_.incarnation_;
+    if (is_stale)
+    {
+        refuse(call, refusal_reason::stale_incarnation, run_state::not_run);
+        return;
+    }
+    bool const is_known =
+        home_ && !call.idempotency_key_.empty() &&
+        home_->records_.contains(make_key_id(call.idempotency_key_));
+    if (leaving_since_ && !call.is_lookup_ && !is_known)
+    {
+        refuse(call, refusal_reason::endpoint_leaving, run_state::not_run);
+        return;
+    }
+    if (!call.is_lookup_ && in_progress_ >= options_.max_in_progress_)
+    {
+        refuse(call, refusal_reason::overloaded, run_state::not_run);
+        return;
+    }
+    bool const is_unclaimed =
+        call.is_idempotent_ || call.idempotency_key_.empty();
+    if (is_unclaimed && !call.is_lookup_)
+    {
+        send_unclaimed(std::move(call));
+        return;
+    }
+    if (!ensure_home())
+    {
+        refuse(call, refusal_reason::not_shard_home,
+               call.is_lookup_ ? run_state::unknown : run_state::not_run);
+        return;
+    }
+    call_arrived const event{
+        call.request_, call.idempotency_key_,
+        fingerprint_of(call.method_, call.path_, call.body_),
+        clock_.now() + milliseconds{call.timeout_ms_}, call.is_lookup_};
+    calls_.insert_or_assign(call.request_, std::move(call));
+    feed(claim_event{event});
+}
+
+/// Sends one HTTP request and measures it. The handler runs under the lock.
+void call_gate::impl::send_to_endpoint(
+    call_request const& call, milliseconds timeout,
+    std::function<void(impl&, result<http_response>&)> on_end)
+{
+    ++in_progress_;
+    http_request request;
+    request.method_ = call.method_;
+    request.url_ = options_.endpoint_url_ + call.path_;
+    request.headers_ = call.headers_;
+    request.body_ = call.body_;
+    request.timeout_ = std::max(timeout, shortest_wait);
+    time_point const started = clock_.now();
+    http_.send(std::move(request),
+               handler<http_response>(
+                   [started, on_end = std::move(on_end)](
+                       impl& self, result<http_response>& response)
+                   {
+                       --self.in_progress_;
+                       nanoseconds const spent = self.clock_.now() - started;
+                       constexpr double weight = 0.1;
+                       auto const us =
+                           std::chrono::duration<double, std::micro>(spent);
+                       self.step_time_us_ +=
+                           weight * (us.count() - self.step_time_us_);
+                       self.metrics_.observe("auburnlb_endpoint_call_seconds",
+                                             {}, spent);
+                       on_end(self, response);
+                   }));
+}
+
+void call_gate::impl::send_unclaimed(call_request call)
+{
+    milliseconds const timeout{call.timeout_ms_};
+    call_request const sent = call;
+    send_to_endpoint(
+        sent, timeout,
+        [call = std::move(call)](impl& self, result<http_response>& response)
+        {
+            if (!response)
+            {
+                bool const is_unsent =
+                    response.error().code_ == error_code::unreachable;
+                self.refuse(call,
+                            is_unsent ? refusal_reason::no_endpoint
+                                      : refusal_reason::call_outcome_unknown,
+                            is_unsent ? run_state::not_run
+                                      : run_state::unknown);
+                return;
+            }
+            call_reply reply;
+            reply.status_ = response.value().status_;
+            reply.headers_ = std::move(response.value().headers_);
+            reply.body_ = std::move(response.value().body_);
+            reply.run_state_ = run_state::ran;
+            self.answer(call, std::move(reply));
+        });
+}
+
+void call_gate::impl::send_claimed(run_call const& run)
+{
+    call_request const& call = calls_.at(run.request_);
+    send_to_endpoint(
+        call, milliseconds{call.timeout_ms_},
+        [key = run.key_](impl& self, result<http_response>& response)
+        {
+            call_finished finished{key, call_end::lost, nullptr};
+            if (response)
+            {
+                finished.end_ = call_end::answered;
+                finished.outcome_ = std::make_shared<call_outcome const>(
+                    call_outcome{response.value().status_,
+                                 std::move(response.value().headers_),
+                                 std::move(response.value().body_)});
+            }
+            else if (response.error().code_ == error_code::unreachable)
+            {
+                finished.end_ = call_end::not_sent;
+            }
+            self.feed(claim_event{finished});
+        });
+}
+
+void call_gate::impl::on_answer(answer_call const& action)
+{
+    auto const found = calls_.find(action.request_);
+    if (found == calls_.end())
+    {
+        return;
+    }
+    call_request const call = std::move(found->second);
+    calls_.erase(found);
+    if (!action.outcome_)
+    {
+        refuse(call, action.reason_, action.run_state_);
+        return;
+    }
+    call_reply reply;
+    reply.status_ = action.outcome_->status_;
+    reply.headers_ = action.outcome_->headers_;
+    reply.body_ = action.outcome_->body_;
+    reply.run_state_ = run_state::ran;
+    reply.is_replay_ = action.is_replay_;
+    if (action.is_replay_)
+    {
+        metrics_.add("auburnlb_key_replays_total");
+    }
+    answer(call, std::move(reply));
+}
+
+// The claim home.
+
+/// Makes the home once the service's configuration is known.
+bool call_gate::impl::ensure_home()
+{
+    auto const config = config_();
+    if (home_)
+    {
+        if (config)
+        {
+            home_->settings_.key_lifetime_ = config->key_lifetime_;
+        }
+        home_->settings_.group_interval_ =
+            std::max(options_.home_settings_.group_interval_,
+                     group_interval(live_addresses().size(),
+                                    options_.claim_writes_per_second_));
+        return true;
+    }
+    if (!config || config->claim_shards_ == 0)
+    {
+        return false;
+    }
+    claim_home_settings settings = options_.home_settings_;
+    settings.key_lifetime_ = config->key_lifetime_;
+    home_ = make_claim_home(options_.service_, config->claim_shards_,
+                            {options_.incarnation_, 1}, settings);
+    takeover_.shard_count_ = config->claim_shards_;
+    log_started_ = clock_.now();
+    return true;
+}
+
+void call_gate::impl::feed(claim_event const& event)
+{
+    for (auto const& action : apply(*home_, event, clock_.now()))
+    {
+        act(action);
+    }
+}
+
+void call_gate::impl::act(claim_action const& action)
+{
+    if (auto const* put = std::get_if<put_segment>(&action))
+    {
+        act_on(*put, false);
+    }
+    else if (auto const* read = std::get_if<read_segment>(&action))
+    {
+        act_on(*read);
+    }
+    else if (auto const* run = std::get_if<run_call>(&action))
+    {
+        send_claimed(*run);
+    }
+    else if (auto const* reply = std::get_if<answer_call>(&action))
+    {
+        on_answer(*reply);
+    }
+    else if (std::holds_alternative<home_fenced>(action))
+    {
+        metrics_.add("auburnlb_claim_home_fenced_total");
+        log(log_level::warning, log_event::claim_home_fenced,
+            {{"service", options_.service_}},
+            "another process sealed this home's claim log");
+        is_table_due_ = true;
+        next_look_ = clock_.now();
+    }
+    else if (auto const* released = std::get_if<shards_released>(&action))
+    {
+        released_.insert(released_.end(), released->shards_.begin(),
+                         released->shards_.end());
+        is_table_due_ = true;
+        next_look_ = clock_.now();
+    }
+}
+
+void call_gate::impl::act_on(put_segment const& action, bool is_seal)
+{
+    claim_segment const& segment = action.segment_;
+    metrics_.add("auburnlb_claim_puts_total");
+    platform_object const object{
+        claim_segment_kind,
+        segment_name(segment.service_, segment.log_, segment.number_), 0,
+        to_json(segment), false};
+    platform_.put(
+        object, 0,
+        handler<std::uint64_t>(
+            [is_seal, number = segment.number_](
+                impl& self, result<std::uint64_t> const& answer)
+            {
+                put_status const status = to_put_status(answer);
+                if (!answer && status != put_status::conflict)
+                {
+                    self.metrics_.add("auburnlb_claim_put_failures_total");
+                    log(log_level::warning, log_event::claim_write_failed,
+                        {{"service", self.options_.service_}},
+                        to_string(answer.error()));
+                }
+                if (is_seal)
+                {
+                    self.feed(takeover_event{seal_answered{status}});
+                    return;
+                }
+                self.feed(claim_event{put_answered{number, status}});
+            }));
+}
+
+void call_gate::impl::act_on(read_segment const& action)
+{
+    platform_.get(claim_segment_kind,
+                  segment_name(options_.service_, action.log_, action.number_),
+                  handler<platform_object>(
+                      [number = action.number_](
+                          impl& self, result<platform_object> const& answer)
+                      {
+                          segment_read read{number, false, std::nullopt};
+                          if (answer)
+                          {
+                              auto segment =
+                                  segment_from_json(answer.value().value_);
+                              read.is_failed_ = !segment;
+                              if (segment)
+                              {
+                                  read.segment_ = std::move(segment).value();
+                              }
+                          }
+                          else
+                          {
+                              read.is_failed_ =
+                                  answer.error().code_ != error_code::not_found;
+                          }
+                          self.feed(claim_event{read});
+                      }));
+}
+
+// The public side.
+
+call_gate::call_gate(http_client& http, platform_client& platform,
+                     call_gate_options options, send_function send,
+                     clock_source& clock, metrics_registry& metrics,
+                     config_function config)
+    : impl_(std::make_shared<impl>(http, platform, std::move(options),
+                                   std::move(send), clock, metrics,
+                                   std::move(config)))
+{
+    impl_->thread_ = std::thread([gate = impl_.get()] { gate->run(); });
+}
+
+call_gate::~call_gate()
+{
+    {
+        std::lock_guard const lock(impl_->mutex_);
+        impl_->is_stopped_ = true;
+    }
+    impl_->changed_.notify_all();
+    impl_->thread_.join();
+}
+
+void call_gate::on_call(call_request call)
+{
+    impl_->locked([&] { impl_->on_call(std::move(call)); });
+}
+
+void call_gate::on_fleet(std::vector<endpoint_description> const& endpoints)
+{
+    impl_->locked([&] { impl_->on_fleet(endpoints); });
+}
+
+void call_gate::begin_leaving()
+{
+    impl_->locked(
+        [&]
+        {
+            if (impl_->leaving_since_)
+            {
+                return;
+            }
+            impl_->leaving_since_ = impl_->clock_.now();
+            if (impl_->home_)
+            {
+                impl_->release_all();
+            }
+        });
+}
+
+bool call_gate::is_idle() const
+{
+    std::lock_guard const lock(impl_->mutex_);
+    if (impl_->in_progress_ > 0 || !impl_->calls_.empty())
+    {
+        return false;
+    }
+    if (!impl_->leaving_since_ || !impl_->home_)
+    {
+        return true;
+    }
+    auto const& shards = impl_->home_->shards_;
+    bool const is_handed_over =
+        impl_->released_.empty() &&
+        std::all_of(shards.begin(), shards.end(),
+                    [](auto ownership)
+                    { return ownership == shard_ownership::none; });
+    return is_handed_over || impl_->clock_.now() - *impl_->leaving_since_ >=
+                                 impl_->options_.hand_over_limit_;
+}
+
+load_report call_gate::load() const
+{
+    std::lock_guard const lock(impl_->mutex_);
+    return impl_->load();
+}
+
+std::size_t call_gate::owned_shards() const
+{
+    std::lock_guard const lock(impl_->mutex_);
+    if (!impl_->home_)
+    {
+        return 0;
+    }
+    auto const& shards = impl_->home_->shards_;
+    return static_cast<std::size_t>(
+        std::count(shards.begin(), shards.end(), shard_ownership::owned));
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/test/transport/call_gate_test.cpp
@@ -0,0 +1,403 @@
+// Tests of the gate with the fake platform and fake plain services.
+#include "auburnlb/transport/call_gate.hpp"
+
+#include <chrono>
+#include <condition_variable>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "auburnlb/protocol/claim_shards.hpp"
+#include "fake_plain_service.hpp"
+#include "fake_platform.hpp"
+
+namespace auburnlb
+{
+namespace
+{
+
+using fakes::fake_plain_service;
+using fakes::fake_platform;
+using fakes::platform_faults;
+
+constexpr seconds patience{10};
+
+class real_clock final : public clock_source
+{
+public:
+    time_point now() const override { return std::chrono::steady_clock::now(); }
+};
+
+template <class Condition>
+bool wait_until(Condition const& condition)
+{
+    auto const end = std::chrono::steady_clock::now() + patience;
+    while (!condition())
+    {
+        if (std::chrono::steady_clock::now() > end)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+    return true;
+}
+
+/// Up to two endpoints of one service, each with its gate.
+class call_gate_test : public ::testing::Test
+{
+protected:
+    call_gate_test()
+    {
+        service_config config;
+        config.name_ = "desk";
+        config.kind_ = service_kind::plain;
+        config.claim_shards_ = 8;
+        config_ = std::make_shared<service_config const>(config);
+    }
+
+    ~call_gate_test() override { gates_.clear(); }
+
+    static std::string address_of(std::size_t at)
+    {
+        return "tcp://127.0.0.1:" + std::to_string(at + 1);
+    }
+
+    void start_gate(std::size_t at)
+    {
+        call_gate_options options;
+        options.endpoint_url_ = services_[at].base_url();
+        options.service_ = "desk";
+        options.address_ = address_of(at);
+        options.incarnation_ = next_incarnation_++;
+        options.home_settings_.store_patience_ = milliseconds{300};
+        options.table_interval_ = milliseconds{20};
+        options.dead_after_ = milliseconds{50};
+        options.settle_after_ = milliseconds{30};
+        options.max_in_progress_ = max_in_progress_;
+        incarnations_[at] = options.incarnation_;
+        gates_[at] = std::make_unique<call_gate>(
+            http_, platform_client_, options,
+            [this](std::string const&, message body)
+            { on_reply(std::get<call_reply>(body)); },
+            clock_, metrics_, [this] { return config_; });
+    }
+
+    void tell_fleet()
+    {
+        std::vector<endpoint_description> fleet;
+        for (auto const& [at, gate] : gates_)
+        {
+            endpoint_description endpoint;
+            endpoint.address_ = address_of(at);
+            endpoint.incarnation_ = incarnations_[at];
+            endpoint.service_ = "desk";
+            endpoint.kind_ = service_kind::plain;
+            endpoint.state_ = states_[at];
+            fleet.push_back(endpoint);
+        }
+        for (auto const& [at, gate] : gates_)
+        {
+            gate->on_fleet(fleet);
+        }
+    }
+
+    /// Starts gates and waits until they own all shards.
+    void start(std::size_t count)
+    {
+        for (std::size_t at = 0; at < count; ++at)
+        {
+            start_gate(at);
+        }
+        tell_fleet();
+        ASSERT_TRUE(wait_for_owners());
+    }
+
+    bool wait_for_owners()
+    {
+        return wait_until(
+            [this]
+            {
+                std::size_t owned = 0;
+                for (auto const& [at, gate] : gates_)
+                {
+                    owned += gate->owned_shards();
+                }
+                return owned == config_->claim_shards_;
+            });
+    }
+
+    void on_reply(call_reply const& reply)
+    {
+        std::lock_guard const lock(mutex_);
+        replies_[reply.request_] = reply;
+        ++reply_count_;
+        arrived_.notify_all();
+    }
+
+    request_id send(std::size_t at, std::string const& key,
+                    std::uint32_t timeout_ms = 5'000)
+    {
+        call_request call;
+        {
+            std::lock_guard const lock(mutex_);
+            call.request_ = {1, next_request_++};
+        }
+        call.service_ = "desk";
+        call.method_ = "POST";
+        call.path_ = "/bookings";
+        call.body_ = "{\"van\":4}";
+        call.idempotency_key_ = key;
+        if (!key.empty())
+        {
+            call.headers_ = {{"Idempotency-Key", key}};
+        }
+        call.target_incarnation_ = incarnations_[at];
+        call.timeout_ms_ = timeout_ms;
+        gates_.at(at)->on_call(call);
+        return call.request_;
+    }
+
+    call_reply wait_for(request_id request)
+    {
+        std::unique_lock lock(mutex_);
+        bool const has_come = arrived_.wait_for(
+            lock, patience, [&] { return replies_.contains(request); });
+        EXPECT_TRUE(has_come) << "no reply came";
+        return replies_[request];
+    }
+
+    call_reply call(std::size_t at, std::string const& key,
+                    std::uint32_t timeout_ms = 5'000)
+    {
+        return wait_for(send(at, key, timeout_ms));
+    }
+
+    /// The gate that the table names for the key.
+    std::size_t home_of_key(std::string const& key)
+    {
+        auto const object = platform_.find(claim_table_kind, "desk");
+        auto const table = table_from_json(object->value_).value();
+        return home_of(table, key).address_ == address_of(0) ? 0 : 1;
+    }
+
+    std::uint64_t executions_of(std::string const& key)
+    {
+        std::uint64_t count = 0;
+        for (auto const& service : services_)
+        {
+            auto const executions = service.executions();
+            auto const found = executions.by_key_.find(key);
+            count += found == executions.by_key_.end() ? 0 : found->second;
+        }
+        return count;
+    }
+
+    std::uint64_t total_executions()
+    {
+        return services_[0].executions().total_ +
+               services_[1].executions().total_;
+    }
+
+    fake_platform platform_;
+    fake_plain_service services_[2];
+    http_client http_;
+    platform_client platform_client_{http_, platform_.base_url(),
+                                     milliseconds{200}};
+    real_clock clock_;
+    metrics_registry metrics_;
+    std::shared_ptr<service_config const> config_;
+    std::size_t max_in_progress_ = 1'000;
+    incarnation_id next_incarnation_ = 10;
+    std::uint64_t next_request_ = 1;
+    std::mutex mutex_;
+    std::condition_variable arrived_;
+    std::map<request_id, call_reply> replies_;
+    std::size_t reply_count_ = 0;
+    std::map<std::size_t, incarnation_id> incarnations_;
+    std::map<std::size_t, host_state> states_;
+    std::map<std::size_t, std::unique_ptr<call_gate>> gates_;
+};
+
+TEST_F(call_gate_test, a_keyed_call_runs_once_and_is_replayed)
+{
+    start(1);
+    auto const first = call(0, "w/a");
+    EXPECT_EQ(first.status_, 200);
+    EXPECT_FALSE(first.is_replay_);
+    auto const second = call(0, "w/a");
+    EXPECT_EQ(second.status_, 200);
+    EXPECT_TRUE(second.is_replay_);
+    EXPECT_EQ(second.body_, first.body_);
+    EXPECT_EQ(executions_of("w/a"), 1U);
+}
+
+TEST_F(call_gate_test, many_threads_with_one_key_run_it_once)
+{
+    start(1);
+    constexpr int thread_count = 4;
+    constexpr int sends = 25;
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < thread_count; ++thread)
+    {
+        threads.emplace_back(
+            [this]
+            {
+                for (int at = 0; at < sends; ++at)
+                {
+                    send(0, "w/" + std::to_string(at));
+                }
+            });
+    }
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    EXPECT_TRUE(wait_until(
+        [this]
+        {
+            std::lock_guard const lock(mutex_);
+            return reply_count_ == thread_count * sends;
+        }));
+    for (int at = 0; at < sends; ++at)
+    {
+        EXPECT_EQ(executions_of("w/" + std::to_string(at)), 1U);
+    }
+    EXPECT_TRUE(gates_[0]->is_idle());
+}
+
+TEST_F(call_gate_test, only_the_home_of_a_key_runs_it)
+{
+    start(2);
+    std::size_t const home = home_of_key("w/a");
+    auto const refused = call(1 - home, "w/a");
+    EXPECT_EQ(refused.reason_, refusal_reason::not_shard_home);
+    EXPECT_EQ(refused.run_state_, run_state::not_run);
+    EXPECT_EQ(call(home, "w/a").status_, 200);
+    EXPECT_EQ(executions_of("w/a"), 1U);
+}
+
+TEST_F(call_gate_test, after_its_home_died_a_key_is_unknown_and_not_run_again)
+{
+    start(2);
+    std::size_t const home = home_of_key("w/a");
+    EXPECT_EQ(call(home, "w/a").status_, 200);
+    gates_.erase(home);
+    tell_fleet();
+    ASSERT_TRUE(wait_for_owners());
+    auto const resent = call(1 - home, "w/a");
+    EXPECT_EQ(resent.reason_, refusal_reason::key_outcome_unknown);
+    EXPECT_EQ(resent.run_state_, run_state::unknown);
+    EXPECT_EQ(executions_of("w/a"), 1U);
+    EXPECT_EQ(call(1 - home, "w/b").status_, 200);
+}
+
+TEST_F(call_gate_test, a_leaving_home_hands_its_outcomes_over)
+{
+    start(2);
+    std::size_t const home = home_of_key("w/a");
+    auto const first = call(home, "w/a");
+    states_[home] = host_state::leaving;
+    gates_[home]->begin_leaving();
+    EXPECT_EQ(call(home, "w/other").reason_, refusal_reason::endpoint_leaving);
+    tell_fleet();
+    ASSERT_TRUE(
+        wait_until([&] { return gates_[1 - home]->owned_shards() == 8; }));
+    EXPECT_TRUE(wait_until([&] { return gates_[home]->is_idle(); }));
+    auto const replay = call(1 - home, "w/a");
+    EXPECT_TRUE(replay.is_replay_);
+    EXPECT_EQ(replay.body_, first.body_);
+    EXPECT_EQ(executions_of("w/a"), 1U);
+}
+
+TEST_F(call_gate_test, a_newcomer_gets_its_share_of_the_shards)
+{
+    start(1);
+    EXPECT_EQ(call(0, "w/a").status_, 200);
+    start_gate(1);
+    tell_fleet();
+    EXPECT_TRUE(wait_until([&] { return gates_[1]->owned_shards() > 0; }));
+    EXPECT_TRUE(wait_for_owners());
+    EXPECT_TRUE(call(home_of_key("w/a"), "w/a").is_replay_);
+    EXPECT_EQ(executions_of("w/a"), 1U);
+}
+
+TEST_F(call_gate_test, a_lost_answer_of_the_store_costs_no_call)
+{
+    start(1);
+    platform_.set_faults({.lose_answers_ = 1});
+    EXPECT_EQ(call(0, "w/a").status_, 200);
+    EXPECT_EQ(executions_of("w/a"), 1U);
+}
+
+TEST_F(call_gate_test, with_the_store_down_a_keyed_call_truly_is_not_run)
+{
+    start(1);
+    platform_faults faults;
+    faults.is_down_ = true;
+    platform_.set_faults(faults);
+    auto const refused = call(0, "w/a");
+    EXPECT_EQ(refused.reason_, refusal_reason::claim_store_unavailable);
+    EXPECT_EQ(refused.run_state_, run_state::not_run);
+    EXPECT_EQ(call(0, "").status_, 200)
+        << "a call without a key needs no claim";
+    platform_.set_faults({});
+    EXPECT_TRUE(wait_until([&] { return call(0, "w/b").status_ == 200; }));
+    EXPECT_EQ(executions_of("w/a"), 0U);
+    EXPECT_EQ(call(0, "w/a").status_, 200);
+    EXPECT_EQ(executions_of("w/a"), 1U);
+}
+
+TEST_F(call_gate_test, an_endpoint_that_drops_the_answer_is_not_asked_again)
+{
+    start(1);
+    services_[0].set_faults({.close_after_run_ = 2});
+    auto const lost = call(0, "w/a");
+    EXPECT_EQ(lost.reason_, refusal_reason::call_outcome_unknown);
+    EXPECT_EQ(lost.run_state_, run_state::unknown);
+    auto const resent = call(0, "w/a");
+    EXPECT_EQ(resent.reason_, refusal_reason::key_outcome_unknown);
+    EXPECT_EQ(executions_of("w/a"), 1U);
+    EXPECT_EQ(call(0, "").run_state_, run_state::unknown);
+    EXPECT_EQ(total_executions(), 2U);
+}
+
+TEST_F(call_gate_test, another_incarnation_and_overload_are_refused_by_number)
+{
+    max_in_progress_ = 0;
+    start(1);
+    EXPECT_EQ(call(0, "w/a").reason_, refusal_reason::overloaded);
+    incarnations_[0] = 99;
+    auto const refused = call(0, "w/a");
+    EXPECT_EQ(refused.reason_, refusal_reason::stale_incarnation);
+    EXPECT_EQ(refused.run_state_, run_state::not_run);
+    EXPECT_EQ(total_executions(), 0U);
+}
+
+TEST_F(call_gate_test, a_home_that_was_wrongly_sealed_goes_on_in_a_new_log)
+{
+    start(1);
+    EXPECT_EQ(call(0, "w/a").status_, 200);
+    claim_log_id const log{incarnations_[0], 1};
+    claim_segment const seal{"desk", log, 1, 77, 0, segment_kind::seal, {}, {}};
+    std::promise<bool> sealed;
+    platform_client_.put({claim_segment_kind, segment_name("desk", log, 1), 0,
+                          to_json(seal), false},
+                         0,
+                         [&](result<std::uint64_t> const& answer)
+                         { sealed.set_value(answer.has_value()); });
+    ASSERT_TRUE(sealed.get_future().get());
+    auto const fenced = call(0, "w/b");
+    EXPECT_EQ(fenced.reason_, refusal_reason::not_shard_home);
+    EXPECT_EQ(fenced.run_state_, run_state::not_run);
+    EXPECT_EQ(executions_of("w/b"), 0U);
+    EXPECT_TRUE(wait_until([&] { return call(0, "w/b").status_ == 200; }));
+    EXPECT_TRUE(call(0, "w/a").is_replay_);
+    EXPECT_EQ(executions_of("w/b"), 1U);
+}
+
+} // namespace
+} // namespace auburnlb
