--- a/test/protocol/messages_test.cpp
+++ b/test/protocol/messages_test.cpp
@@ -54,6 +54,9 @@
                        true,
                        {}}},
         {1, suspicion_update{{{3, 1}}}},
+        {1, drain_request{5}},
+        {1, adopt_stream{id, "tcp://a"}},
+        {1, stream_adopted{id, 2, 3, route, {"t"}, true}},
     };
 }
 
