Wire configuration spreading, the call gate and engine silences into the daemons

Cause: engine calls that hung on a forgotten connection ended streams as stream_lost after six attempts, and two hosts lost at once condemned innocents. Ruled out: raising the number of attempts. A call that takes eight times the usual is lost, new connections follow a time-out, and only engines' ends count against requests. Conclusion: companions learn configurations from entries and run keyed calls.

--- a/include/auburnlb/coordination/peer_table.hpp
+++ b/include/auburnlb/coordination/peer_table.hpp
@@ -94,7 +94,7 @@
     bool operator==(forget_peer const&) const = default;
 };
 
-/// The endpoints changed in more than their load.
+/// The endpoints changed in more than their load, or an entry came or went.
 struct endpoints_changed
 {
     bool operator==(endpoints_changed const&) const = default;
--- a/include/auburnlb/transport/engine_client.hpp
+++ b/include/auburnlb/transport/engine_client.hpp
@@ -66,7 +66,7 @@
     engine_client(http_client& http, std::string base_url);
 
     /// Runs a batch; results come in the order of the steps.
-    void run(std::vector<engine_step> const& steps,
+    void run(std::vector<engine_step> const& steps, milliseconds timeout,
              handler<std::vector<engine_step_result>> handler);
     /// Frees the KV cache of streams.
     void release(std::vector<std::string> const& streams,
--- a/include/auburnlb/transport/object_watch.hpp
+++ b/include/auburnlb/transport/object_watch.hpp
@@ -31,8 +31,9 @@
                  std::string kind, milliseconds wait, std::uint64_t seed,
                  callbacks callbacks);
 
-    /// Begins; the first answer holds every object there is.
-    void start();
+    /// The first answer holds every object there is. A watch that is waiting
+    /// when it is stopped ends at its next answer.
+    void set_active(bool is_active);
 
 private:
     void ask();
@@ -48,6 +49,9 @@
     /// Highest version seen; the watch goes on after it.
     std::uint64_t version_ = 0;
     milliseconds backoff_{0};
+    bool is_active_ = false;
+    /// A call or its backoff is under way.
+    bool is_running_ = false;
 };
 
 } // namespace auburnlb
--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -137,9 +137,10 @@
     {
         actions = learn(peer, *reply.endpoint_);
     }
-    else
+    else if (!peer.is_alive_)
     {
         peer.is_alive_ = true;
+        actions.emplace_back(endpoints_changed{});
     }
     actions.emplace_back(peer_answered{reply.from_address_, sender});
     return actions;
--- a/src/transport/companion.cpp
+++ b/src/transport/companion.cpp
@@ -15,9 +15,14 @@
 #include "auburnlb/protocol/stage.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/metrics.hpp"
+#include "auburnlb/state/snapshot_cell.hpp"
+#include "auburnlb/transport/call_gate.hpp"
+#include "auburnlb/transport/config_keeper.hpp"
 #include "auburnlb/transport/engine_client.hpp"
 #include "auburnlb/transport/http_client.hpp"
 #include "auburnlb/transport/message_bus.hpp"
+#include "auburnlb/transport/platform_client.hpp"
+#include "auburnlb/transport/steady_clock.hpp"
 
 namespace auburnlb
 {
@@ -26,6 +31,11 @@
 {
 
 constexpr milliseconds tick_interval{100};
+/// A call to the engine is given this time, a multiple of what calls take, and
+/// more for each position of its batch.
+constexpr milliseconds call_time_base{250};
+constexpr std::int64_t call_time_factor = 8;
+constexpr milliseconds call_time_position{1};
 /// An entry that has not said hello for this long is no longer told updates.
 constexpr seconds entry_lifetime{30};
 
@@ -42,6 +52,8 @@
         , work_(asio::make_work_guard(io_))
         , timer_(io_)
         , engine_(http_, options_.endpoint_url_)
+        , platform_(http_, options_.platform_url_)
+        , config_(nullptr)
     {
         table_.incarnation_ = options_.incarnation_;
     }
@@ -79,12 +91,55 @@
         }
         bus_ = std::move(bus).value();
         table_.address_ = bus_->address();
+        open_configs();
         thread_ = std::thread([this] { io_.run(); });
-        asio::post(io_, [this] { poll_engine(); });
+        if (options_.kind_ == service_kind::plain)
+        {
+            open_gate();
+        }
+        asio::post(io_, [this] { poll_endpoint(); });
         schedule_tick();
         return static_cast<void*>(nullptr);
     }
 
+    void open_configs()
+    {
+        configs_ = std::make_unique<config_keeper>(config_keeper_environment{
+            clock_,
+            {bus_->address(), options_.data_centre_},
+            [this](std::string const& peer, message body)
+            { bus_->send(peer, std::move(body)); },
+            [](std::string const&) {},
+            {},
+            [this](std::shared_ptr<service_config const> const& config)
+            {
+                if (config->name_ == options_.service_)
+                {
+                    config_.publish(config);
+                }
+            }});
+    }
+
+    void open_gate()
+    {
+        call_gate_options gate;
+        gate.endpoint_url_ = options_.endpoint_url_;
+        gate.service_ = options_.service_;
+        gate.address_ = bus_->address();
+        gate.incarnation_ = options_.incarnation_;
+        gate_ = std::make_unique<call_gate>(
+            http_, platform_, std::move(gate),
+            [this](std::string const& peer, message body)
+            { bus_->send(peer, std::move(body)); },
+            clock_, metrics_,
+            [this]
+            {
+                return config_.read(
+                    [](std::shared_ptr<service_config const> const& config)
+                    { return config; });
+            });
+    }
+
     std::string address() const override { return bus_->address(); }
 
     void begin_leaving() override
@@ -130,10 +185,12 @@
     void on_body(incarnation_id /*sender*/, hello& body)
     {
         entries_[body.from_address_] = now();
+        configs_->on_versions(body.from_address_, body.versions_);
         hello_reply reply;
         reply.nonce_ = body.nonce_;
         reply.from_address_ = table_.address_;
         reply.endpoint_ = describe();
+        reply.versions_ = configs_->versions();
         bus_->send(body.from_address_, std::move(reply));
     }
 
@@ -152,6 +209,8 @@
         }
         stage_stream const& stream = table_.streams_.at(frame.request_);
         entries_.try_emplace(stream.route_.entry_address_, now());
+        configs_->on_version(stream.route_.entry_address_,
+                             stream.route_.service_, frame.service_version_);
         pending_step step;
         step.priority_ = stream.route_.priority_;
         step.prompt_tokens_ = stream.route_.prompt_tokens_;
@@ -221,6 +280,36 @@
         return lost;
     }
 
+    void on_body(incarnation_id /*sender*/, call_request& body)
+    {
+        if (gate_)
+        {
+            gate_->on_call(std::move(body));
+        }
+    }
+
+    /// Entries show the other endpoints of the service to a gate.
+    void on_body(incarnation_id /*sender*/, endpoint_update& body)
+    {
+        if (!gate_)
+        {
+            return;
+        }
+        fleet_[body.endpoint_.address_] = body.endpoint_;
+        fleet_[table_.address_] = describe();
+        std::vector<endpoint_description> endpoints;
+        for (auto const& [address, endpoint] : fleet_)
+        {
+            endpoints.push_back(endpoint);
+        }
+        gate_->on_fleet(endpoints);
+    }
+
+    void on_body(incarnation_id /*sender*/, config_push& body)
+    {
+        configs_->on_push(body);
+    }
+
     void on_body(incarnation_id /*sender*/, drain_request& body)
     {
         if (body.target_incarnation_ == options_.incarnation_)
@@ -325,7 +414,7 @@
     {
         ++calls_;
         engine_.run(
-            steps,
+            steps, call_timeout(batch),
             [this, batch = std::move(batch)](
                 result<std::vector<engine_step_result>> outcome) mutable
             {
@@ -335,6 +424,24 @@
             });
     }
 
+    /// A call that takes much longer than calls do is taken for lost on its
+    /// connection: something between may have forgotten it. Only this companion
+    /// sends to the engine, so that its queue is bounded by engine_calls_.
+    milliseconds call_timeout(std::vector<pending_step> const& batch) const
+    {
+        std::int64_t positions = 0;
+        for (pending_step const& step : batch)
+        {
+            positions += static_cast<std::int64_t>(step.frame_.inputs_.size());
+            positions += step.frame_.position_ == 0 ? step.prompt_tokens_ : 0;
+        }
+        auto const usual = std::chrono::ceil<milliseconds>(
+            microseconds(call_time_us_ * call_time_factor));
+        milliseconds const wanted =
+            call_time_base + usual + positions * call_time_position;
+        return std::min(wanted, options_.engine_timeout_);
+    }
+
     void on_batch(std::vector<pending_step> batch,
                   result<std::vector<engine_step_result>> outcome)
     {
@@ -346,7 +453,7 @@
         }
         if (!outcome)
         {
-            on_engine_lost(outcome.error());
+            on_call_failed(outcome.error());
             for (pending_step const& step : batch)
             {
                 fail_step(step, refusal_reason::engine_failed);
@@ -364,6 +471,19 @@
         stop_when_idle();
     }
 
+    /// Without an answer the engine is asked on a new connection whether it
+    /// lives; every other failure means that its process is gone.
+    void on_call_failed(error const& failure)
+    {
+        if (failure.code_ == error_code::timeout)
+        {
+            metrics_.add("auburnlb_engine_silences_total");
+            polled_at_ = time_point{};
+            return;
+        }
+        on_engine_lost(failure);
+    }
+
     void on_step_done(pending_step const& step, engine_step_result done)
     {
         if (!done.failure_.empty())
@@ -430,10 +550,15 @@
             std::chrono::duration_cast<microseconds>(now() - step.accepted_at_);
         step_time_us_ = (step_time_us_ * 7 + taken.count()) / 8;
         metrics_.observe("auburnlb_step_seconds", {}, taken);
+        call_time_us_ = (call_time_us_ * 7 + taken.count()) / 8;
     }
 
     load_report load() const
     {
+        if (gate_)
+        {
+            return gate_->load();
+        }
         load_report report;
         report.active_ = static_cast<std::uint32_t>(running_streams(table_));
         report.queued_ = static_cast<std::uint32_t>(waiting_.size());
@@ -475,6 +600,31 @@
         }
     }
 
+    void poll_endpoint()
+    {
+        is_polling_ = true;
+        polled_at_ = now();
+        if (options_.kind_ == service_kind::model)
+        {
+            poll_engine();
+            return;
+        }
+        // Any answer of a plain service shows that it takes requests.
+        http_request request;
+        request.url_ = options_.endpoint_url_ + "/";
+        http_.send(std::move(request),
+                   [this](result<http_response> answer)
+                   {
+                       result<engine_status> status = engine_status{};
+                       if (!answer)
+                       {
+                           status = answer.error();
+                       }
+                       asio::post(io_, [this, status = std::move(status)]
+                                  { on_engine_status(status); });
+                   });
+    }
+
     void poll_engine()
     {
         engine_.status(
@@ -558,9 +708,7 @@
         flush_releases();
         if (!is_polling_ && now() - polled_at_ > options_.engine_poll_)
         {
-            is_polling_ = true;
-            polled_at_ = now();
-            poll_engine();
+            poll_endpoint();
         }
         stop_when_idle();
     }
@@ -572,6 +720,10 @@
             return;
         }
         table_.is_leaving_ = true;
+        if (gate_)
+        {
+            gate_->begin_leaving();
+        }
         leaving_since_ = now();
         log(log_level::info, log_event::process_stopping, {},
             "new work is refused from now on");
@@ -586,8 +738,8 @@
             return;
         }
         bool const is_overdue = now() - leaving_since_ > options_.drain_limit_;
-        bool const is_idle =
-            running_streams(table_) == 0 && calls_ == 0 && releases_.empty();
+        bool const is_idle = running_streams(table_) == 0 && calls_ == 0 &&
+                             releases_.empty() && (!gate_ || gate_->is_idle());
         // The announcement gets a moment to leave through the sockets.
         bool const is_announced = now() - leaving_since_ > tick_interval;
         if ((is_idle && is_announced) || is_overdue)
@@ -605,7 +757,14 @@
     asio::steady_timer timer_;
     http_client http_;
     engine_client engine_;
+    platform_client platform_;
+    steady_clock_source clock_;
+    /// The configuration of this endpoint's service; null until it is known.
+    snapshot_cell<std::shared_ptr<service_config const>> config_;
     std::unique_ptr<message_bus> bus_;
+    std::unique_ptr<config_keeper> configs_;
+    /// Present beside a plain service.
+    std::unique_ptr<call_gate> gate_;
     std::thread thread_;
 
     // What follows belongs to thread_.
@@ -617,7 +776,10 @@
     std::size_t calls_ = 0;
     /// Entries by address, with the time of their last hello.
     std::map<std::string, time_point> entries_;
+    /// Endpoints of a plain service as entries show them, by address.
+    std::map<std::string, endpoint_description> fleet_;
     engine_status status_;
+    std::int64_t call_time_us_ = 0;
     bool is_engine_up_ = false;
     bool is_polling_ = false;
     time_point polled_at_{};
--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -19,8 +19,6 @@
 constexpr int status_not_found = 404;
 constexpr int status_conflict = 409;
 constexpr int status_server_error = 500;
-/// A step may wait in the engine's queue behind long prefills.
-constexpr milliseconds run_timeout{120'000};
 constexpr milliseconds control_timeout{5'000};
 constexpr std::size_t max_detail_bytes = 200;
 
@@ -151,6 +149,7 @@
 }
 
 void engine_client::run(std::vector<engine_step> const& steps,
+                        milliseconds timeout,
                         handler<std::vector<engine_step_result>> handler)
 {
     json body{{"steps", json::array()}};
@@ -161,7 +160,7 @@
         streams.push_back(step.stream_);
     }
     http_request request{
-        "POST", base_url_ + "/v1/steps", {}, body.dump(), run_timeout};
+        "POST", base_url_ + "/v1/steps", {}, body.dump(), timeout};
     exchange<std::vector<engine_step_result>>(
         http_, std::move(request), "run steps", base_url_,
         [streams = std::move(streams)](json const& value)
--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -18,10 +18,12 @@
 #include "auburnlb/transport/call_service.hpp"
 #include "auburnlb/transport/caller_front.hpp"
 #include "auburnlb/transport/companion.hpp"
+#include "auburnlb/transport/config_keeper.hpp"
 #include "auburnlb/transport/object_watch.hpp"
 #include "auburnlb/transport/platform_client.hpp"
 #include "auburnlb/transport/platform_store.hpp"
 #include "auburnlb/transport/status_report.hpp"
+#include "auburnlb/transport/steady_clock.hpp"
 #include "auburnlb/transport/stream_service.hpp"
 
 namespace auburnlb
@@ -34,15 +36,11 @@
 /// Wait before the platform is asked again after a failure; doubled each time.
 constexpr milliseconds platform_retry_min{100};
 constexpr milliseconds platform_retry_max{5'000};
+/// How often companions of plain services are shown the fleet.
+constexpr milliseconds fleet_interval{1'000};
 /// Time for the balancer to see that readiness is off before the port closes.
 constexpr milliseconds balancer_notice{200};
 
-class steady_clock_source final : public clock_source
-{
-public:
-    time_point now() const override { return std::chrono::steady_clock::now(); }
-};
-
 /// "tcp://IP:port" as an endpoint; nothing for another form.
 std::optional<asio::ip::tcp::endpoint> parse_tcp(std::string const& address)
 {
@@ -79,7 +77,7 @@
         , service_watch_(io_, platform_, "services", options_.watch_wait_,
                          options_.incarnation_,
                          {[this](platform_object const& object)
-                          { take_configuration(object); },
+                          { configs_->on_platform_object(object); },
                           [this](bool is_reachable)
                           {
                               note_platform(is_reachable);
@@ -154,6 +152,7 @@
             return bus.error();
         }
         bus_ = std::move(bus).value();
+        open_configs();
         streams_ = std::make_unique<stream_service>(stream_environment{
             *bus_, metrics_, view_, clock_, bus_->address(),
             options_.incarnation_, options_.streams_, options_.resume_grace_,
@@ -195,13 +194,31 @@
                    [this]
                    {
                        poll_hosts();
-                       service_watch_.start();
-                       table_watch_.start();
+                       table_watch_.set_active(true);
+                       update_members();
                        schedule_tick();
                    });
         return static_cast<void*>(nullptr);
     }
 
+    void open_configs()
+    {
+        configs_ = std::make_unique<config_keeper>(config_keeper_environment{
+            clock_,
+            {bus_->address(), options_.data_centre_},
+            [this](std::string const& peer, message body)
+            { bus_->send(peer, std::move(body)); },
+            [this](std::string const& peer) {
+                apply_one(send_hello{peer, false});
+            },
+            [this](bool is_watching)
+            { service_watch_.set_active(is_watching); },
+            [this](std::shared_ptr<service_config const> const&)
+            {
+                plan_soon();
+            }});
+    }
+
     std::string bus_address() const override { return bus_->address(); }
     std::uint16_t callers_port() const override { return callers_->port(); }
     std::uint16_t admin_port() const override
@@ -280,9 +297,11 @@
                                     std::string const& text)
         {
             asio::post(io_,
-                       [this, service, version, text] {
-                           take_configuration({service_object_kind, service,
-                                               version, text, false});
+                       [this, service, version, text]
+                       {
+                           configs_->on_platform_object({service_object_kind,
+                                                         service, version, text,
+                                                         false});
                        });
         };
         return hooks;
@@ -326,6 +345,7 @@
     void on_body(incarnation_id sender, hello_reply& body)
     {
         apply(on_hello_reply(peers_, body, sender, clock_.now()));
+        configs_->on_versions(body.from_address_, body.versions_);
     }
 
     void on_body(incarnation_id /*sender*/, endpoint_update& body)
@@ -343,18 +363,9 @@
         hello_reply reply;
         reply.nonce_ = body.nonce_;
         reply.from_address_ = bus_->address();
-        reply.versions_ = versions();
+        reply.versions_ = configs_->versions();
         bus_->send(body.from_address_, std::move(reply));
-    }
-
-    std::map<std::string, std::uint64_t> versions() const
-    {
-        std::map<std::string, std::uint64_t> versions;
-        for (auto const& [name, config] : services_)
-        {
-            versions[name] = config->version_;
-        }
-        return versions;
+        configs_->on_versions(body.from_address_, body.versions_);
     }
 
     void broadcast(suspicion_update const& update)
@@ -387,7 +398,7 @@
         greeting.from_address_ = bus_->address();
         greeting.role_ = host_role::entry;
         greeting.nonce_ = ++last_nonce_;
-        greeting.versions_ = versions();
+        greeting.versions_ = configs_->versions();
         bus_->send(action.address_, std::move(greeting));
     }
 
@@ -428,7 +439,62 @@
 
     void apply_one(forget_peer const& action) { bus_->forget(action.address_); }
 
-    void apply_one(endpoints_changed const& /*action*/) { plan_soon(); }
+    void apply_one(endpoints_changed const& /*action*/)
+    {
+        plan_soon();
+        update_members();
+        show_fleet_to_gates();
+    }
+
+    /// Companions of plain services move the homes of keys by the fleet that
+    /// entries see.
+    void show_fleet_to_gates()
+    {
+        std::vector<endpoint_description> const endpoints =
+            known_endpoints(peers_);
+        for (endpoint_description const& gate : endpoints)
+        {
+            if (gate.kind_ != service_kind::plain)
+            {
+                continue;
+            }
+            for (endpoint_description const& other : endpoints)
+            {
+                if (other.service_ == gate.service_)
+                {
+                    bus_->send(gate.address_, endpoint_update{other});
+                }
+            }
+        }
+        next_fleet_show_ = clock_.now() + fleet_interval;
+    }
+
+    // Configuration spreads among the entries; companions learn it from the
+    // entries' hellos.
+
+    void update_members()
+    {
+        std::vector<spread_member> members{
+            {bus_->address(), options_.data_centre_}};
+        for (auto const& [address, peer] : peers_.peers_)
+        {
+            if (peer.host_.role_ == host_role::entry && peer.is_alive_)
+            {
+                members.push_back({address, peer.host_.data_centre_});
+            }
+        }
+        configs_->set_members(std::move(members));
+    }
+
+    void on_body(incarnation_id /*sender*/, config_push& body)
+    {
+        configs_->on_push(body);
+    }
+
+    void on_body(incarnation_id /*sender*/, config_request& body)
+    {
+        configs_->on_request(body);
+    }
 
     void on_link_lost(std::string const& peer)
     {
@@ -446,7 +512,7 @@
         }
         is_plan_due_ = false;
         is_planning_ = true;
-        fleet_snapshot fleet{services_, known_endpoints(peers_)};
+        fleet_snapshot fleet{configs_->services(), known_endpoints(peers_)};
         auto const [entries, index] = entry_share_now();
         asio::post(planner_,
                    [this, fleet = std::move(fleet), entries = entries,
@@ -549,38 +615,6 @@
             });
     }
 
-    /// A lower version is never in force after a higher one.
-    void take_configuration(platform_object const& object)
-    {
-        auto const known = services_.find(object.name_);
-        bool const is_newer = known == services_.end() ||
-                              known->second->version_ < object.version_;
-        if (!is_newer)
-        {
-            return;
-        }
-        if (object.is_deleted_)
-        {
-            return;
-        }
-        auto config = config_from_object(object.value_, object.version_);
-        if (!config)
-        {
-            log(log_level::error, log_event::configuration_rejected,
-                {{"service", object.name_},
-                 {"version", std::to_string(object.version_)}},
-                to_string(config.error()));
-            return;
-        }
-        services_[object.name_] =
-            std::make_shared<service_config const>(std::move(config).value());
-        log(log_level::info, log_event::configuration_in_force,
-            {{"service", object.name_},
-             {"version", std::to_string(object.version_)}},
-            "a newer configuration is in force here");
-        plan_soon();
-    }
-
     void note_platform(bool is_reachable)
     {
         if (is_reachable)
@@ -621,6 +655,11 @@
     void on_timer()
     {
         apply(on_peer_tick(peers_, clock_.now()));
+        configs_->on_tick();
+        if (clock_.now() >= next_fleet_show_)
+        {
+            show_fleet_to_gates();
+        }
         streams_->on_tick();
         calls_->on_tick();
         stop_when_idle();
@@ -680,14 +719,14 @@
     std::unique_ptr<message_bus> bus_;
     std::unique_ptr<stream_service> streams_;
     std::unique_ptr<call_service> calls_;
+    std::unique_ptr<config_keeper> configs_;
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<http_server> admin_;
     std::thread thread_;
 
     // What follows belongs to thread_.
     peer_table peers_;
-    /// Each the highest version seen.
-    std::map<std::string, std::shared_ptr<service_config const>> services_;
+    time_point next_fleet_show_{};
     std::uint64_t last_nonce_ = 0;
     bool is_planning_ = false;
     bool is_plan_due_ = false;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -156,10 +156,17 @@
     curl_easy_setopt(easy, CURLOPT_SEEKDATA, &running);
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(request.body_.size()));
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
-                     request.body_.empty() ? 1L : 0L);
+    if (request.body_.empty())
+    {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
 }
 
+/// Idle connections older than this are not used again; pooled connections that
+/// went silent are therefore gone when the distrust ends.
+constexpr long max_idle_s = 2;
+constexpr std::chrono::seconds distrust_time{5};
+
 void set_options(CURL* easy, transfer& running)
 {
     http_request const& request = running.request_;
@@ -173,6 +180,7 @@
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, timeout);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, max_idle_s);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &running);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
@@ -242,6 +250,10 @@
     /// Only the thread touches the members below.
     std::unordered_map<CURL*, std::unique_ptr<transfer>> running_;
     std::vector<CURL*> pool_;
+    /// Peers at which a request timed out, and until when their pooled
+    /// connections are passed over.
+    std::unordered_map<std::string, std::chrono::steady_clock::time_point>
+        distrusted_;
     std::thread thread_;
 
     impl();
@@ -252,6 +264,7 @@
     void start(std::unique_ptr<transfer> next);
     void finish_done();
     void finish(CURL* easy, CURLcode code);
+    bool is_distrusted(std::string const& peer);
     void fail_all();
     CURL* acquire_handle();
     void recycle(CURL* easy);
@@ -335,6 +348,10 @@
 {
     CURL* easy = acquire_handle();
     set_options(easy, *next);
+    if (is_distrusted(peer_of(next->request_.url_)))
+    {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
     running_.emplace(easy, std::move(next));
     if (curl_multi_add_handle(multi_, easy) != CURLM_OK)
     {
@@ -342,6 +359,23 @@
     }
 }
 
+/// Something between the two ends may have lost track of all connections that
+/// were open at a time-out, while new ones work.
+bool http_client::impl::is_distrusted(std::string const& peer)
+{
+    auto const found = distrusted_.find(peer);
+    if (found == distrusted_.end())
+    {
+        return false;
+    }
+    if (std::chrono::steady_clock::now() < found->second)
+    {
+        return true;
+    }
+    distrusted_.erase(found);
+    return false;
+}
+
 void http_client::impl::finish_done()
 {
     int remaining = 0;
@@ -364,6 +398,11 @@
     long const written = bytes_written(easy);
     curl_multi_remove_handle(multi_, easy);
     recycle(easy);
+    if (code == CURLE_OPERATION_TIMEDOUT)
+    {
+        distrusted_[peer_of(done->request_.url_)] =
+            std::chrono::steady_clock::now() + distrust_time;
+    }
     if (code != CURLE_OK)
     {
         done->handler_(make_error(classify(code, written), *done,
--- a/src/transport/object_watch.cpp
+++ b/src/transport/object_watch.cpp
@@ -30,13 +30,22 @@
 {
 }
 
-void object_watch::start()
+void object_watch::set_active(bool is_active)
 {
-    ask();
+    is_active_ = is_active;
+    if (is_active_ && !is_running_)
+    {
+        ask();
+    }
 }
 
 void object_watch::ask()
 {
+    is_running_ = is_active_;
+    if (!is_active_)
+    {
+        return;
+    }
     platform_.watch(kind_, version_, wait_,
                     [this](result<std::vector<platform_object>> changes)
                     {
--- a/src/transport/stream_service.cpp
+++ b/src/transport/stream_service.cpp
@@ -584,9 +584,10 @@
                                   retry_reason reason)
 {
     time_point const now = environment_.clock_.now();
-    // A silent peer may be paused or cut off; only a death is held against the
-    // requests that ran there.
-    if (reason != retry_reason::stage_silent)
+    // A companion outlives a crash of its engine and reports it. When the
+    // companion itself is gone, its host or rack failed, which says nothing
+    // about the requests: two hosts lost together must not condemn them.
+    if (reason == retry_reason::engine_failed)
     {
         suspicion_update update = on_endpoint_lost(suspicion_, address, now);
         if (!update.crashes_.empty())
--- a/test/transport/engine_client_test.cpp
+++ b/test/transport/engine_client_test.cpp
@@ -55,7 +55,7 @@
     try_run(std::vector<engine_step> const& steps)
     {
         return wait_for<std::vector<engine_step_result>>(
-            [&](auto handler) { client_.run(steps, handler); });
+            [&](auto handler) { client_.run(steps, seconds(20), handler); });
     }
 
     engine_step_result run(engine_step const& step)
@@ -226,7 +226,7 @@
     auto send = [&](std::string const& stream, std::int32_t priority)
     {
         engine.client_.run(
-            {{stream, 0, {"p"}, 1, priority, true}},
+            {{stream, 0, {"p"}, 1, priority, true}}, seconds(20),
             [&, stream](result<std::vector<engine_step_result>> const&)
             {
                 std::lock_guard const lock(mutex);
