Replace deficit round robin by start-time fair queueing with burst credit

Cause: one workspace at twenty times its share held the first token of the others at 630 to 700 ms (95th percentile; 70 ms alone), though their queues were almost always empty. A trace of one entry showed the few that waited: a workspace at its share of requests in progress got no headroom, and while others used the headroom the round never ran. A cut of the limit by 7% then froze admission for half a second. Ruled out: the queue's order alone (start-time fair queueing without the change of headroom gave 630 ms). Now a workspace may run ahead of its share by a burst, headroom of 25% goes to those within it, and the limit falls in proportion to lateness.

--- a/bench/decision.cpp
+++ b/bench/decision.cpp
@@ -66,7 +66,7 @@
 };
 
 void print_line(char const* what, size const& at, timing const& taken,
-                nlohmann::json extra = nlohmann::json::object())
+                nlohmann::json const& extra = nlohmann::json::object())
 {
     nlohmann::json line{{"bench", "decision"},
                         {"what", what},
--- a/include/auburnlb/coordination/admission.hpp
+++ b/include/auburnlb/coordination/admission.hpp
@@ -4,8 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -99,8 +99,11 @@
     /// Invariant: at most max_in_flight_ when that is a limit, but for limits
     /// that were lowered after requests began.
     std::uint32_t in_flight_ = 0;
-    /// Deficit round robin: tokens that may be sent in this round.
-    double deficit_ = 0;
+    /// Virtual time at which its next request starts, and at which its last
+    /// one ended, in tokens for each unit of weight.
+    double start_tag_ = 0;
+    double finish_tag_ = 0;
+    /// Whether it is in admission_state::round_, that is, has a queue.
     bool is_active_ = false;
     std::map<queue_key, queued_request> queue_;
 };
@@ -112,10 +115,10 @@
     double token_cost_ = 0;
 };
 
-/// Part of the limit by which requests of workspaces below their share may
-/// exceed it. So a small workspace need not wait for a large one's requests to
-/// end.
-inline constexpr double limit_headroom = 0.15;
+/// Part of the limit by which requests of workspaces that had no more than
+/// their share may exceed it. So a small workspace need not wait for a large
+/// one's requests to end.
+inline constexpr double limit_headroom = 0.25;
 
 /// Limits and queues of one service at one entry. Not thread-safe.
 struct admission_state
@@ -127,8 +130,10 @@
     std::unordered_map<std::string, std::uint32_t> index_of_;
     std::vector<workspace_admission> workspaces_;
     std::unordered_map<std::uint64_t, admitted_request> in_progress_;
-    /// Workspaces with a queue, in the order of the round.
-    std::deque<std::uint32_t> round_;
+    /// Start-time fair queueing: (start tag, workspace) of those with a queue.
+    std::set<std::pair<double, std::uint32_t>> round_;
+    /// Greatest start tag of a request that was started.
+    double virtual_time_ = 0;
     /// Workspace and key of each waiting request.
     std::unordered_map<std::uint64_t, std::pair<std::uint32_t, queue_key>>
         waiting_;
@@ -152,8 +157,6 @@
     double mean_cost_ = 0;
     /// Sum of the weights of workspaces that have a queue.
     double active_weight_ = 0;
-    /// Sum of the weights of workspaces that have requests in progress.
-    double busy_weight_ = 0;
 };
 
 /// How limits over all entries are split: this entry's place among the live.
--- a/include/auburnlb/coordination/route_plan.hpp
+++ b/include/auburnlb/coordination/route_plan.hpp
@@ -88,6 +88,18 @@
 /// request.
 route_plan plan_routes(fleet_snapshot const& fleet, link_rates const& links);
 
+/// What a plan was made from.
+struct plan_inputs
+{
+    fleet_snapshot fleet_;
+    link_rates links_;
+};
+
+/// Whether the fleet differs so much from the one that was planned that a new
+/// plan is due: another version, endpoint, incarnation, state or layer range,
+/// or a rate that changed by more than a tenth. Load does not matter.
+bool needs_new_plan(plan_inputs const& planned, plan_inputs const& current);
+
 } // namespace auburnlb
 
 #endif
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -1,8 +1,9 @@
-// Token buckets, fair queueing and an adaptive limit of concurrency.
+// Token buckets, start-time fair queueing and an adaptive limit of concurrency.
 #include "auburnlb/coordination/admission.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace auburnlb
 {
@@ -17,14 +18,20 @@
 /// Samples and time between two changes of the limit.
 constexpr std::uint32_t adapt_samples = 64;
 constexpr milliseconds adapt_interval{200};
-constexpr double decrease_factor = 0.93;
-constexpr double increase_share = 0.02;
+/// The limit falls by this much for each share of samples that is too late, and
+/// by one step at most to min_decrease of itself.
+constexpr double decrease_gain = 0.5;
+constexpr double min_decrease = 0.9;
+constexpr double increase_share = 0.01;
 /// The limit stays within these factors of the one that follows from the
 /// bound, and the highest that is tried without a known bound.
 constexpr double min_limit_factor = 0.25;
 constexpr double max_limit_factor = 4;
 constexpr double unknown_bound_limit = 64;
 constexpr double unknown_bound_max_limit = 4'096;
+/// Mean requests that a workspace may send in a burst beyond its fair share
+/// before its next one waits. Its share over a longer time stays the same.
+constexpr double burst_requests = 8;
 /// Weight of the newest sample in moving means.
 constexpr double mean_gain = 0.05;
 /// Share of the waiting time that a request may spend in the queue. The rest
@@ -96,16 +103,25 @@
            workspace.in_flight_ < workspace.max_in_flight_;
 }
 
-/// Whether a request may start above the limit because its workspace has less
-/// in progress than its share of the limit.
+/// Virtual time that a workspace's finish tag may run ahead without a wait.
+double burst_credit(admission_state const& state)
+{
+    return burst_requests * std::max(1.0, state.mean_cost_);
+}
+
+double next_start_tag(admission_state const& state,
+                      workspace_admission const& workspace)
+{
+    return std::max(state.virtual_time_,
+                    workspace.finish_tag_ - burst_credit(state));
+}
+
+/// Whether a request may start above the limit because its workspace has had
+/// no more than its share.
 bool has_headroom(admission_state const& state,
                   workspace_admission const& workspace)
 {
-    double const weight = workspace.weight_;
-    double const others =
-        state.busy_weight_ - (workspace.in_flight_ > 0 ? weight : 0);
-    double const share = state.limit_ * weight / (others + weight);
-    return workspace.in_flight_ + 1 <= share &&
+    return workspace.finish_tag_ - burst_credit(state) <= state.virtual_time_ &&
            static_cast<double>(state.in_progress_.size()) + 1 <=
                state.limit_ * (1 + limit_headroom);
 }
@@ -122,8 +138,9 @@
     return static_cast<double>(state.in_progress_.size()) + 1 > state.limit_;
 }
 
-/// Time until a request that joins the workspace's queue now would start. A
-/// workspace gets at least its weight's share of what the service completes.
+/// Time until a request would start that joins the workspace's queue now behind
+/// that many others. Every workspace in the round is served at the pace of
+/// virtual time until this one's turn comes.
 double estimate_wait(admission_state const& state,
                      workspace_admission const& workspace, std::size_t ahead)
 {
@@ -133,10 +150,12 @@
         return 0;
     }
     double const weight = workspace.weight_;
-    double const others =
-        state.active_weight_ - (workspace.is_active_ ? weight : 0);
-    double const share = weight / (others + weight);
-    double const by_share = static_cast<double>(ahead + 1) / (rate * share);
+    double const cost = std::max(1.0, state.mean_cost_);
+    double const all_weight =
+        state.active_weight_ + (workspace.is_active_ ? 0 : weight);
+    double const debt = next_start_tag(state, workspace) - state.virtual_time_;
+    double const tag = debt + static_cast<double>(ahead) * cost / weight;
+    double const by_share = (tag * all_weight / cost + 1) / rate;
     double const by_all = static_cast<double>(state.waiting_.size() + 1) / rate;
     return std::min(by_share, by_all);
 }
@@ -162,13 +181,19 @@
            double token_cost)
 {
     workspace_admission& workspace = state.workspaces_[index];
-    state.busy_weight_ += workspace.in_flight_ == 0 ? workspace.weight_ : 0;
     workspace.in_flight_ += 1;
     workspace.bucket_ -= token_cost;
+    state.virtual_time_ =
+        std::max(state.virtual_time_, next_start_tag(state, workspace));
+    workspace.finish_tag_ =
+        std::max(workspace.finish_tag_, state.virtual_time_) +
+        token_cost / workspace.weight_;
     add_to_mean(state.mean_cost_, token_cost);
     state.in_progress_.emplace(ticket, admitted_request{index, token_cost});
 }
 
+/// Puts a workspace with a queue into the round, at the place of its next
+/// request.
 void activate(admission_state& state, std::uint32_t index)
 {
     workspace_admission& workspace = state.workspaces_[index];
@@ -177,18 +202,21 @@
         return;
     }
     workspace.is_active_ = true;
-    workspace.deficit_ = 0;
+    workspace.start_tag_ = next_start_tag(state, workspace);
     state.active_weight_ += workspace.weight_;
-    state.round_.push_back(index);
+    state.round_.emplace(workspace.start_tag_, index);
 }
 
-/// Takes a workspace out of the round; the caller removes it from round_.
 void deactivate(admission_state& state, std::uint32_t index)
 {
     workspace_admission& workspace = state.workspaces_[index];
+    if (!workspace.is_active_)
+    {
+        return;
+    }
     workspace.is_active_ = false;
-    workspace.deficit_ = 0;
     state.active_weight_ -= workspace.weight_;
+    state.round_.erase({workspace.start_tag_, index});
 }
 
 void remove_waiting(admission_state& state, std::uint32_t index,
@@ -202,13 +230,17 @@
     }
     state.waiting_.erase(found->second.ticket_);
     workspace.queue_.erase(found);
+    if (workspace.queue_.empty())
+    {
+        deactivate(state, index);
+    }
 }
 
 std::uint32_t longest_queue(admission_state const& state)
 {
-    std::uint32_t longest = state.round_.front();
+    std::uint32_t longest = state.round_.begin()->second;
     double longest_share = -1;
-    for (std::uint32_t const index : state.round_)
+    for (auto const& [tag, index] : state.round_)
     {
         workspace_admission const& workspace = state.workspaces_[index];
         double const share =
@@ -307,6 +339,10 @@
         state.waiting_.erase(next->second.ticket_);
         next = workspace.queue_.erase(next);
     }
+    if (workspace.queue_.empty())
+    {
+        deactivate(state, index);
+    }
 }
 
 bool is_blocked(workspace_admission const& workspace)
@@ -314,52 +350,45 @@
     return !has_room(workspace) || !has_rate(workspace);
 }
 
-/// Starts the first request of a workspace's queue.
+/// Starts the first request of a workspace's queue and moves the workspace to
+/// the place of its next one.
 void start_first(admission_state& state, std::uint32_t index,
                  std::vector<admission_decision>& decisions)
 {
-    auto const first = state.workspaces_[index].queue_.begin();
+    workspace_admission& workspace = state.workspaces_[index];
+    auto const first = workspace.queue_.begin();
     queued_request const request = first->second;
     decisions.push_back(accept(request.ticket_));
     start(state, index, request.ticket_, request.token_cost_);
-    remove_waiting(state, index, queue_key(first->first));
-}
-
-/// Starts requests of one workspace while its deficit covers them. Gives
-/// whether the workspace may have more to send in this round.
-void serve(admission_state& state, std::uint32_t index, time_point now,
-           std::vector<admission_decision>& decisions)
-{
-    workspace_admission& workspace = state.workspaces_[index];
-    refill(workspace, now);
-    while (!workspace.queue_.empty() && !is_full(state))
+    state.waiting_.erase(request.ticket_);
+    workspace.queue_.erase(first);
+    deactivate(state, index);
+    if (!workspace.queue_.empty())
     {
-        auto const first = workspace.queue_.begin();
-        if (is_blocked(workspace) ||
-            first->second.token_cost_ > workspace.deficit_)
-        {
-            return;
-        }
-        workspace.deficit_ -= first->second.token_cost_;
-        start_first(state, index, decisions);
+        activate(state, index);
     }
 }
 
-/// Tokens that each round grants to a workspace of weight 1.
-double quantum(admission_state const& state)
+std::vector<std::uint32_t> list_round(admission_state const& state)
 {
-    return std::max(1.0, state.mean_cost_);
+    std::vector<std::uint32_t> indexes;
+    indexes.reserve(state.round_.size());
+    for (auto const& [tag, index] : state.round_)
+    {
+        indexes.push_back(index);
+    }
+    return indexes;
 }
 
-/// Serves workspaces that have less in progress than their share, also above
-/// the limit.
-void serve_headroom(admission_state& state, time_point now,
+/// Serves workspaces that have had no more than their share, also above the
+/// limit.
+void serve_headroom(admission_state& state,
+                    std::vector<std::uint32_t> const& round,
                     std::vector<admission_decision>& decisions)
 {
-    for (std::uint32_t const index : state.round_)
+    for (std::uint32_t const index : round)
     {
-        workspace_admission& workspace = state.workspaces_[index];
-        refill(workspace, now);
+        workspace_admission const& workspace = state.workspaces_[index];
         while (!workspace.queue_.empty() && !is_blocked(workspace) &&
                has_headroom(state, workspace))
         {
@@ -368,53 +397,31 @@
     }
 }
 
-/// Serves the queues round by round until the service is full or every queue
-/// is empty or held back by its workspace's own limits.
-void serve_rounds(admission_state& state, time_point now,
-                  std::vector<admission_decision>& decisions)
+/// The first workspace of the round that its own limits do not hold back.
+std::optional<std::uint32_t> next_in_round(admission_state const& state)
 {
-    std::size_t idle_turns = 0;
-    while (!state.round_.empty() && !is_full(state) &&
-           idle_turns < state.round_.size())
+    for (auto const& [tag, index] : state.round_)
     {
-        std::uint32_t const index = state.round_.front();
-        workspace_admission& workspace = state.workspaces_[index];
-        if (!workspace.queue_.empty() && !is_blocked(workspace) &&
-            workspace.queue_.begin()->second.token_cost_ > workspace.deficit_)
+        if (!is_blocked(state.workspaces_[index]))
         {
-            workspace.deficit_ += quantum(state) * workspace.weight_;
-        }
-        serve(state, index, now, decisions);
-        if (is_full(state) && !workspace.queue_.empty())
-        {
-            // Its turn goes on when there is room again.
-            return;
+            return index;
         }
-        state.round_.pop_front();
-        if (workspace.queue_.empty())
-        {
-            deactivate(state, index);
-            idle_turns = 0;
-            continue;
-        }
-        state.round_.push_back(index);
-        idle_turns = is_blocked(workspace) ? idle_turns + 1 : 0;
     }
+    return std::nullopt;
 }
 
-void drop_empty_queues(admission_state& state)
+void serve_round(admission_state& state,
+                 std::vector<admission_decision>& decisions)
 {
-    std::erase_if(state.round_,
-                  [&](std::uint32_t index)
-                  {
-                      bool const is_empty =
-                          state.workspaces_[index].queue_.empty();
-                      if (is_empty)
-                      {
-                          deactivate(state, index);
-                      }
-                      return is_empty;
-                  });
+    while (!is_full(state))
+    {
+        std::optional<std::uint32_t> const next = next_in_round(state);
+        if (!next)
+        {
+            return;
+        }
+        start_first(state, *next, decisions);
+    }
 }
 
 /// Additive increase while the limit holds requests back and targets are met,
@@ -429,7 +436,8 @@
         static_cast<double>(state.late_samples_) / state.samples_;
     if (late > late_share)
     {
-        state.limit_ *= decrease_factor;
+        state.limit_ *=
+            std::max(min_decrease, 1 - (late - late_share) * decrease_gain);
     }
     else if (state.was_limited_ && late < late_share / 2)
     {
@@ -507,8 +515,6 @@
         apply_equal_share(workspace, limits, share);
         state.active_weight_ +=
             workspace.is_active_ ? workspace.weight_ - old_weight : 0;
-        state.busy_weight_ +=
-            workspace.in_flight_ > 0 ? workspace.weight_ - old_weight : 0;
         if (is_new)
         {
             workspace.refilled_ = now;
@@ -612,7 +618,6 @@
     workspace_admission& workspace =
         state.workspaces_[found->second.workspace_];
     workspace.in_flight_ -= 1;
-    state.busy_weight_ -= workspace.in_flight_ == 0 ? workspace.weight_ : 0;
     workspace.bucket_ += found->second.token_cost_ - token_cost;
     add_to_mean(state.service_time_s_, to_seconds(since_admission));
     state.in_progress_.erase(found);
@@ -627,7 +632,6 @@
     }
     auto const [index, key] = found->second;
     remove_waiting(state, index, key);
-    drop_empty_queues(state);
 }
 
 std::vector<admission_decision> on_tick(admission_state& state, time_point now)
@@ -635,13 +639,14 @@
     adapt_limit(state, now);
     std::vector<admission_decision> decisions = std::move(state.pending_);
     state.pending_.clear();
-    for (std::uint32_t const index : state.round_)
+    std::vector<std::uint32_t> const round = list_round(state);
+    for (std::uint32_t const index : round)
     {
+        refill(state.workspaces_[index], now);
         refuse_expired(state, index, now, decisions);
     }
-    serve_headroom(state, now, decisions);
-    drop_empty_queues(state);
-    serve_rounds(state, now, decisions);
+    serve_headroom(state, round, decisions);
+    serve_round(state, decisions);
     return decisions;
 }
 
--- a/src/coordination/route_plan.cpp
+++ b/src/coordination/route_plan.cpp
@@ -237,8 +237,63 @@
     return hash.digest();
 }
 
+/// Hysteresis keeps the plan from following every small change of a measured
+/// rate.
+constexpr double significant_change = 1.1;
+
+bool is_changed(double before, double now)
+{
+    return now > before * significant_change ||
+           before > now * significant_change;
+}
+
+bool is_changed(endpoint_description const& before,
+                endpoint_description const& now)
+{
+    return before.address_ != now.address_ ||
+           before.incarnation_ != now.incarnation_ ||
+           before.state_ != now.state_ || before.service_ != now.service_ ||
+           before.kind_ != now.kind_ || before.layers_ != now.layers_ ||
+           before.data_centre_ != now.data_centre_ ||
+           is_changed(rate_of(before), rate_of(now));
+}
+
+bool is_changed(link_rates const& before, link_rates const& now)
+{
+    return before.degraded_ != now.degraded_ ||
+           !std::equal(before.between_.begin(), before.between_.end(),
+                       now.between_.begin(), now.between_.end(),
+                       [](auto const& left, auto const& right)
+                       {
+                           return left.first == right.first &&
+                                  !is_changed(left.second.tokens_per_second_,
+                                              right.second.tokens_per_second_);
+                       });
+}
+
 } // namespace
 
+bool needs_new_plan(plan_inputs const& planned, plan_inputs const& current)
+{
+    fleet_snapshot const& before = planned.fleet_;
+    fleet_snapshot const& now = current.fleet_;
+    bool const has_same_services =
+        std::equal(before.services_.begin(), before.services_.end(),
+                   now.services_.begin(), now.services_.end(),
+                   [](auto const& left, auto const& right)
+                   {
+                       return left.first == right.first &&
+                              left.second->version_ == right.second->version_;
+                   });
+    bool const has_same_endpoints = std::equal(
+        before.endpoints_.begin(), before.endpoints_.end(),
+        now.endpoints_.begin(), now.endpoints_.end(),
+        [](endpoint_description const& left, endpoint_description const& right)
+        { return !is_changed(left, right); });
+    return !has_same_services || !has_same_endpoints ||
+           is_changed(planned.links_, current.links_);
+}
+
 route_plan plan_routes(fleet_snapshot const& fleet, link_rates const& links)
 {
     std::map<std::string, std::vector<endpoint_description>> by_service;
--- a/test/coordination/admission_test.cpp
+++ b/test/coordination/admission_test.cpp
@@ -1,5 +1,6 @@
 // Tests of admission: limits, fairness, early refusal and the adaptive limit.
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -149,6 +150,9 @@
         RC_ASSERT(begun_cost["a"] <= 50 * (elapsed + 2) + largest);
         RC_ASSERT(begun_cost["c"] <= 20 * (elapsed + 2) + largest);
         RC_ASSERT(state.waiting_.size() == waiting.size());
+        // Every weight is 1.
+        RC_ASSERT(state.active_weight_ ==
+                  static_cast<double>(state.round_.size()));
     }
     // Everything that still waits is decided once its time has passed.
     for (admission_decision const& decision : on_tick(state, now + seconds(90)))
@@ -267,6 +271,40 @@
     EXPECT_GE(least, 0.95 * fair);
 }
 
+TEST(admission, shares_the_service_by_weight)
+{
+    workspace_limits heavy = workspace("b");
+    heavy.weight_ = 3;
+    admission_state state = full_state({workspace("a"), heavy}, 1);
+    std::map<std::uint64_t, std::string> owner;
+    for (std::uint64_t ticket = 2; ticket < 802; ++ticket)
+    {
+        owner[ticket] = ticket % 2 == 0 ? "a" : "b";
+        admit(state, request_of(ticket, owner[ticket], start), start);
+    }
+    std::map<std::string, int> served;
+    std::uint64_t running = 1;
+    for (int round = 0; round < 400; ++round)
+    {
+        on_finish(state, running, 1, milliseconds(0));
+        auto const next = admitted(on_tick(state, start));
+        ASSERT_EQ(next.size(), 1U);
+        running = next.front();
+        ++served[owner[running]];
+    }
+    EXPECT_NEAR(served["b"], 300, 25);
+}
+
+TEST(admission, charges_a_workspace_for_what_a_request_really_took)
+{
+    admission_state state =
+        make_admission(config_with({workspace("a", 10)}), {}, 0, start);
+    admit(state, request_of(1, "a", start, 50), start);
+    on_finish(state, 1, 5, milliseconds(10));
+    EXPECT_EQ(admit(state, request_of(2, "a", start), start).verdict_,
+              admission_verdict::admit);
+}
+
 TEST(admission, serves_a_workspace_by_priority_then_deadline)
 {
     admission_state state = full_state({workspace("a")}, 1);
--- a/test/coordination/chain_choice_test.cpp
+++ b/test/coordination/chain_choice_test.cpp
@@ -171,6 +171,31 @@
     }
 }
 
+TEST(needs_new_plan, follows_significant_changes_only)
+{
+    plan_inputs const planned{fleet_of(mixed_stages(), depth), {}};
+    EXPECT_FALSE(needs_new_plan(planned, planned));
+
+    plan_inputs current = planned;
+    current.fleet_.endpoints_[0].load_.active_ = 50;
+    current.fleet_.endpoints_[0].tokens_per_second_ *= 1.05;
+    EXPECT_FALSE(needs_new_plan(planned, current));
+    current.fleet_.endpoints_[0].tokens_per_second_ *= 1.1;
+    EXPECT_TRUE(needs_new_plan(planned, current));
+
+    current = planned;
+    current.fleet_.endpoints_[1].state_ = host_state::leaving;
+    EXPECT_TRUE(needs_new_plan(planned, current));
+
+    current = planned;
+    current.fleet_.endpoints_.pop_back();
+    EXPECT_TRUE(needs_new_plan(planned, current));
+
+    current = planned;
+    current.links_.between_[{"surat", "rajkot"}] = {100, microseconds(500)};
+    EXPECT_TRUE(needs_new_plan(planned, current));
+}
+
 TEST(choose_chain, shares_follow_the_flow_within_five_percent)
 {
     constexpr int requests = 20'000;
