--- a/bench/decision.cpp
+++ b/bench/decision.cpp
@@ -17,6 +17,7 @@
 #include "auburnlb/coordination/admission.hpp"
 #include "auburnlb/coordination/chain_choice.hpp"
 #include "auburnlb/coordination/crash_suspicion.hpp"
+#include "auburnlb/coordination/placement.hpp"
 #include "auburnlb/coordination/retry_budget.hpp"
 #include "auburnlb/coordination/route_plan.hpp"
 
@@ -52,10 +53,11 @@
     return {micros[micros.size() / 2], micros[micros.size() * 99 / 100]};
 }
 
-/// Bytes in use on the heap.
+/// Bytes in use on the heap and in blocks that were mapped one by one.
 std::size_t heap_bytes()
 {
-    return mallinfo2().uordblks;
+    struct mallinfo2 const info = mallinfo2();
+    return info.uordblks + info.hblkhd;
 }
 
 struct size
@@ -275,13 +277,36 @@
                           }));
 }
 
+void bench_placement(size const& at, fleet_snapshot const& fleet,
+                     link_rates const& links)
+{
+    std::string const& name = fleet.services_.begin()->first;
+    std::uint32_t const layers = fleet.services_.begin()->second->layers_;
+    std::vector<endpoint_description> endpoints;
+    for (endpoint_description const& endpoint : fleet.endpoints_)
+    {
+        if (endpoint.service_ == name)
+        {
+            endpoints.push_back(endpoint);
+        }
+    }
+    print_line(
+        "propose_move_of_one_service", at,
+        time_calls(5, [&](int)
+                   { propose_move(endpoints, layers, links, {}, {}, {}); }));
+}
+
 void bench_fleet(size const& at)
 {
+    std::size_t const before = heap_bytes();
     fleet_snapshot const fleet = synthetic::make_fleet(
         at.engines_, at.services_, centres, at.workspaces_);
+    print_line("fleet_snapshot", at, {},
+               {{"state_bytes", heap_bytes() - before}});
     link_rates const links = synthetic::make_links(centres);
     route_plan const plan = plan_routes(fleet, links);
     bench_plan(at, fleet, links);
+    bench_placement(at, fleet, links);
     bench_choice(at, plan, "choose_chain", {}, false);
     bench_choice(at, plan, "choose_chain_prefix", {}, true);
     bench_choice(at, plan, "choose_chain_excluded",
@@ -298,7 +323,7 @@
     // All engines in one service is the worst case of a single choice.
     for (size const at :
          {size{30, 1, 10}, size{600, 21, 10}, size{1'200, 21, 10},
-          size{600, 1, 10}, size{1'200, 1, 10}})
+          size{600, 21, 1'200}, size{600, 1, 10}, size{1'200, 1, 10}})
     {
         bench_fleet(at);
     }
--- a/src/coordination/chain_choice.cpp
+++ b/src/coordination/chain_choice.cpp
@@ -131,12 +131,16 @@
 
 void find_viable(chain_walk& walk)
 {
+    // A service has few distinct ranges, so a linear search is quickest.
     std::vector<layer_range> ranges;
     for (std::size_t index = 0; index < walk.is_excluded_.size(); ++index)
     {
-        if (walk.is_excluded_[index] == 0)
+        layer_range const& range =
+            walk.plan_.endpoints_[index].description_.layers_;
+        if (walk.is_excluded_[index] == 0 &&
+            std::find(ranges.begin(), ranges.end(), range) == ranges.end())
         {
-            ranges.push_back(walk.plan_.endpoints_[index].description_.layers_);
+            ranges.push_back(range);
         }
     }
     walk.viable_ =
