Keep the command line's exit codes apart from the daemons'

Two enumerations named exit_code with different members stood in the same namespace, one for the daemons and one for the command line, which no compiler reports across files. The command line's is exit_status now. The status command names the platform's list apart from what a host has in force, and an empty list is shown as "none".

--- a/include/auburnlb/transport/command_line.hpp
+++ b/include/auburnlb/transport/command_line.hpp
@@ -15,7 +15,7 @@
 {
 
 /// Exit codes of the command line.
-enum class exit_code
+enum class exit_status
 {
     ok = 0,
     failure = 1,
@@ -44,8 +44,8 @@
 
 /// Runs one command; arguments begin with the program's name. Not thread-safe,
 /// because getopt_long is not.
-exit_code run_command_line(std::vector<std::string> arguments,
-                           command_environment const& environment);
+exit_status run_command_line(std::vector<std::string> arguments,
+                             command_environment const& environment);
 
 } // namespace auburnlb
 
--- a/src/transport/cli/command_line.cpp
+++ b/src/transport/cli/command_line.cpp
@@ -22,7 +22,7 @@
     std::size_t max_operands_;
     char const* summary_;
     char const* help_;
-    exit_code (*run_)(cli::options const&, command_environment const&);
+    exit_status (*run_)(cli::options const&, command_environment const&);
 };
 
 constexpr command commands[] = {
@@ -115,17 +115,17 @@
         << entry.help_ << connection_help;
 }
 
-exit_code report_usage(command_environment const& environment,
-                       std::string const& detail)
+exit_status report_usage(command_environment const& environment,
+                         std::string const& detail)
 {
     environment.err_ << "auburnlb: " << detail << "\nTry auburnlb --help.\n";
-    return exit_code::usage;
+    return exit_status::usage;
 }
 
 } // namespace
 
-exit_code run_command_line(std::vector<std::string> arguments,
-                           command_environment const& environment)
+exit_status run_command_line(std::vector<std::string> arguments,
+                             command_environment const& environment)
 {
     auto const given = cli::parse_options(std::move(arguments));
     if (!given)
@@ -137,7 +137,7 @@
     {
         print_overview(given.value().is_help_ ? environment.out_
                                               : environment.err_);
-        return given.value().is_help_ ? exit_code::ok : exit_code::usage;
+        return given.value().is_help_ ? exit_status::ok : exit_status::usage;
     }
     command const* chosen = find_command(operands[0]);
     if (chosen == nullptr)
@@ -148,7 +148,7 @@
     if (given.value().is_help_)
     {
         print_help(environment.out_, *chosen);
-        return exit_code::ok;
+        return exit_status::ok;
     }
     std::size_t const count = operands.size() - 1;
     if (count < chosen->min_operands_ || count > chosen->max_operands_)
--- a/src/transport/cli/local_commands.cpp
+++ b/src/transport/cli/local_commands.cpp
@@ -91,8 +91,8 @@
 
 } // namespace
 
-exit_code print_questionnaire(options const& given,
-                              command_environment const& environment)
+exit_status print_questionnaire(options const& given,
+                                command_environment const& environment)
 {
     std::string const kind = given.kind_.value_or("model");
     if (kind != "model" && kind != "plain")
@@ -104,10 +104,11 @@
     }
     environment.out_ << render_questionnaire(sample_questionnaire(
         kind == "model" ? service_kind::model : service_kind::plain));
-    return exit_code::ok;
+    return exit_status::ok;
 }
 
-exit_code generate(options const& given, command_environment const& environment)
+exit_status generate(options const& given,
+                     command_environment const& environment)
 {
     auto const answers = read_questionnaire(given.operands_[1]);
     if (!answers)
@@ -116,13 +117,13 @@
     }
     if (check_file(given.operands_[1], environment) != 0)
     {
-        return exit_code::failure;
+        return exit_status::failure;
     }
     ordered_json const body = describe_generated(answers.value());
     if (given.is_json_)
     {
         environment.out_ << body.dump(2) << '\n';
-        return exit_code::ok;
+        return exit_status::ok;
     }
     std::vector<table_row> rows;
     for (auto const& [field, entry] : body.at("fields").items())
@@ -131,10 +132,10 @@
                         cell_text(entry.at("reason"))});
     }
     print_table(environment.out_, {"FIELD", "VALUE", "REASON"}, rows);
-    return exit_code::ok;
+    return exit_status::ok;
 }
 
-exit_code check(options const& given, command_environment const& environment)
+exit_status check(options const& given, command_environment const& environment)
 {
     std::size_t faults = 0;
     for (std::size_t index = 1; index < given.operands_.size(); ++index)
@@ -147,27 +148,27 @@
                          << '\n';
         faults += found;
     }
-    return faults == 0 ? exit_code::ok : exit_code::failure;
+    return faults == 0 ? exit_status::ok : exit_status::failure;
 }
 
-exit_code print_schema(options const& given,
-                       command_environment const& environment)
+exit_status print_schema(options const& given,
+                         command_environment const& environment)
 {
     std::string const& which = given.operands_[1];
     if (which == "settings")
     {
         environment.out_ << settings_schema();
-        return exit_code::ok;
+        return exit_status::ok;
     }
     if (which == "settings-tables")
     {
         environment.out_ << settings_reference();
-        return exit_code::ok;
+        return exit_status::ok;
     }
     if (which == "questionnaire")
     {
         environment.out_ << questionnaire_schema();
-        return exit_code::ok;
+        return exit_status::ok;
     }
     return report(environment,
                   {error_code::invalid_input, "read command line", "",
--- a/src/transport/cli/remote_commands.cpp
+++ b/src/transport/cli/remote_commands.cpp
@@ -25,7 +25,7 @@
 // A response whose status is a success; everything else was printed.
 struct call_result
 {
-    exit_code code_ = exit_code::failure;
+    exit_status code_ = exit_status::failure;
     ordered_json body_;
 };
 
@@ -93,7 +93,7 @@
         }
         if (status >= 200 && status < 300)
         {
-            return {exit_code::ok, std::move(body)};
+            return {exit_status::ok, std::move(body)};
         }
         return {print_failure(status, body), std::move(body)};
     }
@@ -109,11 +109,11 @@
     }
 
     // Asks the operator, unless --yes was given.
-    exit_code confirm(std::string const& question) const
+    exit_status confirm(std::string const& question) const
     {
         if (given_.is_yes_)
         {
-            return exit_code::ok;
+            return exit_status::ok;
         }
         if (!environment_.confirm_)
         {
@@ -123,10 +123,10 @@
         }
         if (environment_.confirm_(question))
         {
-            return exit_code::ok;
+            return exit_status::ok;
         }
         environment_.err_ << "Nothing was changed.\n";
-        return exit_code::failure;
+        return exit_status::failure;
     }
 
     // The fields that every change has.
@@ -143,13 +143,13 @@
     }
 
     // Sends a confirmed change and prints the version that it got.
-    exit_code finish(std::string const& method, std::string const& path,
-                     ordered_json const& body) const
+    exit_status finish(std::string const& method, std::string const& path,
+                       ordered_json const& body) const
     {
         auto const answer = send_change(method, path, body);
         bool const is_lost = is_uncertain(answer);
         call_result const accepted = evaluate(answer);
-        if (accepted.code_ != exit_code::ok)
+        if (accepted.code_ != exit_status::ok)
         {
             if (is_lost)
             {
@@ -167,7 +167,7 @@
                               << cell_text(accepted.body_.at("version"))
                               << ".\n";
         }
-        return exit_code::ok;
+        return exit_status::ok;
     }
 
     void print_diff(ordered_json const& changes) const
@@ -179,7 +179,7 @@
     }
 
 private:
-    exit_code print_failure(int status, ordered_json const& body) const
+    exit_status print_failure(int status, ordered_json const& body) const
     {
         bool const is_conflict = status == 409;
         if (given_.is_json_)
@@ -200,7 +200,7 @@
             environment_.err_ << "Nothing was changed. Look at the newer "
                                  "version and give the command again.\n";
         }
-        return is_conflict ? exit_code::conflict : exit_code::failure;
+        return is_conflict ? exit_status::conflict : exit_status::failure;
     }
 
     options const& given_;
@@ -209,9 +209,9 @@
 };
 
 template <class Command>
-exit_code with_session(options const& given,
-                       command_environment const& environment,
-                       Command const& command)
+exit_status with_session(options const& given,
+                         command_environment const& environment,
+                         Command const& command)
 {
     auto const where = find_connection(given, environment);
     if (!where)
@@ -287,17 +287,17 @@
     auto const answer = api.send("GET", "services/" + service);
     if (answer && answer.value().status_ == 404)
     {
-        return {exit_code::ok, ordered_json{{"version", 0}}};
+        return {exit_status::ok, ordered_json{{"version", 0}}};
     }
     return api.evaluate(answer);
 }
 
-exit_code offer_answers(session const& api, options const& given,
-                        command_environment const& environment,
-                        questionnaire const& answers)
+exit_status offer_answers(session const& api, options const& given,
+                          command_environment const& environment,
+                          questionnaire const& answers)
 {
     call_result const read = read_or_new(api, answers.service_);
-    if (read.code_ != exit_code::ok)
+    if (read.code_ != exit_status::ok)
     {
         return read.code_;
     }
@@ -311,11 +311,11 @@
     if (changes.empty() && is_same && !given.change_id_)
     {
         environment.err_ << "The answers are in force already.\n";
-        return exit_code::ok;
+        return exit_status::ok;
     }
     api.print_diff(changes);
-    exit_code const code = api.confirm("Apply to " + answers.service_ + "?");
-    if (code != exit_code::ok)
+    exit_status const code = api.confirm("Apply to " + answers.service_ + "?");
+    if (code != exit_status::ok)
     {
         return code;
     }
@@ -369,12 +369,12 @@
     return amendments;
 }
 
-exit_code offer_amendments(session const& api, std::string const& service,
-                           ordered_json const& amendments)
+exit_status offer_amendments(session const& api, std::string const& service,
+                             ordered_json const& amendments)
 {
     call_result const current =
         api.evaluate(api.send("GET", "services/" + service));
-    if (current.code_ != exit_code::ok)
+    if (current.code_ != exit_status::ok)
     {
         return current.code_;
     }
@@ -387,8 +387,8 @@
             value.is_null() ? ordered_json("(generated)") : value));
     }
     api.print_diff(changes);
-    exit_code const code = api.confirm("Amend " + service + "?");
-    if (code != exit_code::ok)
+    exit_status const code = api.confirm("Amend " + service + "?");
+    if (code != exit_status::ok)
     {
         return code;
     }
@@ -397,22 +397,36 @@
     return api.finish("PATCH", "services/" + service, body);
 }
 
-exit_code show_document(session const& api, command_environment const& to,
-                        std::string const& path)
+exit_status show_document(session const& api, command_environment const& to,
+                          std::string const& path)
 {
     call_result const document = api.evaluate(api.send("GET", path));
-    if (document.code_ == exit_code::ok && !api.print_json(document.body_))
+    if (document.code_ == exit_status::ok && !api.print_json(document.body_))
     {
         print_document(to.out_, document.body_);
     }
     return document.code_;
 }
 
-exit_code show_earlier(session const& api, command_environment const& to,
-                       std::string const& path)
+// The configurations that the platform holds, beside those in force at a host.
+exit_status show_configurations(session const& api,
+                                command_environment const& to)
+{
+    call_result const listed = api.evaluate(api.send("GET", "services"));
+    if (listed.code_ == exit_status::ok)
+    {
+        ordered_json document;
+        document["accepted configurations"] = listed.body_.at("services");
+        print_document(to.out_, document);
+    }
+    return listed.code_;
+}
+
+exit_status show_earlier(session const& api, command_environment const& to,
+                         std::string const& path)
 {
     call_result const earlier = api.evaluate(api.send("GET", path));
-    if (earlier.code_ != exit_code::ok || api.print_json(earlier.body_))
+    if (earlier.code_ != exit_status::ok || api.print_json(earlier.body_))
     {
         return earlier.code_;
     }
@@ -424,31 +438,31 @@
                         cell_text(entry.at("reason"))});
     }
     print_table(to.out_, {"FIELD", "VALUE", "ORIGIN", "REASON"}, rows);
-    return exit_code::ok;
+    return exit_status::ok;
 }
 
-exit_code roll_back(session const& api, std::string const& service,
-                    std::uint64_t target)
+exit_status roll_back(session const& api, std::string const& service,
+                      std::uint64_t target)
 {
     std::string const path = "services/" + service;
     std::string const earlier_path =
         path + "/history/" + std::to_string(target);
     call_result const current = api.evaluate(api.send("GET", path));
-    if (current.code_ != exit_code::ok)
+    if (current.code_ != exit_status::ok)
     {
         return current.code_;
     }
     call_result const earlier = api.evaluate(api.send("GET", earlier_path));
-    if (earlier.code_ != exit_code::ok)
+    if (earlier.code_ != exit_status::ok)
     {
         return earlier.code_;
     }
     api.print_diff(
         compare_values(values_of(current.body_), values_of(earlier.body_)));
-    exit_code const code =
+    exit_status const code =
         api.confirm("Bring version " + std::to_string(target) + " of " +
                     service + " back?");
-    if (code != exit_code::ok)
+    if (code != exit_status::ok)
     {
         return code;
     }
@@ -459,7 +473,7 @@
 
 } // namespace
 
-exit_code apply(options const& given, command_environment const& environment)
+exit_status apply(options const& given, command_environment const& environment)
 {
     auto const text = read_text(given.operands_[1]);
     if (!text)
@@ -482,13 +496,13 @@
         { return offer_answers(api, given, environment, answers.value()); });
 }
 
-exit_code amend(options const& given, command_environment const& environment)
+exit_status amend(options const& given, command_environment const& environment)
 {
     auto const amendments = parse_amendments(given);
     if (!amendments)
     {
         report(environment, amendments.error());
-        return exit_code::usage;
+        return exit_status::usage;
     }
     return with_session(given, environment,
                         [&](session const& api) {
@@ -497,34 +511,34 @@
                         });
 }
 
-exit_code show_status(options const& given,
-                      command_environment const& environment)
+exit_status show_status(options const& given,
+                        command_environment const& environment)
 {
     return with_session(
         given, environment,
         [&](session const& api)
         {
-            exit_code const code = show_document(api, environment, "status");
-            bool const is_done = given.is_json_ || code != exit_code::ok;
-            return is_done ? code : show_document(api, environment, "services");
+            exit_status const code = show_document(api, environment, "status");
+            bool const is_done = given.is_json_ || code != exit_status::ok;
+            return is_done ? code : show_configurations(api, environment);
         });
 }
 
-exit_code drain(options const& given, command_environment const& environment)
+exit_status drain(options const& given, command_environment const& environment)
 {
     std::string const& endpoint = given.operands_[1];
     return with_session(given, environment,
                         [&](session const& api)
                         {
-                            exit_code const code =
+                            exit_status const code =
                                 api.confirm("Drain " + endpoint + "?");
-                            if (code != exit_code::ok)
+                            if (code != exit_status::ok)
                             {
                                 return code;
                             }
                             call_result const drained = api.evaluate(api.send(
                                 "POST", "endpoints/" + endpoint + "/drain"));
-                            if (drained.code_ == exit_code::ok &&
+                            if (drained.code_ == exit_status::ok &&
                                 !api.print_json(drained.body_))
                             {
                                 print_document(environment.out_, drained.body_);
@@ -533,7 +547,8 @@
                         });
 }
 
-exit_code history(options const& given, command_environment const& environment)
+exit_status history(options const& given,
+                    command_environment const& environment)
 {
     std::string const& service = given.operands_[1];
     return with_session(
@@ -555,8 +570,8 @@
         });
 }
 
-exit_code show_version(options const& given,
-                       command_environment const& environment)
+exit_status show_version(options const& given,
+                         command_environment const& environment)
 {
     bool const is_remote =
         given.admin_ || environment.variable_("AUBURNLB_ADMIN");
@@ -571,22 +586,22 @@
             environment.out_
                 << ordered_json{{"auburnlb", program_version}}.dump(2) << '\n';
         }
-        return exit_code::ok;
+        return exit_status::ok;
     }
     return with_session(given, environment,
                         [&](session const& api)
                         { return show_document(api, environment, "version"); });
 }
 
-exit_code report(command_environment const& environment, error const& failure)
+exit_status report(command_environment const& environment, error const& failure)
 {
     environment.err_ << "auburnlb: " << to_string(failure) << '\n';
     if (failure.step_ == "read command line")
     {
-        return exit_code::usage;
+        return exit_status::usage;
     }
-    return failure.code_ == error_code::conflict ? exit_code::conflict
-                                                 : exit_code::failure;
+    return failure.code_ == error_code::conflict ? exit_status::conflict
+                                                 : exit_status::failure;
 }
 
 } // namespace auburnlb::cli
--- a/src/transport/cli/tables.cpp
+++ b/src/transport/cli/tables.cpp
@@ -126,6 +126,10 @@
     {
         return "-";
     }
+    if (value.is_array() && value.empty())
+    {
+        return "none";
+    }
     return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
