--- /dev/null
+++ b/test/state/operating_test.cpp
@@ -0,0 +1,74 @@
+// Compares docs/OPERATING.md with the events, reasons and settings it names.
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "auburnlb/state/refusal.hpp"
+#include "auburnlb/state/settings.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+std::string read_page(std::string const& name)
+{
+    std::ifstream file(std::string(AUBURNLB_SOURCE_DIR) + "/docs/" + name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::vector<std::smatch> find_all(std::string const& text,
+                                  std::string const& pattern)
+{
+    std::regex const expression(pattern);
+    return {std::sregex_iterator(text.begin(), text.end(), expression),
+            std::sregex_iterator()};
+}
+
+} // namespace
+
+TEST(operating_page, names_only_events_of_the_catalogue)
+{
+    std::string const page = read_page("OPERATING.md");
+    std::string const catalogue = read_page("EVENTS.md");
+    auto const events = find_all(page, "E0[0-9]{3}");
+    ASSERT_FALSE(events.empty());
+    for (std::smatch const& event : events)
+    {
+        EXPECT_NE(catalogue.find("| " + event.str() + " |"), std::string::npos)
+            << event.str();
+    }
+}
+
+TEST(operating_page, reasons_have_their_numbers_and_names)
+{
+    std::string const page = read_page("OPERATING.md");
+    auto const reasons = find_all(page, "(1[0-9]{3})\\s`([a-z_]+)`");
+    ASSERT_FALSE(reasons.empty());
+    for (std::smatch const& reason : reasons)
+    {
+        auto const number = static_cast<refusal_reason>(std::stoi(reason[1]));
+        EXPECT_EQ(to_string(number), reason[2].str());
+    }
+}
+
+TEST(operating_page, settings_are_in_the_catalogue)
+{
+    std::string const page = read_page("OPERATING.md");
+    std::set<std::string> known;
+    for (setting_description const& which : describe_settings())
+    {
+        known.insert(which.section_ + "." + which.key_);
+    }
+    auto const named = find_all(page, "`([a-z]+\\.[a-z_]+)`");
+    ASSERT_FALSE(named.empty());
+    for (std::smatch const& name : named)
+    {
+        EXPECT_TRUE(known.contains(name[1])) << name[1];
+    }
+}
