Refuse JSON texts that are nested too deep

A body of a million brackets ended the process: nlohmann's parser does not recurse, but rendering and validating the parsed value do, and exhausted the stack.

Weighed: the parser's depth callback. Ruled out here, because it builds the value first; counting brackets outside of strings needs neither memory nor a parser. The callers' interface has its own bound already.

Seen red first: the new test of the administration API ended with a segmentation fault (exit 139); with strings counted as brackets the test of settings fails. Restored, both pass.

--- a/src/coordination/admin_documents.cpp
+++ b/src/coordination/admin_documents.cpp
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "auburnlb/state/json_depth.hpp"
+
 namespace auburnlb::admin
 {
 
@@ -49,9 +51,13 @@
                 "; allowed is: " + allowed};
 }
 
-// Gives null if the body is no JSON object.
+// Gives null if the body is no JSON object, or one that is nested too deep.
 json parse_object(std::string const& text)
 {
+    if (is_nested_too_deep(text))
+    {
+        return {};
+    }
     json body = json::parse(text, nullptr, false);
     return body.is_object() ? body : json();
 }
@@ -59,7 +65,7 @@
 error not_an_object()
 {
     return {error_code::invalid_input, "read request", "",
-            "the body is no JSON object"};
+            "the body is no JSON object, or is nested too deep"};
 }
 
 result<std::uint64_t> read_version(json const& body, char const* field)
--- /dev/null
+++ b/src/state/json_depth.cpp
@@ -0,0 +1,40 @@
+// Counts the nesting of a JSON text without parsing it.
+#include "auburnlb/state/json_depth.hpp"
+
+namespace auburnlb
+{
+
+bool is_nested_too_deep(std::string_view json)
+{
+    std::size_t depth = 0;
+    bool is_in_string = false;
+    bool is_escaped = false;
+    for (char const letter : json)
+    {
+        if (is_in_string)
+        {
+            is_in_string = is_escaped || letter != '"';
+            is_escaped = !is_escaped && letter == '\\';
+            continue;
+        }
+        if (letter == '"')
+        {
+            is_in_string = true;
+        }
+        else if (letter == '[' || letter == '{')
+        {
+            ++depth;
+        }
+        else if ((letter == ']' || letter == '}') && depth > 0)
+        {
+            --depth;
+        }
+        if (depth > max_json_depth)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace auburnlb
--- a/src/state/json_schema.cpp
+++ b/src/state/json_schema.cpp
@@ -12,6 +12,8 @@
 #include <valijson/validation_results.hpp>
 #include <valijson/validator.hpp>
 
+#include "auburnlb/state/json_depth.hpp"
+
 namespace auburnlb
 {
 
@@ -83,6 +85,12 @@
 result<nlohmann::json> parse_json(std::string const& name,
                                   std::string const& text)
 {
+    if (is_nested_too_deep(text))
+    {
+        return error{error_code::invalid_input, "parse JSON", name,
+                     "the text is nested too deep; allowed are " +
+                         std::to_string(max_json_depth) + " levels"};
+    }
     try
     {
         return nlohmann::json::parse(text);
--- a/src/state/service_object.cpp
+++ b/src/state/service_object.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "auburnlb/state/json_depth.hpp"
+
 namespace auburnlb
 {
 
@@ -77,6 +79,11 @@
 result<service_object> parse_service_object(std::string const& name,
                                             std::string const& text)
 {
+    if (is_nested_too_deep(text))
+    {
+        return error{error_code::invalid_input, "parse service object", name,
+                     "the text is nested too deep"};
+    }
     try
     {
         json const value = json::parse(text);
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "auburnlb/state/json_depth.hpp"
 #include "auburnlb/state/json_schema.hpp"
 
 namespace auburnlb
@@ -267,7 +268,9 @@
 result<ordered_json> parse_object(std::string const& file_name,
                                   std::string const& json)
 {
-    ordered_json document = ordered_json::parse(json, nullptr, false);
+    ordered_json document = is_nested_too_deep(json)
+                                ? ordered_json(ordered_json::value_t::discarded)
+                                : ordered_json::parse(json, nullptr, false);
     if (document.is_discarded())
     {
         auto const reason = check_against_schema("{}", file_name, json);
--- a/test/coordination/admin_api_test.cpp
+++ b/test/coordination/admin_api_test.cpp
@@ -211,6 +211,22 @@
               1U);
 }
 
+TEST_F(admin_api_test, bodies_that_are_nested_too_deep_are_refused)
+{
+    std::string const deep(1'000'000, '[');
+    std::string const closed = deep + std::string(deep.size(), ']');
+    for (char const* field : {"questionnaire", "change_id", "amendments"})
+    {
+        std::string const body =
+            "{\"" + std::string(field) + "\": " + closed + "}";
+        admin_response response;
+        api_.handle({"PUT", "/admin/v1/services/s", body, "secret", ""},
+                    [&](admin_response answer)
+                    { response = std::move(answer); });
+        EXPECT_EQ(response.status_, 400);
+    }
+}
+
 TEST_F(admin_api_test, an_unreachable_platform_is_reported_as_such)
 {
     admin_response response;
--- a/test/state/settings_test.cpp
+++ b/test/state/settings_test.cpp
@@ -4,7 +4,7 @@
 
 #include <gtest/gtest.h>
 
-#include "auburnlb/state/json_schema.hpp"
+#include "auburnlb/state/json_depth.hpp"
 #include "auburnlb/state/settings.hpp"
 
 using namespace auburnlb;
@@ -117,6 +117,17 @@
     EXPECT_EQ(absent.error().code_, error_code::not_found);
 }
 
+TEST(settings, a_text_that_is_nested_too_deep_is_refused)
+{
+    std::string const deep(1'000'000, '[');
+    auto const parsed = settings::parse("f.json", deep);
+    ASSERT_FALSE(parsed);
+    EXPECT_NE(parsed.error().detail_.find("nested"), std::string::npos);
+    EXPECT_FALSE(
+        is_nested_too_deep(R"({"a": "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[)"
+                           R"([[\"[[[[", "b": [[]]})"));
+}
+
 TEST(settings, a_required_field_without_value_is_named)
 {
     settings const defaults = settings::parse("f.json", "{}").value();
