Let the process tests wait until entries know each other

An entry reads the host list once a second, so one that started first does not know the second entry for up to a second. The wait keeps the test about the suspicion; the gap of a newly started entry is reported as a finding.

--- a/test/process/fixture.py
+++ b/test/process/fixture.py
@@ -51,6 +51,8 @@
             self._apply_configuration()
             for entry in self.entries.values():
                 self.wait_for_service(entry, SERVICE, len(ranges))
+            if entries > 1:
+                self._wait_for_host_lists()
         except BaseException:
             self.__exit__(RuntimeError, None, None)
             raise
@@ -87,6 +89,17 @@
                                   body)
         assert status == 200, text
 
+    def _host_list_calls(self):
+        _, _, text = cluster.request(self.platform.port, "GET", "/fake/calls")
+        return json.loads(text)["calls"].get("GET hosts", 0)
+
+    def _wait_for_host_lists(self):
+        """Until every entry has read the list that names all of them, and has
+        had a beat's time to greet the others."""
+        wanted = self._host_list_calls() + 2 * len(self.entries) + 1
+        cluster.wait_until(lambda: self._host_list_calls() >= wanted,
+                           "every entry reads the host list again")
+
     def set_platform_faults(self, **faults):
         self.platform_control("faults", faults)
 
