--- a/test/transport/caller_api_test.cpp
+++ b/test/transport/caller_api_test.cpp
@@ -165,11 +165,13 @@
 {
     http_headers const cases = {
         {"Idempotency-Key", std::string(256, 'k')},
+        {"Idempotency-Key", ""},
         {"Idempotency-Key", "two words"},
         {"Idempotency-Key", "\"open"},
         {"Idempotency-Key", "\"\""},
         {"Idempotency-Key", "\"a\"b"},
         {"Idempotency-Key", "\xC3\xA9"},
+        {"X-Request-Timeout-Ms", ""},
         {"X-Request-Timeout-Ms", "0"},
         {"X-Request-Timeout-Ms", "600001"},
         {"X-Request-Timeout-Ms", "-1"},
