Measure the memory of an idle caller's connection

The server's and the callers' interface's 45 tests and properties pass under AddressSanitizer with UndefinedBehaviorSanitizer without a report.

--- a/bench/http.cpp
+++ b/bench/http.cpp
@@ -8,12 +8,15 @@
 #include <atomic>
 #include <chrono>
 #include <ctime>
+#include <fstream>
 #include <iostream>
 #include <mutex>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include <unistd.h>
+
 #include <asio.hpp>
 #include <nlohmann/json.hpp>
 
@@ -297,6 +300,46 @@
               << std::endl;
 }
 
+double resident_bytes()
+{
+    std::ifstream file("/proc/self/statm");
+    double total_pages = 0;
+    double resident_pages = 0;
+    file >> total_pages >> resident_pages;
+    return resident_pages * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+/// Memory of an idle connection, the clients' sockets included and the kernel's
+/// buffers left out.
+void bench_idle_connections()
+{
+    constexpr std::size_t connections = 2'000;
+    auto const server = start(
+        [](incoming_request const&, std::shared_ptr<http_reply> reply) {
+            reply->send({200, {}, "end"});
+        });
+    double const before_bytes = resident_bytes();
+    asio::io_context context;
+    std::vector<tcp::socket> sockets;
+    sockets.reserve(connections);
+    for (std::size_t index = 0; index < connections; ++index)
+    {
+        auto& socket = sockets.emplace_back(context);
+        socket.connect(endpoint_of(*server));
+        asio::write(socket, asio::buffer(std::string(
+                                "GET / HTTP/1.1\r\nHost: bench\r\n\r\n")));
+        std::string received;
+        asio::read_until(socket, asio::dynamic_buffer(received), "end");
+    }
+    double const used_bytes = resident_bytes() - before_bytes;
+    std::cout << nlohmann::ordered_json{{"case", "http_idle_connections"},
+                                        {"connections", connections},
+                                        {"open", server->open_connections()},
+                                        {"bytes_per_connection",
+                                         used_bytes / connections}}
+              << std::endl;
+}
+
 /// Nanoseconds for one call, the median of the rounds.
 template <class Function>
 void bench_call(char const* name, Function const& function)
@@ -357,6 +400,7 @@
 int main()
 {
     bench_calls();
+    bench_idle_connections();
     for (int const connections : {1, 8, 64})
     {
         bench_requests(connections);
