Use the one bound on nesting for callers' bodies too

The shared one scans without parsing and holds at 32 levels; the copy that watched the parser at 64 levels goes.

--- a/src/transport/caller_api.cpp
+++ b/src/transport/caller_api.cpp
@@ -10,6 +10,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "auburnlb/state/json_depth.hpp"
+
 namespace auburnlb
 {
 
@@ -21,8 +23,6 @@
 constexpr std::uint32_t max_answer_tokens = 1U << 20U;
 constexpr std::uint32_t max_timeout_ms = 600'000;
 constexpr std::size_t max_key_length = 255;
-/// Rendering a JSON value recurses, so a deeper one could exhaust the stack.
-constexpr int max_json_depth = 64;
 /// Longer values are cut in error messages.
 constexpr std::size_t max_quoted_length = 60;
 
@@ -58,27 +58,6 @@
                        allowed);
 }
 
-/// Gives a discarded value for what is not JSON or is nested too deeply.
-json parse_json(std::string const& text)
-{
-    auto const opening = std::count_if(
-        text.begin(), text.end(),
-        [](char letter) { return letter == '[' || letter == '{'; });
-    if (opening <= max_json_depth)
-    {
-        // Most bodies are shallow, and watching the depth costs time.
-        return json::parse(text, nullptr, false);
-    }
-    bool is_too_deep = false;
-    auto const check_depth = [&](int depth, json::parse_event_t, json&)
-    {
-        is_too_deep = is_too_deep || depth > max_json_depth;
-        return !is_too_deep;
-    };
-    json parsed = json::parse(text, check_depth, false);
-    return is_too_deep ? json(json::value_t::discarded) : parsed;
-}
-
 /// Gives null for an absent field and for one that is null.
 json const* find(json const& object, char const* field)
 {
@@ -328,7 +307,9 @@
                          " bytes, allowed are " +
                          std::to_string(max_body_bytes)};
     }
-    json const parsed = parse_json(body);
+    json const parsed = is_nested_too_deep(body)
+                            ? json(json::value_t::discarded)
+                            : json::parse(body, nullptr, false);
     if (!parsed.is_object())
     {
         return error{error_code::invalid_input,
