--- a/src/transport/call_gate_table.cpp
+++ b/src/transport/call_gate_table.cpp
@@ -430,7 +430,7 @@
                 {
                     self.platform_.remove(claim_segment_kind, name,
                                           versions[name],
-                                          [](result<std::uint64_t>) {});
+                                          [](result<std::uint64_t> const&) {});
                 }
             }));
 }
--- a/test/transport/call_gate_test.cpp
+++ b/test/transport/call_gate_test.cpp
@@ -7,6 +7,8 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <unordered_map>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -215,7 +217,7 @@
     std::uint64_t next_request_ = 1;
     std::mutex mutex_;
     std::condition_variable arrived_;
-    std::map<request_id, call_reply> replies_;
+    std::unordered_map<request_id, call_reply> replies_;
     std::size_t reply_count_ = 0;
     std::map<std::size_t, incarnation_id> incarnations_;
     std::map<std::size_t, host_state> states_;
@@ -238,15 +240,16 @@
 TEST_F(call_gate_test, many_threads_with_one_key_run_it_once)
 {
     start(1);
-    constexpr int thread_count = 4;
-    constexpr int sends = 25;
+    constexpr std::size_t thread_count = 4;
+    constexpr std::size_t sends = 25;
     std::vector<std::thread> threads;
-    for (int thread = 0; thread < thread_count; ++thread)
+    threads.reserve(thread_count);
+    for (std::size_t thread = 0; thread < thread_count; ++thread)
     {
         threads.emplace_back(
             [this]
             {
-                for (int at = 0; at < sends; ++at)
+                for (std::size_t at = 0; at < sends; ++at)
                 {
                     send(0, "w/" + std::to_string(at));
                 }
@@ -262,7 +265,7 @@
             std::lock_guard const lock(mutex_);
             return reply_count_ == thread_count * sends;
         }));
-    for (int at = 0; at < sends; ++at)
+    for (std::size_t at = 0; at < sends; ++at)
     {
         EXPECT_EQ(executions_of("w/" + std::to_string(at)), 1U);
     }
