--- a/test/transport/http_server_test.cpp
+++ b/test/transport/http_server_test.cpp
@@ -13,14 +13,18 @@
 #include <asio.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
 
 #include "auburnlb/transport/http_server.hpp"
+#include "transport/mutation.hpp"
 
 using namespace auburnlb;
 
 namespace
 {
 
+using tcp = asio::ip::tcp;
+
 /// A hung test fails after this long; no verdict depends on it otherwise.
 constexpr seconds hang_limit{20};
 
@@ -92,6 +96,13 @@
         return body;
     }
 
+    /// Ends the sending half, so that the server waits for nothing more.
+    void end_sending()
+    {
+        asio::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
     void close() { socket_.close(); }
 
 private:
@@ -109,7 +120,7 @@
     }
 
     asio::io_context context_;
-    asio::ip::tcp::socket socket_;
+    tcp::socket socket_;
     std::string received_;
 };
 
@@ -139,6 +150,17 @@
     return outcome.wait_for(hang_limit) == std::future_status::ready;
 }
 
+/// Fails the test when the condition does not come true in time.
+void wait_until(std::function<bool()> const& condition)
+{
+    auto const give_up = std::chrono::steady_clock::now() + hang_limit;
+    while (!condition() && std::chrono::steady_clock::now() < give_up)
+    {
+        std::this_thread::yield();
+    }
+    EXPECT_TRUE(condition());
+}
+
 nlohmann::json error_of(std::string const& response)
 {
     auto const body = response.find("\r\n\r\n");
@@ -431,10 +453,7 @@
     reply->end_stream();
     EXPECT_GT(client.read_until("end-of-stream").size(), size);
     client.read_until("0\r\n\r\n");
-    while (reply->unsent_bytes() > 0)
-    {
-        std::this_thread::yield();
-    }
+    wait_until([&] { return reply->unsent_bytes() == 0; });
 }
 
 TEST(http_server, a_dropped_request_is_answered_and_a_dropped_stream_is_cut)
@@ -487,6 +506,25 @@
     EXPECT_NE(last.find("POST after"), std::string::npos);
     reply->send({200, {}, "whole"});
     EXPECT_NE(running.read_to_end().find("whole"), std::string::npos);
+    wait_until([&] { return server->open_connections() == 0; });
+}
+
+TEST(http_server, a_request_is_in_progress_until_its_last_byte_is_taken)
+{
+    constexpr std::size_t size = 64U << 20U;
+    auto const server = start(
+        [](incoming_request const&, std::shared_ptr<http_reply> reply) {
+            reply->send({200, {}, std::string(size, 'x') + "end"});
+        });
+    EXPECT_EQ(server->requests_in_progress(), 0U);
+    raw_client client(server->port());
+    client.write(post("x"));
+    client.read_until("\r\n\r\n");
+    EXPECT_EQ(server->requests_in_progress(), 1U);
+    EXPECT_EQ(server->open_connections(), 1U);
+    EXPECT_EQ(client.read_until("end").size(), size + 3);
+    wait_until([&] { return server->requests_in_progress() == 0; });
+    EXPECT_EQ(server->open_connections(), 1U);
 }
 
 TEST(http_server, connections_over_the_limit_are_closed)
@@ -527,3 +565,23 @@
     reply->end_stream();
     EXPECT_EQ(client.read_until("late"), "\r\n");
 }
+
+RC_GTEST_PROP(http_server_property, survives_mutated_requests, ())
+{
+    static auto const server = start(echo);
+    std::string bytes = post("hello") +
+                        "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                        "Expect: 100-continue\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    for (auto const& change : *any_mutations())
+    {
+        apply(bytes, change);
+    }
+    raw_client hostile(server->port());
+    hostile.write(bytes);
+    hostile.end_sending();
+    std::string const response = hostile.read_to_end();
+    RC_ASSERT(response.empty() || response.starts_with("HTTP/1.1 "));
+    raw_client good(server->port());
+    good.write(post("still here"));
+    RC_ASSERT(good.read_body() == "POST still here");
+}
