Let companions advertise another address than they listen on

A companion that stands behind a forwarder, as in front of the test relay, was known to peers only by the address that it listens on, so connections between stages could not be led through anything. The setting peers.advertised_address is told to peers instead; empty keeps the address listened on. Schema and table come from the catalogue. The relay takes a new target, because it has to start before the companion whose port it forwards to.

--- a/fakes/fake_relay.cpp
+++ b/fakes/fake_relay.cpp
@@ -242,6 +242,20 @@
             static_cast<std::uint16_t>(port)};
 }
 
+/// False when the next word is no target.
+bool run_target_command(fake_relay& relay, std::istream& words)
+try
+{
+    std::string target;
+    words >> target;
+    relay.set_target(target);
+    return true;
+}
+catch (std::exception const&)
+{
+    return false;
+}
+
 } // namespace
 
 struct fake_relay::impl
@@ -374,6 +388,12 @@
                { impl_->condition_.bytes_per_second_ = bytes_per_second; });
 }
 
+void fake_relay::set_target(std::string const& target)
+{
+    tcp::endpoint const parsed = parse_target(target);
+    impl_->run([this, parsed] { impl_->target_ = parsed; });
+}
+
 relay_counts fake_relay::counts() const
 {
     relay_counts counts;
@@ -395,6 +415,10 @@
     std::istringstream words(line);
     std::string verb;
     words >> verb;
+    if (verb == "to")
+    {
+        return run_target_command(*this, words);
+    }
     std::uint64_t number = 0;
     bool const has_number = static_cast<bool>(words >> number);
     if (verb == "delay" && has_number)
--- a/fakes/fake_relay.hpp
+++ b/fakes/fake_relay.hpp
@@ -44,8 +44,11 @@
     void set_rate(std::uint64_t bytes_per_second);
     relay_counts counts() const;
 
-    /// Runs a command: "silence", "isolate", "heal", "cut", "delay MS" or
-    /// "rate BYTES_PER_S". False when it is none of them.
+    /// Relays new connections to another target.
+    void set_target(std::string const& target);
+
+    /// Runs a command: "silence", "isolate", "heal", "cut", "delay MS",
+    /// "rate BYTES_PER_S" or "to HOST:PORT". False when it is none of them.
     bool run_command(std::string const& line);
 
 private:
--- a/fakes/relay/main.cpp
+++ b/fakes/relay/main.cpp
@@ -22,13 +22,10 @@
     "  --listen-port N   port on 127.0.0.1, 0 takes a free one (0)\n"
     "  --control-port N  port of the control side, 0 takes a free one (0)\n"
     "  --help            this text\n"
-    "Prints \"listening 127.0.0.1:PORT\" and \"control 127.0.0.1:PORT\" and "
-    "runs\n"
-    "until SIGTERM or SIGINT. POST / on the control side takes a command as "
-    "its\n"
-    "body: silence, isolate, heal, cut, delay MS, rate BYTES_PER_S. GET / "
-    "counts\n"
-    "the connections.\n";
+    "Prints \"listening 127.0.0.1:PORT\" and \"control 127.0.0.1:PORT\".\n"
+    "Runs until SIGTERM or SIGINT. POST / on the control side takes a\n"
+    "command as its body: silence, isolate, heal, cut, delay MS,\n"
+    "rate BYTES_PER_S, to HOST:PORT. GET / counts the connections.\n";
 
 constexpr option long_options[] = {
     {"to", required_argument, nullptr, 't'},
--- a/include/auburnlb/state/settings.hpp
+++ b/include/auburnlb/state/settings.hpp
@@ -167,6 +167,13 @@
     {},
     "nng address on which other processes reach this one; port 0 takes a "
     "free port."};
+inline constexpr setting<std::string> peers_advertised_address{
+    "peers",
+    "advertised_address",
+    "",
+    {},
+    "nng address that peers are told to use, where a forwarder stands before "
+    "this process; empty for the address listened on."};
 inline constexpr setting<std::uint32_t> peers_threads{
     "peers", "threads", 2, 1, 64, "Threads that handle peers' messages."};
 
--- a/include/auburnlb/transport/companion.hpp
+++ b/include/auburnlb/transport/companion.hpp
@@ -21,6 +21,8 @@
     std::string region_;
     /// nng address to listen on; port 0 takes a free one.
     std::string bus_address_ = "tcp://127.0.0.1:0";
+    /// Address that peers are told; empty for the one listened on.
+    std::string advertised_address_;
     std::string endpoint_url_;
     service_kind kind_ = service_kind::model;
     std::string service_;
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -81,6 +81,7 @@
         describe(node_data_centre),
         describe(node_region),
         describe(peers_address),
+        describe(peers_advertised_address),
         describe(peers_threads),
         describe(callers_address),
         describe(callers_port),
--- a/src/transport/companion.cpp
+++ b/src/transport/companion.cpp
@@ -90,7 +90,9 @@
             return bus.error();
         }
         bus_ = std::move(bus).value();
-        table_.address_ = bus_->address();
+        table_.address_ = options_.advertised_address_.empty()
+                              ? bus_->address()
+                              : options_.advertised_address_;
         open_configs();
         thread_ = std::thread([this] { io_.run(); });
         if (options_.kind_ == service_kind::plain)
--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -212,6 +212,7 @@
     options.data_centre_ = values.get(node_data_centre);
     options.region_ = values.get(node_region);
     options.bus_address_ = values.get(peers_address);
+    options.advertised_address_ = values.get(peers_advertised_address);
     options.platform_url_ = values.get(platform_url);
     options.endpoint_url_ = values.get(endpoint_url);
     options.service_ = values.get(endpoint_service);
--- a/test/process/faults_test.py
+++ b/test/process/faults_test.py
@@ -64,6 +64,20 @@
                                                  "silence"),
             with_engine_relays=True)
 
+    def test_silence_on_a_middle_stage_s_open_connections(self):
+        self.run_with_fault(
+            "stage connections silent",
+            lambda system, victim: relay_command(victim.stage_relay,
+                                                 "silence"),
+            with_stage_relays=True)
+
+    def test_isolation_of_a_middle_stage(self):
+        self.run_with_fault(
+            "stage isolated",
+            lambda system, victim: relay_command(victim.stage_relay,
+                                                 "isolate"),
+            with_stage_relays=True)
+
     def test_a_crashing_request_takes_two_engines_at_most(self):
         ranges = [(0, 4), (0, 4)] + RANGES
         with ModelCluster(ranges, entries=2) as system:
--- a/test/process/fixture.py
+++ b/test/process/fixture.py
@@ -25,6 +25,7 @@
         self.engine = system.engines[name]
         self.companion = system.companions[name]
         self.engine_relay = None
+        self.stage_relay = None
 
     def counts(self):
         status, _, text = cluster.request(self.engine.port, "GET",
@@ -39,11 +40,13 @@
 class ModelCluster(cluster.Cluster):
     """One model service over endpoints with the given layer ranges."""
 
-    def __init__(self, ranges, entries=1, with_engine_relays=False):
+    def __init__(self, ranges, entries=1, with_engine_relays=False,
+                 with_stage_relays=False):
         super().__init__()
         try:
             self.endpoints = [self._add_endpoint(index, layers,
-                                                 with_engine_relays)
+                                                 with_engine_relays,
+                                                 with_stage_relays)
                               for index, layers in enumerate(ranges)]
             for index in range(entries):
                 self.add_entry(f"entry{index}")
@@ -57,20 +60,46 @@
             self.__exit__(RuntimeError, None, None)
             raise
 
-    def _add_endpoint(self, index, layers, with_relay):
+    def _add_endpoint(self, index, layers, with_engine_relay,
+                      with_stage_relay):
         name = f"endpoint{index}"
-        if not with_relay:
+        if with_stage_relay:
+            return self._add_endpoint_behind_relay(name, layers)
+        if not with_engine_relay:
             self.add_engine(name, SERVICE, layers, options=ENGINE)
             return Endpoint(self, name, layers)
-        options = ["--layers", f"{layers[0]}:{layers[1]}"] + ENGINE
-        engine = self.start_fake("engine", options, name=f"engine-{name}")
-        self.engines[name] = engine
+        engine = self._start_engine(name, layers)
         relay = self.start_relay(engine.port)
         self.add_companion(name, SERVICE, "model", relay.port)
         endpoint = Endpoint(self, name, layers)
         endpoint.engine_relay = relay
         return endpoint
 
+    def _start_engine(self, name, layers):
+        options = ["--layers", f"{layers[0]}:{layers[1]}"] + ENGINE
+        engine = self.start_fake("engine", options, name=f"engine-{name}")
+        self.engines[name] = engine
+        return engine
+
+    def _add_endpoint_behind_relay(self, name, layers):
+        """Peers reach the companion through a relay, which is started before
+        it and learns its port afterwards."""
+        engine = self._start_engine(name, layers)
+        relay = self.start_relay(1)
+        values = self.node(name, "dc1")
+        values["peers"] = {
+            "advertised_address": f"tcp://127.0.0.1:{relay.port}"}
+        values["endpoint"] = {"url": f"http://127.0.0.1:{engine.port}",
+                              "kind": "model", "service": SERVICE}
+        companion = self.start_daemon("auburnlb-companion", name, values)
+        self.companions[name] = companion
+        relay_command(relay, "to " + companion.bus.removeprefix("tcp://"))
+        self.announce(name, "endpoint",
+                      values["peers"]["advertised_address"], "dc1")
+        endpoint = Endpoint(self, name, layers)
+        endpoint.stage_relay = relay
+        return endpoint
+
     def start_relay(self, port):
         relay = self.start_fake("relay", ["--to", f"127.0.0.1:{port}"])
         line = relay.child.stdout.readline().decode()
--- a/test/transport/fake_relay_test.cpp
+++ b/test/transport/fake_relay_test.cpp
@@ -111,6 +111,26 @@
     EXPECT_EQ(executions("k1"), 1);
 }
 
+TEST_F(relayed_service, new_connections_go_to_another_target)
+{
+    fake_plain_service other;
+    ASSERT_TRUE(call("k1"));
+    ASSERT_TRUE(
+        relay_.run_command("to 127.0.0.1:" + std::to_string(other.port())));
+    ASSERT_TRUE(call("k2"));
+    EXPECT_EQ(executions("k2"), 1);
+    http_client newcomer;
+    auto const answer = newcomer.send_and_wait(
+        {"POST",
+         "http://127.0.0.1:" + std::to_string(relay_.port()) + "/book",
+         {},
+         "a van"});
+    ASSERT_TRUE(answer) << to_string(answer.error());
+    EXPECT_EQ(other.executions().total_, 1);
+    EXPECT_EQ(service_.executions().total_, 2);
+    EXPECT_FALSE(relay_.run_command("to nowhere"));
+}
+
 TEST_F(relayed_service, delay_and_rate_slow_the_answer_down)
 {
     auto timed_call = [this]
