--- a/src/transport/companion.cpp
+++ b/src/transport/companion.cpp
@@ -100,7 +100,9 @@
             return bus.error();
         }
         bus_ = std::move(bus).value();
-        table_.address_ = bus_->address();
+        table_.address_ = options_.advertised_address_.empty()
+                              ? bus_->address()
+                              : options_.advertised_address_;
         open_configs();
         if (options_.kind_ == service_kind::plain)
         {
