Pick an entry's endpoints without sorting the entries

select_endpoints sorted all entries for each endpoint to see whether one of them is among the first. Counting those that come before it gives the same answer; an entry that the lagging list does not name yet now takes its part as well, where it took only the least number.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -21,6 +21,22 @@
     return std::min(entries, (mean * entries + endpoints - 1) / endpoints);
 }
 
+// Whether the entry is among the count of highest score for the endpoint, as
+// pick_members would give them, without sorting them.
+bool is_picked(std::string const& endpoint, std::string const& entry,
+               address_list const& entries, std::size_t count)
+{
+    std::uint64_t const own = rendezvous_score(endpoint, entry);
+    auto const is_before = [&](std::string const& other)
+    {
+        std::uint64_t const score = rendezvous_score(endpoint, other);
+        return score > own || (score == own && other < entry);
+    };
+    auto const before =
+        std::count_if(entries.begin(), entries.end(), is_before);
+    return static_cast<std::size_t>(before) < count;
+}
+
 void select_in_group(std::string const& entry, address_list const& entries,
                      address_list const& endpoints, subset_limits const& limits,
                      std::set<std::string>& selected)
@@ -30,8 +46,7 @@
     std::size_t used = 0;
     for (std::string const& endpoint : endpoints)
     {
-        address_list const users = pick_members(endpoint, entries, count);
-        if (std::find(users.begin(), users.end(), entry) != users.end())
+        if (is_picked(endpoint, entry, entries, count))
         {
             selected.insert(endpoint);
             ++used;
