Bound how far one decider's view stands for all the others

The margin of one request for each decider kept any turn from being corrected once deciders outnumber an endpoint's streams.

--- a/src/coordination/chain_choice.cpp
+++ b/src/coordination/chain_choice.cpp
@@ -11,6 +11,12 @@
 namespace
 {
 
+/// One decider's change of load counts as at most this many. With more, single
+/// requests of a decider hide the report when each decider has only a few.
+constexpr std::uint32_t max_change_factor = 8;
+/// Requests by which an alternative must be less loaded, for each decider, at
+/// most. With more, many deciders would never correct the turn.
+constexpr std::uint32_t max_displacement_margin = 16;
 /// A prefix is followed to an endpoint that is loaded by at most this factor
 /// more than the endpoint whose turn it is.
 constexpr double affinity_load_factor = 1.25;
@@ -152,18 +158,23 @@
     return walk.state_.views_[walk.choice_.slots_[endpoint]];
 }
 
+double change_factor(choice_state const& state)
+{
+    return std::min(state.deciders_, max_change_factor);
+}
+
 /// Requests in progress at an endpoint, over all deciders. Since the last
 /// report the other deciders are taken to have done what this one did: each
 /// that acts on the same report alone would send its work to the same place.
-double estimate_in_progress(endpoint_view const& view, std::uint32_t deciders)
+double estimate_in_progress(endpoint_view const& view, double factor)
 {
     double const own = view.own_;
     if (!view.has_report_)
     {
-        return own * deciders;
+        return own * factor;
     }
     double const change = own - view.own_at_report_;
-    return std::max(own, view.reported_ + change * deciders);
+    return std::max(own, view.reported_ + change * factor);
 }
 
 /// Load in proportion to the flow that is planned through the endpoint, with
@@ -174,8 +185,8 @@
     planned_endpoint const& planned = walk.plan_.endpoints_[endpoint];
     double const capacity =
         planned.flow_ > 0 ? planned.flow_ : rate_of(planned.description_);
-    double const in_progress =
-        estimate_in_progress(view_of(walk, endpoint), walk.state_.deciders_);
+    double const in_progress = estimate_in_progress(view_of(walk, endpoint),
+                                                    change_factor(walk.state_));
     return (in_progress + further) / capacity;
 }
 
@@ -362,10 +373,11 @@
     credits[turn] -= open.total_;
     std::uint32_t const other = pick_at_random(walk, hop, open);
     // To displace the turn, the other must be less loaded even with the
-    // request that it would take, and with those that the other deciders would
-    // send there for the same reason.
-    double const other_load = relative_load(
-        walk, hop.candidates_[other].endpoint_, walk.state_.deciders_);
+    // request that it would take, and with some of those that the other
+    // deciders would send there for the same reason.
+    double const other_load =
+        relative_load(walk, hop.candidates_[other].endpoint_,
+                      std::min(walk.state_.deciders_, max_displacement_margin));
     return other_load < relative_load(walk, turn_endpoint, 0) ? other : turn;
 }
 
