Test plain services and lost entries with real processes

Cause: at most once and the adoption of answers had no proof over processes. Ruled out: killing the endpoint with its home, which takes its own count of what ran along; it is frozen instead.

--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -683,6 +683,7 @@
         }
         bool const is_idle = is_drained_ && streams_->in_progress() == 0 &&
                              calls_->in_progress() == 0 &&
+                             callers_->requests_in_progress() == 0 &&
                              since > 2 * balancer_notice;
         if (is_idle || since > options_.drain_limit_)
         {
--- a/test/process/cluster.py
+++ b/test/process/cluster.py
@@ -103,9 +103,11 @@
         self.is_done = False
 
 
-def stream_chat(port, service, workspace, prompt, tokens, on_token=None, headers=None):
-    """Streams one answer to its end; gives an Answer."""
-    answer = Answer()
+def stream_chat(port, service, workspace, prompt, tokens, on_token=None, headers=None,
+                answer=None):
+    """Streams one answer to its end into an Answer, which keeps what came before
+    a connection broke."""
+    answer = answer or Answer()
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=120)
     body = {"model": service, "stream": True, "max_tokens": tokens,
             "messages": [{"role": "user", "content": prompt}]}
