Keep others away from a suspect that runs alone; know entries that greet

Cause: an innocent that had been resumed at once shared its second engine with the crashing request, which came there later as an isolated suspect, and was refused after its second loss.

--- a/include/auburnlb/coordination/crash_suspicion.hpp
+++ b/include/auburnlb/coordination/crash_suspicion.hpp
@@ -86,6 +86,16 @@
 std::set<std::string> isolated_from(crash_suspicion const& state,
                                     time_point now);
 
+/// Endpoints at which a request runs alone, because it is under suspicion and
+/// had produced nothing when its endpoint was lost. Others keep away from them
+/// while they can; those under suspicion themselves always do.
+std::set<std::string> held_endpoints(crash_suspicion const& state,
+                                     time_point now);
+
+/// Whether a request is under suspicion and not cleared.
+bool is_suspect(crash_suspicion const& state, request_fingerprint fingerprint,
+                time_point now);
+
 /// A request runs at these endpoints from the answer token first_index on.
 /// Called again for each further attempt.
 void note_run(crash_suspicion& state, request_id const& request,
--- a/include/auburnlb/coordination/peer_table.hpp
+++ b/include/auburnlb/coordination/peer_table.hpp
@@ -109,6 +109,10 @@
 peer_actions on_hosts(peer_table& table, std::vector<host_entry> const& hosts,
                       time_point now);
 
+/// An entry greeted this process. The platform's list may not name it yet.
+peer_actions on_greeting(peer_table& table, std::string const& address,
+                         time_point now);
+
 peer_actions on_hello_reply(peer_table& table, hello_reply const& reply,
                             incarnation_id sender, time_point now);
 
--- a/include/auburnlb/transport/stream_service.hpp
+++ b/include/auburnlb/transport/stream_service.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -86,7 +87,17 @@
     struct active_stream;
     struct service_limits;
 
+    /// Stages and depth of a chain, and the configuration it was chosen by.
+    struct chosen_chain
+    {
+        chain_route route_;
+        std::uint64_t version_ = 0;
+    };
+
     service_limits& limits_of(service_config const& config);
+    std::optional<chosen_chain> choose(active_stream const& stream,
+                                       std::set<std::string> const& avoided,
+                                       std::uint32_t prompt_tokens);
     void start(active_stream& stream);
     bool begin(active_stream& stream);
     void apply(active_stream& stream, stream_actions actions);
--- a/src/coordination/crash_suspicion.cpp
+++ b/src/coordination/crash_suspicion.cpp
@@ -75,6 +75,33 @@
                                      : run_permission::allow;
 }
 
+bool is_suspect(crash_suspicion const& state, request_fingerprint fingerprint,
+                time_point now)
+{
+    auto const suspect = state.suspects_.find(fingerprint);
+    return suspect != state.suspects_.end() && is_current(suspect->second, now);
+}
+
+std::set<std::string> held_endpoints(crash_suspicion const& state,
+                                     time_point now)
+{
+    std::set<std::string> endpoints;
+    if (state.suspects_.empty())
+    {
+        return endpoints;
+    }
+    for (auto const& [request, run] : state.runs_)
+    {
+        auto const suspect = state.suspects_.find(run.fingerprint_);
+        if (suspect != state.suspects_.end() && suspect->second.is_fresh_ &&
+            is_current(suspect->second, now))
+        {
+            endpoints.insert(run.endpoints_.begin(), run.endpoints_.end());
+        }
+    }
+    return endpoints;
+}
+
 std::set<std::string> isolated_from(crash_suspicion const& state,
                                     time_point now)
 {
--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -119,6 +119,19 @@
     return actions;
 }
 
+peer_actions on_greeting(peer_table& table, std::string const& address,
+                         time_point now)
+{
+    auto const [slot, is_new] = table.peers_.try_emplace(address);
+    if (!is_new)
+    {
+        return {};
+    }
+    slot->second.host_.address_ = address;
+    slot->second.host_.role_ = host_role::entry;
+    return probe_peer(table, address, now);
+}
+
 peer_actions on_hello_reply(peer_table& table, hello_reply const& reply,
                             incarnation_id sender, time_point now)
 {
--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -347,6 +347,7 @@
         {
             reply.versions_ = configs_->versions();
             configs_->on_versions(body.from_address_, body.versions_);
+            apply(on_greeting(peers_, body.from_address_, clock_.now()));
             teach_newcomer(sender, body.from_address_);
         }
         bus_->send(body.from_address_, std::move(reply));
--- a/src/transport/stream_service.cpp
+++ b/src/transport/stream_service.cpp
@@ -224,41 +224,55 @@
     begin(stream);
 }
 
-bool stream_service::begin(active_stream& stream)
+std::optional<stream_service::chosen_chain>
+stream_service::choose(active_stream const& stream,
+                       std::set<std::string> const& avoided,
+                       std::uint32_t prompt_tokens)
 {
-    time_point const now = environment_.clock_.now();
-    std::set<std::string> excluded = stream.state_.excluded_;
-    switch (may_run(suspicion_, stream.fingerprint_, now))
-    {
-    case run_permission::refuse:
-        apply(stream, {fail_stream{refusal_reason::suspected_crash}});
-        return false;
-    case run_permission::allow_isolated:
-        excluded.merge(isolated_from(suspicion_, now));
-        break;
-    case run_permission::allow:
-        break;
-    }
     std::string const& service = stream.call_.config_->name_;
-    chain_route route;
-    std::uint64_t version = 0;
-    std::uint32_t const prompt_tokens = count_words(stream.state_.prompt_);
-    environment_.view_.read(
-        [&](routing_view const& view)
+    return environment_.view_.read(
+        [&](routing_view const& view) -> std::optional<chosen_chain>
         {
             auto const config = find_service(view, service);
             auto chain =
-                choose_chain(view.plan_, service, choice_, excluded,
+                choose_chain(view.plan_, service, choice_, avoided,
                              hash_prefix(stream.state_.prompt_),
                              prompt_tokens + stream.call_.request_.max_tokens_);
-            if (config && chain)
+            if (!config || !chain)
             {
-                route.stages_ = std::move(*chain);
-                route.model_layers_ = config->layers_;
-                version = config->version_;
+                return std::nullopt;
             }
+            chosen_chain chosen;
+            chosen.route_.stages_ = std::move(*chain);
+            chosen.route_.model_layers_ = config->layers_;
+            chosen.version_ = config->version_;
+            return chosen;
         });
-    if (route.stages_.empty())
+}
+
+bool stream_service::begin(active_stream& stream)
+{
+    time_point const now = environment_.clock_.now();
+    run_permission const permission =
+        may_run(suspicion_, stream.fingerprint_, now);
+    if (permission == run_permission::refuse)
+    {
+        apply(stream, {fail_stream{refusal_reason::suspected_crash}});
+        return false;
+    }
+    std::set<std::string> avoided = permission == run_permission::allow_isolated
+                                        ? isolated_from(suspicion_, now)
+                                        : held_endpoints(suspicion_, now);
+    bool const may_share = !is_suspect(suspicion_, stream.fingerprint_, now);
+    avoided.insert(stream.state_.excluded_.begin(),
+                   stream.state_.excluded_.end());
+    std::uint32_t const prompt_tokens = count_words(stream.state_.prompt_);
+    std::optional<chosen_chain> chosen = choose(stream, avoided, prompt_tokens);
+    if (!chosen && may_share)
+    {
+        chosen = choose(stream, stream.state_.excluded_, prompt_tokens);
+    }
+    if (!chosen)
     {
         if (!stream.chainless_since_)
         {
@@ -272,8 +286,9 @@
         return false;
     }
     stream.chainless_since_.reset();
+    chain_route route = std::move(chosen->route_);
     route.entry_address_ = environment_.entry_address_;
-    route.service_ = service;
+    route.service_ = stream.call_.config_->name_;
     route.prompt_tokens_ = prompt_tokens;
     route.max_tokens_ = stream.call_.request_.max_tokens_;
     route.priority_ = stream.call_.options_.priority_;
@@ -287,7 +302,7 @@
     note_run(suspicion_, stream.state_.request_, stream.fingerprint_, addresses,
              static_cast<std::uint32_t>(stream.state_.tokens_.size()));
     step_frame frame =
-        begin_attempt(stream.state_, std::move(route), version, now);
+        begin_attempt(stream.state_, std::move(route), chosen->version_, now);
     stream.is_begun_ = true;
     if (!environment_.bus_.send(addresses.front(), std::move(frame)))
     {
--- a/test/coordination/crash_suspicion_test.cpp
+++ b/test/coordination/crash_suspicion_test.cpp
@@ -198,6 +198,25 @@
     EXPECT_TRUE(state.suspects_.empty());
 }
 
+TEST(crash_suspicion, others_keep_away_from_a_suspect_that_runs_alone)
+{
+    crash_suspicion state;
+    // Request 1 had produced nothing when "a" was lost, request 2 had.
+    note_run(state, {1, 1}, 11, {"a"}, 0);
+    note_run(state, {1, 2}, 22, {"a"}, 0);
+    on_progress(state, {1, 2}, 4);
+    on_endpoint_lost(state, "a", time_point{});
+    EXPECT_TRUE(is_suspect(state, 22, time_point{}));
+    EXPECT_FALSE(is_suspect(state, 33, time_point{}));
+    EXPECT_TRUE(held_endpoints(state, time_point{}).empty());
+    note_run(state, {1, 1}, 11, {"b"}, 0);
+    note_run(state, {1, 2}, 22, {"c"}, 5);
+    EXPECT_EQ(held_endpoints(state, time_point{}),
+              (std::set<std::string>{"b"}));
+    on_run_end(state, {1, 1}, true);
+    EXPECT_TRUE(held_endpoints(state, time_point{}).empty());
+}
+
 TEST(crash_suspicion, fingerprints_tell_the_parts_apart)
 {
     EXPECT_NE(fingerprint_of("a", "b", "c"), fingerprint_of("ab", "", "c"));
