--- a/include/auburnlb/transport/stream_service.hpp
+++ b/include/auburnlb/transport/stream_service.hpp
@@ -100,7 +100,7 @@
                                        std::uint32_t prompt_tokens);
     void start(active_stream& stream);
     bool begin(active_stream& stream);
-    void apply(active_stream& stream, stream_actions actions);
+    void apply(active_stream& stream, stream_actions const& actions);
     void apply_one(active_stream& stream, deliver_token const& action);
     void apply_one(active_stream& stream, restart_stream const& action);
     void apply_one(active_stream& stream, probe_stage const& action);
--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -33,7 +33,7 @@
 namespace
 {
 
-constexpr milliseconds tick_interval{20};
+constexpr milliseconds tick_interval{10};
 /// Wait before the platform is asked again after a failure; doubled each time.
 constexpr milliseconds platform_retry_min{100};
 constexpr milliseconds platform_retry_max{5'000};
@@ -160,9 +160,10 @@
             admin_api_ = std::make_unique<admin_api>(
                 store_, options_.admin_token_, make_admin_hooks());
             auto admin = http_server::start(
-                options_.admin_, [this](incoming_request request,
-                                        std::shared_ptr<http_reply> reply)
-                { on_admin(std::move(request), std::move(reply)); });
+                options_.admin_,
+                [this](incoming_request const& request,
+                       std::shared_ptr<http_reply> const& reply)
+                { on_admin(request, reply); });
             if (!admin)
             {
                 return admin.error();
--- a/src/transport/stream_service.cpp
+++ b/src/transport/stream_service.cpp
@@ -312,7 +312,7 @@
     return true;
 }
 
-void stream_service::apply(active_stream& stream, stream_actions actions)
+void stream_service::apply(active_stream& stream, stream_actions const& actions)
 {
     for (stream_action const& action : actions)
     {
--- a/test/transport/message_bus_test.cpp
+++ b/test/transport/message_bus_test.cpp
@@ -100,8 +100,8 @@
     inbox box;
     auto first = box.open("tcp://127.0.0.1:0", 1);
     auto second = message_bus::open(
-        first->address(), 2, [](envelope) {}, [](std::string const&, bool) {},
-        [] {});
+        first->address(), 2, [](envelope const&) {},
+        [](std::string const&, bool) {}, [] {});
     ASSERT_FALSE(second);
     EXPECT_EQ(second.error().code_, error_code::unreachable);
     EXPECT_EQ(second.error().peer_, first->address());
