Ask less often for nothing: rare beats, probes where something waits

Weighed: keeping the beats and sampling endpoints. Streams and calls notice silence themselves, so beats only find what is idle: 5 s now. A stream asks its stages after 250 ms of silence instead of 500, a waiting call its endpoint after 250 ms, and a new configuration is shown to its endpoints at once. Hellos to an endpoint carry its own service's version only. Conclusion: detection no longer rests on beats.

--- a/include/auburnlb/state/settings.hpp
+++ b/include/auburnlb/state/settings.hpp
@@ -249,7 +249,7 @@
 inline constexpr setting<milliseconds> timing_beat{
     "timing",
     "beat_ms",
-    milliseconds(250),
+    milliseconds(5'000),
     milliseconds(10),
     milliseconds(60'000),
     "Interval of beats on idle links, in milliseconds."};
@@ -264,7 +264,7 @@
 inline constexpr setting<milliseconds> timing_stream_silence{
     "timing",
     "stream_silence_ms",
-    milliseconds(500),
+    milliseconds(250),
     milliseconds(10),
     milliseconds(600'000),
     "Silence of a stream after which its stages are probed, in "
--- a/include/auburnlb/transport/call_service.hpp
+++ b/include/auburnlb/transport/call_service.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -48,7 +49,8 @@
     call_service(message_bus& bus, metrics_registry& metrics,
                  snapshot_cell<routing_view> const& view,
                  clock_source const& clock, std::string entry_address,
-                 incarnation_id incarnation);
+                 incarnation_id incarnation,
+                 std::function<void(std::string const& address)> probe);
     ~call_service();
 
     void submit(plain_call call);
@@ -79,6 +81,8 @@
     clock_source const& clock_;
     std::string const entry_address_;
     incarnation_id const incarnation_;
+    /// Asks an endpoint whether it lives.
+    std::function<void(std::string const& address)> const probe_;
     std::uint64_t last_sequence_ = 0;
     choice_state choice_;
     std::map<std::string, claim_table> tables_;
--- a/src/transport/call_service.cpp
+++ b/src/transport/call_service.cpp
@@ -14,6 +14,10 @@
 namespace
 {
 
+/// The endpoint of a call that takes longer than this is asked whether it
+/// lives.
+constexpr milliseconds probe_interval{250};
+
 /// Marks sequences of calls, so that they never meet those of streams.
 constexpr std::uint64_t call_sequence_base = 1ULL << 63U;
 
@@ -51,18 +55,22 @@
     std::string key_;
     /// Endpoint at which the attempt is counted as in progress, or empty.
     std::string counted_;
+    /// When its endpoint is asked whether it lives.
+    time_point next_probe_{};
 };
 
 call_service::call_service(message_bus& bus, metrics_registry& metrics,
                            snapshot_cell<routing_view> const& view,
                            clock_source const& clock, std::string entry_address,
-                           incarnation_id incarnation)
+                           incarnation_id incarnation,
+                           std::function<void(std::string const&)> probe)
     : bus_(bus)
     , metrics_(metrics)
     , view_(view)
     , clock_(clock)
     , entry_address_(std::move(entry_address))
     , incarnation_(incarnation)
+    , probe_(std::move(probe))
     , choice_(make_choice_state(incarnation))
 {
 }
@@ -219,6 +227,7 @@
     on_call_sent(call.state_, address, incarnation);
     end_attempt(call);
     call.counted_ = address;
+    call.next_probe_ = now + probe_interval;
     note_begin(choice_, address);
 }
 
@@ -301,6 +310,11 @@
 {
     for (auto& [sequence, call] : calls_)
     {
+        if (!call->counted_.empty() && clock_.now() >= call->next_probe_)
+        {
+            call->next_probe_ = clock_.now() + probe_interval;
+            probe_(call->counted_);
+        }
         apply(*call, on_call_tick(call->state_, clock_.now()));
     }
     sweep();
--- a/src/transport/companion.cpp
+++ b/src/transport/companion.cpp
@@ -193,6 +193,8 @@
             return;
         }
         entries_[body.from_address_] = now();
+        std::erase_if(body.versions_, [this](auto const& version)
+                      { return version.first != options_.service_; });
         configs_->on_versions(body.from_address_, body.versions_);
         hello_reply reply;
         reply.nonce_ = body.nonce_;
--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -143,9 +143,11 @@
             {
                 asio::post(io_, std::move(work));
             }});
-        calls_ = std::make_unique<call_service>(*bus_, metrics_, view_, clock_,
-                                                bus_->address(),
-                                                options_.incarnation_);
+        calls_ = std::make_unique<call_service>(
+            *bus_, metrics_, view_, clock_, bus_->address(),
+            options_.incarnation_,
+            [this](std::string const& address)
+            { apply(probe_peer(peers_, address, clock_.now())); });
         auto callers = http_server::start(
             options_.callers_,
             [this](incoming_request request, std::shared_ptr<http_reply> reply)
@@ -194,12 +196,26 @@
             },
             [this](bool is_watching)
             { service_watch_.set_active(is_watching); },
-            [this](std::shared_ptr<service_config const> const&)
+            [this](std::shared_ptr<service_config const> const& config)
             {
                 plan_soon();
+                greet_endpoints(config->name_);
             }});
     }
 
+    /// Beats are too rare to bring a new configuration to the companions.
+    void greet_endpoints(std::string const& service)
+    {
+        for (endpoint_description const& endpoint : known_endpoints(peers_))
+        {
+            if (endpoint.service_ == service &&
+                endpoint.state_ != host_state::dead)
+            {
+                apply_one(send_hello{endpoint.address_, false});
+            }
+        }
+    }
+
     std::string bus_address() const override { return bus_->address(); }
     std::uint16_t callers_port() const override { return callers_->port(); }
     std::uint16_t admin_port() const override
@@ -399,10 +415,25 @@
         greeting.from_address_ = bus_->address();
         greeting.role_ = host_role::entry;
         greeting.nonce_ = ++last_nonce_;
-        greeting.versions_ = configs_->versions();
+        greeting.versions_ = versions_for(action.address_);
         bus_->send(action.address_, std::move(greeting));
     }
 
+    /// An endpoint needs its own service's version only; other entries exchange
+    /// all of them.
+    version_map versions_for(std::string const& address) const
+    {
+        version_map versions = configs_->versions();
+        auto const peer = peers_.peers_.find(address);
+        if (peer != peers_.peers_.end() && peer->second.endpoint_)
+        {
+            std::erase_if(
+                versions, [&peer](auto const& version)
+                { return version.first != peer->second.endpoint_->service_; });
+        }
+        return versions;
+    }
+
     void apply_one(test_connection const& action)
     {
         connect_once(
