Write the events of peers and failed streams, drop events nothing writes

The peer table must not log, so a free function compares the endpoints with those seen before, and the entry writes the outcome. Logging in each table function was ruled out: the same change is learned on three paths and would be told up to three times. peer_silent is written only for a peer that is taken for alive, because dead peers are asked on new connections all the time.

Events of leases, orders and stale configurations had no code path: leases are not connected to a running process.

--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -34,7 +34,6 @@
     settings_rejected = 103,
     port_unavailable = 104,
     configuration_in_force = 200,
-    configuration_stale = 201,
     platform_unreachable = 202,
     platform_reachable = 203,
     configuration_rejected = 204,
@@ -51,12 +50,9 @@
     request_quarantined = 404,
     engine_lost = 500,
     engine_back = 501,
-    order_refused = 502,
     claim_home_taken = 600,
     claim_home_fenced = 601,
     claim_write_failed = 602,
-    lease_acquired = 700,
-    lease_lost = 701,
 };
 
 /// A named field of an event, such as {"request", "1f-3"} or {"peer", ...}.
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -38,7 +38,6 @@
     {log_event::settings_rejected, "settings_rejected"},
     {log_event::port_unavailable, "port_unavailable"},
     {log_event::configuration_in_force, "configuration_in_force"},
-    {log_event::configuration_stale, "configuration_stale"},
     {log_event::platform_unreachable, "platform_unreachable"},
     {log_event::platform_reachable, "platform_reachable"},
     {log_event::configuration_rejected, "configuration_rejected"},
@@ -55,12 +54,9 @@
     {log_event::request_quarantined, "request_quarantined"},
     {log_event::engine_lost, "engine_lost"},
     {log_event::engine_back, "engine_back"},
-    {log_event::order_refused, "order_refused"},
     {log_event::claim_home_taken, "claim_home_taken"},
     {log_event::claim_home_fenced, "claim_home_fenced"},
     {log_event::claim_write_failed, "claim_write_failed"},
-    {log_event::lease_acquired, "lease_acquired"},
-    {log_event::lease_lost, "lease_lost"},
 });
 
 constexpr auto event_list = []
--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -13,6 +13,7 @@
 
 #include "auburnlb/coordination/admin_api.hpp"
 #include "auburnlb/coordination/configuration.hpp"
+#include "auburnlb/coordination/peer_changes.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/service_object.hpp"
 #include "auburnlb/transport/call_service.hpp"
@@ -42,6 +43,20 @@
 /// Time for the balancer to see that readiness is off before the port closes.
 constexpr milliseconds balancer_notice{200};
 
+log_event to_event(peer_change_kind kind)
+{
+    switch (kind)
+    {
+    case peer_change_kind::joined:
+        return log_event::peer_joined;
+    case peer_change_kind::leaving:
+        return log_event::peer_leaving;
+    case peer_change_kind::replaced:
+        return log_event::peer_replaced;
+    }
+    return log_event::peer_joined;
+}
+
 class entry_runtime final : public entry
 {
 public:
@@ -391,6 +406,13 @@
     {
         if (action.is_reconnect_)
         {
+            // A dead peer is asked on new connections too; that is no silence.
+            if (peers_.peers_.at(action.address_).is_alive_)
+            {
+                log(log_level::warning, log_event::peer_silent,
+                    {{"peer", action.address_}},
+                    "a new connection is being tried");
+            }
             bus_->replace(action.address_);
         }
         hello greeting;
@@ -434,11 +456,23 @@
 
     void apply_one(endpoints_changed const& /*action*/)
     {
+        log_peer_changes();
         plan_soon();
         update_members();
         show_fleet_to_gates();
     }
 
+    void log_peer_changes()
+    {
+        for (peer_change const& change :
+             note_peers(seen_peers_, known_endpoints(peers_)))
+        {
+            log(log_level::info, to_event(change.kind_),
+                {{"peer", change.address_}, {"service", change.service_}},
+                "an endpoint changed");
+        }
+    }
+
     /// Companions of plain services move the homes of keys by the fleet that
     /// entries see.
     void show_fleet_to_gates()
@@ -719,6 +753,7 @@
 
     // What follows belongs to thread_.
     peer_table peers_;
+    seen_peers seen_peers_;
     /// Incarnation of each entry that was told the suspects.
     std::map<std::string, incarnation_id> taught_;
     time_point next_fleet_show_{};
--- a/src/transport/stream_service.cpp
+++ b/src/transport/stream_service.cpp
@@ -423,6 +423,14 @@
 void stream_service::refuse(active_stream& stream, refusal_reason reason,
                             run_state state, milliseconds retry_after)
 {
+    if (state == run_state::ran)
+    {
+        log(log_level::error, log_event::stream_failed,
+            {{"request", to_string(stream.state_.request_)},
+             {"service", stream.call_.config_->name_},
+             {"reason", to_string(reason)}},
+            "a begun answer could not be completed");
+    }
     environment_.metrics_.count_refusal(reason);
     log(log_level::info, log_event::request_refused,
         {{"request", to_string(stream.state_.request_)},
