Move the planning of views and the operators' port out of the entry

Ruled out: splitting by message kind, which would have kept the state together. Conclusion: entry.cpp wires, view_planner plans, admin_front serves operators.

--- a/include/auburnlb/transport/stream_service.hpp
+++ b/include/auburnlb/transport/stream_service.hpp
@@ -100,6 +100,9 @@
                                        std::uint32_t prompt_tokens);
     void start(active_stream& stream);
     bool begin(active_stream& stream);
+    void wait_for_chain(active_stream& stream, time_point now);
+    void run_attempt(active_stream& stream, chosen_chain chosen,
+                     std::uint32_t prompt_tokens);
     void apply(active_stream& stream, stream_actions const& actions);
     void apply_one(active_stream& stream, deliver_token const& action);
     void apply_one(active_stream& stream, restart_stream const& action);
--- /dev/null
+++ b/src/transport/admin_front.cpp
@@ -0,0 +1,52 @@
+// Turns HTTP requests of operators into requests of the administration API.
+#include "auburnlb/transport/admin_front.hpp"
+
+#include <string_view>
+#include <utility>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+std::string bearer_token(http_headers const& headers)
+{
+    constexpr std::string_view bearer = "Bearer ";
+    std::string const value = find_header(headers, "Authorization");
+    return value.starts_with(bearer) ? value.substr(bearer.size())
+                                     : std::string();
+}
+
+} // namespace
+
+admin_front::admin_front(object_store& store, metrics_registry const& metrics,
+                         std::string token, admin_hooks hooks)
+    : metrics_(metrics)
+    , api_(store, std::move(token), std::move(hooks))
+{
+}
+
+void admin_front::handle(incoming_request const& request,
+                         std::shared_ptr<http_reply> const& reply)
+{
+    if (request.path_ == "/metrics")
+    {
+        reply->send({200,
+                     {{"Content-Type", "text/plain; version=0.0.4"}},
+                     metrics_.render()});
+        return;
+    }
+    admin_request const asked{request.method_, request.path_, request.body_,
+                              bearer_token(request.headers_),
+                              find_header(request.headers_, "X-Operator")};
+    api_.handle(asked,
+                [reply](admin_response answer)
+                {
+                    reply->send({answer.status_,
+                                 {{"Content-Type", "application/json"}},
+                                 std::move(answer.body_)});
+                });
+}
+
+} // namespace auburnlb
--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -11,11 +11,11 @@
 #include <asio.hpp>
 #include <nlohmann/json.hpp>
 
-#include "auburnlb/coordination/admin_api.hpp"
 #include "auburnlb/coordination/configuration.hpp"
 #include "auburnlb/coordination/peer_changes.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/service_object.hpp"
+#include "auburnlb/transport/admin_front.hpp"
 #include "auburnlb/transport/call_service.hpp"
 #include "auburnlb/transport/caller_front.hpp"
 #include "auburnlb/transport/companion.hpp"
@@ -27,6 +27,7 @@
 #include "auburnlb/transport/steady_clock.hpp"
 #include "auburnlb/transport/stream_service.hpp"
 #include "auburnlb/transport/tcp_probe.hpp"
+#include "auburnlb/transport/view_planner.hpp"
 
 namespace auburnlb
 {
@@ -66,7 +67,9 @@
         , work_(asio::make_work_guard(io_))
         , tick_timer_(io_)
         , hosts_timer_(io_)
-        , planner_(1)
+        , planner_(
+              io_, view_, [this] { return read_view_inputs(); },
+              [this] { streams_->on_view_changed(); })
         , platform_(http_, options_.platform_url_)
         , store_(platform_)
         , service_watch_(io_, platform_, "services", options_.watch_wait_,
@@ -114,7 +117,6 @@
         {
             bus_->close();
         }
-        planner_.join();
         work_.reset();
         io_.stop();
         wait();
@@ -174,13 +176,13 @@
         callers_ = std::move(callers).value();
         if (options_.is_admin_enabled_)
         {
-            admin_api_ = std::make_unique<admin_api>(
-                store_, options_.admin_token_, make_admin_hooks());
+            admin_front_ = std::make_unique<admin_front>(
+                store_, metrics_, options_.admin_token_, make_admin_hooks());
             auto admin = http_server::start(
                 options_.admin_,
                 [this](incoming_request const& request,
                        std::shared_ptr<http_reply> const& reply)
-                { on_admin(request, reply); });
+                { admin_front_->handle(request, reply); });
             if (!admin)
             {
                 return admin.error();
@@ -213,7 +215,7 @@
             { service_watch_.set_active(is_watching); },
             [this](std::shared_ptr<service_config const> const& config)
             {
-                plan_soon();
+                planner_.request();
                 greet_endpoints(config->name_);
             }});
     }
@@ -254,38 +256,6 @@
     std::string render_metrics() const override { return metrics_.render(); }
 
 private:
-    void on_admin(incoming_request const& request,
-                  std::shared_ptr<http_reply> const& reply)
-    {
-        if (request.path_ == "/metrics")
-        {
-            reply->send({200,
-                         {{"Content-Type", "text/plain; version=0.0.4"}},
-                         metrics_.render()});
-            return;
-        }
-        constexpr std::string_view bearer = "Bearer ";
-        admin_request asked;
-        asked.method_ = request.method_;
-        asked.path_ = request.path_;
-        asked.body_ = request.body_;
-        asked.author_ = find_header(request.headers_, "X-Operator");
-        std::string const token =
-            find_header(request.headers_, "Authorization");
-        if (token.starts_with(bearer))
-        {
-            asked.token_ = token.substr(bearer.size());
-        }
-        admin_api_->handle(asked,
-                           [reply](admin_response answer)
-                           {
-                               reply->send(
-                                   {answer.status_,
-                                    {{"Content-Type", "application/json"}},
-                                    std::move(answer.body_)});
-                           });
-    }
-
     admin_hooks make_admin_hooks()
     {
         admin_hooks hooks;
@@ -490,7 +460,7 @@
     void apply_one(endpoints_changed const& /*action*/)
     {
         log_peer_changes();
-        plan_soon();
+        planner_.request();
         update_members();
         show_fleet_to_gates();
     }
@@ -561,40 +531,7 @@
         apply(auburnlb::on_link_down(peers_, peer, clock_.now()));
     }
 
-    // The view is planned on a thread of its own, one plan at a time.
-
-    void plan_soon()
-    {
-        is_plan_due_ = true;
-        if (is_planning_)
-        {
-            return;
-        }
-        is_plan_due_ = false;
-        is_planning_ = true;
-        fleet_snapshot fleet{configs_->services(), known_endpoints(peers_)};
-        auto const [entries, index] = entry_share_now();
-        asio::post(planner_,
-                   [this, fleet = std::move(fleet), entries = entries,
-                    index = index]() mutable
-                   {
-                       view_.publish(
-                           make_routing_view(std::move(fleet), entries, index));
-                       asio::post(io_, [this] { on_planned(); });
-                   });
-    }
-
-    void on_planned()
-    {
-        is_planning_ = false;
-        streams_->on_view_changed();
-        if (is_plan_due_)
-        {
-            plan_soon();
-        }
-    }
-
-    std::pair<std::uint32_t, std::uint32_t> entry_share_now() const
+    view_inputs read_view_inputs() const
     {
         std::set<std::string> entries{bus_->address()};
         for (auto const& [address, peer] : peers_.peers_)
@@ -606,6 +543,7 @@
         }
         auto const own = entries.find(bus_->address());
         return {
+            {configs_->services(), known_endpoints(peers_)},
             static_cast<std::uint32_t>(entries.size()),
             static_cast<std::uint32_t>(std::distance(entries.begin(), own))};
     }
@@ -768,11 +706,11 @@
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     asio::steady_timer tick_timer_;
     asio::steady_timer hosts_timer_;
-    asio::thread_pool planner_;
+    view_planner planner_;
     http_client http_;
     platform_client platform_;
     platform_store store_;
-    std::unique_ptr<admin_api> admin_api_;
+    std::unique_ptr<admin_front> admin_front_;
     object_watch service_watch_;
     object_watch table_watch_;
     std::atomic<bool> is_leaving_{false};
@@ -792,8 +730,6 @@
     std::map<std::string, incarnation_id> taught_;
     time_point next_fleet_show_{};
     std::uint64_t last_nonce_ = 0;
-    bool is_planning_ = false;
-    bool is_plan_due_ = false;
     bool is_platform_up_ = true;
     bool is_drained_ = false;
     milliseconds platform_retry_ = platform_retry_min;
--- a/src/transport/routing_view.cpp
+++ b/src/transport/routing_view.cpp
@@ -29,8 +29,7 @@
                                std::uint32_t entry_index)
 {
     routing_view view;
-    // Link rates enter the plan when companions measure them; until then links
-    // inside the plan count as unlimited.
+    // No process measures links, so that they count as unlimited here.
     view.plan_ = plan_routes(fleet, {});
     for (auto const& [name, config] : fleet.services_)
     {
--- a/src/transport/stream_service.cpp
+++ b/src/transport/stream_service.cpp
@@ -274,19 +274,32 @@
     }
     if (!chosen)
     {
-        if (!stream.chainless_since_)
-        {
-            stream.chainless_since_ = now;
-        }
-        if (now - *stream.chainless_since_ > exclusion_lifetime)
-        {
-            stream.state_.excluded_.clear();
-        }
-        stream.next_chain_try_ = now + chain_retry;
+        wait_for_chain(stream, now);
         return false;
     }
     stream.chainless_since_.reset();
-    chain_route route = std::move(chosen->route_);
+    run_attempt(stream, std::move(*chosen), prompt_tokens);
+    return true;
+}
+
+void stream_service::wait_for_chain(active_stream& stream, time_point now)
+{
+    if (!stream.chainless_since_)
+    {
+        stream.chainless_since_ = now;
+    }
+    if (now - *stream.chainless_since_ > exclusion_lifetime)
+    {
+        stream.state_.excluded_.clear();
+    }
+    stream.next_chain_try_ = now + chain_retry;
+}
+
+void stream_service::run_attempt(active_stream& stream, chosen_chain chosen,
+                                 std::uint32_t prompt_tokens)
+{
+    time_point const now = environment_.clock_.now();
+    chain_route route = std::move(chosen.route_);
     route.entry_address_ = environment_.entry_address_;
     route.service_ = stream.call_.config_->name_;
     route.prompt_tokens_ = prompt_tokens;
@@ -302,14 +315,13 @@
     note_run(suspicion_, stream.state_.request_, stream.fingerprint_, addresses,
              static_cast<std::uint32_t>(stream.state_.tokens_.size()));
     step_frame frame =
-        begin_attempt(stream.state_, std::move(route), chosen->version_, now);
+        begin_attempt(stream.state_, std::move(route), chosen.version_, now);
     stream.is_begun_ = true;
     if (!environment_.bus_.send(addresses.front(), std::move(frame)))
     {
         apply(stream, on_stage_lost(stream.state_, addresses.front(),
                                     retry_reason::stage_died, now));
     }
-    return true;
 }
 
 void stream_service::apply(active_stream& stream, stream_actions const& actions)
