Measure throughput with batches that are always full too

With batches of two positions the served part of the bound mixed two things: how well chains are chosen, and whether batches are full. A second fleet of the same bound, with one position in a batch, tells them apart.

--- a/scripts/lib/bench_throughput.py
+++ b/scripts/lib/bench_throughput.py
@@ -9,10 +9,12 @@
                            quantile)
 from cluster import expected_answer
 
-#: Two positions in a batch; its time is 7, 3.5 and 1.75 ms.
-SPEEDS = {"slow": 6800, "medium": 3300, "fast": 1550}
-OPTIONS = [["--step-us", str(step), "--token-us", "100", "--prefill-us", "10",
-            "--max-batch", "2", "--accelerator", name] for name, step in SPEEDS.items()]
+#: Base time of a batch in us, by kind of accelerator, and positions in a batch.
+#: Both fleets have the same bound: with one position a batch is always full.
+FLEETS = {
+    "batches_of_one": (1, {"slow": 3400, "medium": 1650, "fast": 775}),
+    "batches_of_two": (2, {"slow": 6800, "medium": 3300, "fast": 1550}),
+}
 LOADS = (0.5, 0.9, 1.2, 2.0, 5.0)
 SECONDS = 10
 WARM_UP_S = 2
@@ -26,6 +28,12 @@
 MODEST_LOAD = 0.8
 
 
+def engine_options(positions, speeds):
+    return [["--step-us", str(step), "--token-us", "100", "--prefill-us", "10",
+             "--max-batch", str(positions), "--accelerator", name]
+            for name, step in speeds.items()]
+
+
 def jain(values):
     """Jain's index of fairness: 1 when all are equal."""
     squares = sum(value * value for value in values)
@@ -67,7 +75,7 @@
     return min(1.0, got / min(share, offered))
 
 
-def run_case(system, name, rates, bound, expected):
+def run_case(system, fleet, name, rates, bound, expected):
     arrivals = bench_load.schedule(rates, SECONDS, ANSWER_TOKENS, PROMPTS, SEED)
     started, lag = bench_load.offer(system.entry.callers, SERVICE, arrivals, TIMEOUT_MS)
     outcomes = [each for _, each in arrivals]
@@ -86,7 +94,8 @@
     modest_firsts, modest_intervals = latencies(modest)
     served = window.rate(window.tokens(outcomes))
     offered_rate = window.rate(sum(each.tokens for each in window.sent(outcomes)))
-    print_line(bench="throughput", case=name, seed=SEED, bound_tokens_per_second=round(bound),
+    print_line(bench="throughput", fleet=fleet, case=name, seed=SEED,
+               bound_tokens_per_second=round(bound),
                offered_over_bound=round(offered_rate / bound, 3),
                served_tokens_per_second=round(served), served_over_bound=round(served / bound, 3),
                requests=len(outcomes), admitted=len(admitted),
@@ -102,20 +111,25 @@
     return len(failures)
 
 
-def main():
-    expected = {(prompt, tokens): expected_answer(prompt, LAYERS, tokens)
-                for prompt in PROMPTS for tokens in ANSWER_TOKENS}
+def run_fleet(fleet, expected):
     failures = 0
-    with BenchCluster(OPTIONS) as system:
+    with BenchCluster(engine_options(*FLEETS[fleet])) as system:
         bound = system.service_status()["bound_tokens_per_second"]
         share = bound / len(WORKSPACES)
         for load in LOADS:
             rates = {workspace: load * share for workspace in WORKSPACES}
-            failures += run_case(system, f"even_{load}", rates, bound, expected)
+            failures += run_case(system, fleet, f"even_{load}", rates, bound, expected)
         modest = {workspace: MODEST_LOAD * share for workspace in WORKSPACES[1:]}
-        failures += run_case(system, "others_alone", modest, bound, expected)
+        failures += run_case(system, fleet, "others_alone", modest, bound, expected)
         greedy = {WORKSPACES[0]: GREED * share, **modest}
-        failures += run_case(system, "one_at_20_times", greedy, bound, expected)
+        failures += run_case(system, fleet, "one_at_20_times", greedy, bound, expected)
+    return failures
+
+
+def main():
+    expected = {(prompt, tokens): expected_answer(prompt, LAYERS, tokens)
+                for prompt in PROMPTS for tokens in ANSWER_TOKENS}
+    failures = sum(run_fleet(fleet, expected) for fleet in FLEETS)
     return 1 if failures else 0
 
 
