--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -39,8 +39,10 @@
     auto loaded = settings::load(path);
     if (!loaded)
     {
-        std::fprintf(stderr, "%s: %s\n", program.c_str(),
-                     loaded.error().detail_.c_str());
+        // The settings that would choose the format of the log are not valid.
+        configure_log(log_level::info, log_format::text, program);
+        log(log_level::error, log_event::settings_rejected, {},
+            path + ": " + loaded.error().detail_);
         return {exit_code::usage, {}};
     }
     if (is_check)
