--- a/src/transport/entry.cpp
+++ b/src/transport/entry.cpp
@@ -13,7 +13,6 @@
 
 #include "auburnlb/coordination/admin_api.hpp"
 #include "auburnlb/coordination/configuration.hpp"
-#include "auburnlb/coordination/peer_changes.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/service_object.hpp"
 #include "auburnlb/transport/call_service.hpp"
@@ -21,6 +20,7 @@
 #include "auburnlb/transport/companion.hpp"
 #include "auburnlb/transport/config_keeper.hpp"
 #include "auburnlb/transport/object_watch.hpp"
+#include "auburnlb/transport/peer_log.hpp"
 #include "auburnlb/transport/platform_client.hpp"
 #include "auburnlb/transport/platform_store.hpp"
 #include "auburnlb/transport/status_report.hpp"
@@ -43,20 +43,6 @@
 /// Time for the balancer to see that readiness is off before the port closes.
 constexpr milliseconds balancer_notice{200};
 
-log_event to_event(peer_change_kind kind)
-{
-    switch (kind)
-    {
-    case peer_change_kind::joined:
-        return log_event::peer_joined;
-    case peer_change_kind::leaving:
-        return log_event::peer_leaving;
-    case peer_change_kind::replaced:
-        return log_event::peer_replaced;
-    }
-    return log_event::peer_joined;
-}
-
 class entry_runtime final : public entry
 {
 public:
@@ -489,23 +475,12 @@
 
     void apply_one(endpoints_changed const& /*action*/)
     {
-        log_peer_changes();
+        log_peer_changes(seen_peers_, known_endpoints(peers_));
         plan_soon();
         update_members();
         show_fleet_to_gates();
     }
 
-    void log_peer_changes()
-    {
-        for (peer_change const& change :
-             note_peers(seen_peers_, known_endpoints(peers_)))
-        {
-            log(log_level::info, to_event(change.kind_),
-                {{"peer", change.address_}, {"service", change.service_}},
-                "an endpoint changed");
-        }
-    }
-
     /// Companions of plain services move the homes of keys by the fleet that
     /// entries see.
     void show_fleet_to_gates()
