--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -95,7 +95,7 @@
         listed.insert(host.address_);
         auto const [slot, is_new] = table.peers_.try_emplace(host.address_);
         peer_state& peer = slot->second;
-        is_changed = is_changed || peer.host_.state_ != host.state_;
+        is_changed = is_changed || peer.host_ != host;
         peer.host_ = host;
         if (is_new)
         {
--- a/test/coordination/peer_table_test.cpp
+++ b/test/coordination/peer_table_test.cpp
@@ -140,4 +140,11 @@
     on_hello_reply(table, {1, "e", {}, {}}, 9, at(1));
     EXPECT_TRUE(table.peers_.at("e").is_alive_);
     EXPECT_TRUE(on_greeting(table, "e", at(2)).empty());
+    // Trees are built over data centres, which only the list tells.
+    host_entry host;
+    host.address_ = "e";
+    host.role_ = host_role::entry;
+    host.data_centre_ = "dc1";
+    EXPECT_EQ(count<endpoints_changed>(on_hosts(table, {host}, at(3))), 1U);
+    EXPECT_EQ(count<endpoints_changed>(on_hosts(table, {host}, at(4))), 0U);
 }
--- a/test/process/control_test.py
+++ b/test/process/control_test.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import subprocess
 import unittest
@@ -47,21 +48,22 @@
 
 
 class ControlCluster(cluster.Cluster):
-    """Two entries and one plain endpoint with a first configuration."""
+    """Two entries with a first configuration and, mostly, a plain endpoint."""
 
-    def __init__(self):
+    def __init__(self, with_endpoint=True):
         super().__init__()
         try:
-            service = self.start_fake("plain_service", [])
-            self.companion = self.add_companion("desk", SERVICE, "plain",
-                                                service.port)
+            if with_endpoint:
+                service = self.start_fake("plain_service", [])
+                self.companion = self.add_companion("desk", SERVICE, "plain",
+                                                    service.port)
             self.first = self.add_entry("entry0")
             self.second = self.add_entry("entry1")
             applied = command_line(self.first, "apply", QUESTIONNAIRE, "--yes",
                                    "--comment", "start")
             assert applied.returncode == SUCCESS, applied.stderr
             for entry in (self.first, self.second):
-                self.wait_for_service(entry, SERVICE, 1)
+                self.wait_for_service(entry, SERVICE, int(with_endpoint))
         except BaseException:
             self.__exit__(RuntimeError, None, None)
             raise
@@ -88,10 +90,13 @@
         with ControlCluster() as system:
             before = system.version(system.first)
             values = {8100: system.first, 8200: system.second}
+            # Both are prepared before either is written.
+            system.platform_control("faults", {"hold_writes_ms": 300})
             with concurrent.futures.ThreadPoolExecutor(2) as pool:
                 done = list(pool.map(
                     lambda item: amend(item[1], item[0], before),
                     values.items()))
+            system.platform_control("faults", {"hold_writes_ms": 0})
             codes = [each.returncode for each in done]
             self.assertEqual(sorted(codes), [SUCCESS, CONFLICT],
                              [each.stderr for each in done])
@@ -107,34 +112,67 @@
                 self.assertIn(str(value),
                               json.dumps(system.value_in_force(entry)))
 
-    def test_a_lost_accepting_answer_is_settled_by_reading(self):
+    def check_lost_acceptance(self, offer):
         # No companion runs, so that the lost answer is not one of its writes,
         # and a first version keeps no replaced content: the one write whose
         # answer is lost is the accepting one.
         with cluster.Cluster() as system:
             entries = [system.add_entry(f"entry{index}") for index in range(2)]
             system.platform_control("faults", {"lose_answers": 1})
-            done = command_line(entries[0], "apply", QUESTIONNAIRE, "--yes",
-                                "--comment", "start")
-            self.assertEqual(done.returncode, SUCCESS, done.stderr)
-            self.assertRegex(done.stdout, r"version 1\b")
+            offer(system, entries[0])
             for entry in entries:
                 system.wait_for_service(entry, SERVICE, 0)
             self.assertEqual(self.history_length(system, entries[0]), 1)
             self.assertEqual(self.calls(system.platform)["PUT services"], 1)
 
-    def test_an_amendment_with_a_lost_answer_is_one_new_version(self):
-        with ControlCluster() as system:
+    def test_a_lost_accepting_answer_is_settled_within_one_request(self):
+        def offer(system, entry):
+            with open(QUESTIONNAIRE, encoding="utf-8") as file:
+                answers = json.load(file)
+            status, body = system.admin(
+                entry, "PUT", f"/services/{SERVICE}",
+                {"questionnaire": answers, "change_id": "lost-answer",
+                 "comment": "start", "expected_version": 0})
+            self.assertEqual((status, body.get("version")), (200, 1), body)
+        self.check_lost_acceptance(offer)
+
+    def test_a_lost_accepting_answer_is_hidden_by_the_command_line(self):
+        def offer(_, entry):
+            done = command_line(entry, "apply", QUESTIONNAIRE, "--yes",
+                                "--comment", "start")
+            self.assertEqual(done.returncode, SUCCESS, done.stderr)
+            self.assertRegex(done.stdout, r"version 1\b")
+        self.check_lost_acceptance(offer)
+
+    def test_a_lost_answer_to_an_amendment_is_settled_by_reading(self):
+        with ControlCluster(with_endpoint=False) as system:
             before = system.version(system.first)
+            kept = self.calls(system.platform).get("PUT service_history", 0)
+            written = self.calls(system.platform)["PUT services"]
             history = self.history_length(system, system.first)
-            system.platform_control("faults", {"lose_answers": 1})
-            done = amend(system.first, 8300, before)
-            self.assertEqual(done.returncode, SUCCESS, done.stderr)
-            accepted = int(re.search(r"version (\d+)", done.stdout).group(1))
-            system.wait_for_version(accepted, system.first, system.second)
+            body = {"amendments": {FIELD: 8300}, "change_id": "lost-answer",
+                    "comment": "amend", "expected_version": before}
+            # The write of the replaced content is held; once it is there, the
+            # next write, which accepts the amendment, loses its answer.
+            system.platform_control("faults", {"hold_writes_ms": 1000})
+            with concurrent.futures.ThreadPoolExecutor(1) as pool:
+                offered = pool.submit(system.admin, system.first, "PATCH",
+                                      f"/services/{SERVICE}", body)
+                cluster.wait_until(
+                    lambda: self.calls(system.platform).get(
+                        "PUT service_history", 0) > kept,
+                    "the replaced content is on its way")
+                system.platform_control("faults", {"lose_answers": 1})
+                status, answer = offered.result()
+            self.assertEqual(status, 200, answer)
+            system.wait_for_version(answer["version"], system.first,
+                                    system.second)
+            calls = self.calls(system.platform)
+            self.assertEqual(calls["PUT services"], written + 1)
+            self.assertEqual(calls["PUT service_history"], kept + 1)
             self.assertEqual(self.history_length(system, system.first),
                              history + 1)
-            self.assertEqual(system.version(system.second), accepted)
+            self.assertEqual(system.version(system.second), answer["version"])
 
     @staticmethod
     def history_length(system, entry):
@@ -170,7 +208,7 @@
     def readiness(entry):
         return cluster.request(entry.callers, "GET", "/readyz")[0]
 
-    def test_versions_at_a_companion_only_grow_through_an_entry_restart(self):
+    def test_versions_at_a_companion_only_grow(self):
         with ControlCluster() as system:
             version = system.version(system.first)
             for value in (8400, 8500):
@@ -179,6 +217,14 @@
                 version = int(
                     re.search(r"version (\d+)", done.stdout).group(1))
                 self.wait_for_companion(system, version)
+            # An entry that was paused wakes with the older version.
+            system.second.send(signal.SIGSTOP)
+            done = amend(system.first, 8550, version)
+            self.assertEqual(done.returncode, SUCCESS, done.stderr)
+            version = int(re.search(r"version (\d+)", done.stdout).group(1))
+            self.wait_for_companion(system, version)
+            system.second.send(signal.SIGCONT)
+            system.wait_for_version(version, system.second)
             self.assertEqual(system.first.stop(), 0)
             system.withdraw("entry0")
             restarted = system.add_entry("entry0")
