Let the companion keep sixteen calls at its engine

Cause: with two calls in progress the steps of a batch were answered together at the end of their call, so that the engines ran 93 to 98% of their batches but with 1.22 to 1.76 of two positions in each. Conclusion: batching belongs to the engine; the companion should not hold back.

--- a/include/auburnlb/transport/companion.hpp
+++ b/include/auburnlb/transport/companion.hpp
@@ -31,9 +31,10 @@
     double tokens_per_second_ = 0;
     /// Steps sent to the engine in one call at most.
     std::size_t max_batch_ = 64;
-    /// Calls to the engine in progress at most; two keep it busy while the
-    /// results of one are handed on.
-    std::size_t engine_calls_ = 2;
+    /// Calls to the engine in progress at most. A call is answered when its
+    /// last step is, so that few calls with many steps hold results back and
+    /// leave the engine's batches half empty.
+    std::size_t engine_calls_ = 16;
     milliseconds engine_timeout_{30'000};
     milliseconds engine_poll_{200};
     /// A stream without frames for this long is given up.
--- a/include/auburnlb/transport/engine_runner.hpp
+++ b/include/auburnlb/transport/engine_runner.hpp
@@ -32,9 +32,8 @@
 {
     /// Steps in one call at most.
     std::size_t max_batch_ = 64;
-    /// Calls in progress at most; two keep the engine busy while the results
-    /// of one are handed on.
-    std::size_t calls_ = 2;
+    /// Calls in progress at most.
+    std::size_t calls_ = 16;
     milliseconds max_timeout_{30'000};
 };
 
