Drop two settings that nothing read, and use the endpoint's KV memory

Cause: peers.threads and timing.silence_limit_ms were declared and ignored, and endpoint.kv_tokens was not applied. Ruled out: keeping them for a use that does not exist.

--- a/include/auburnlb/state/settings.hpp
+++ b/include/auburnlb/state/settings.hpp
@@ -174,8 +174,6 @@
     {},
     "nng address that peers are told to use, where a forwarder stands before "
     "this process; empty for the address listened on."};
-inline constexpr setting<std::uint32_t> peers_threads{
-    "peers", "threads", 2, 1, 64, "Threads that handle peers' messages."};
 
 inline constexpr setting<std::string> callers_address{
     "callers",
@@ -269,14 +267,6 @@
     milliseconds(600'000),
     "Silence of a stream after which its stages are probed, in "
     "milliseconds."};
-inline constexpr setting<milliseconds> timing_silence_limit{
-    "timing",
-    "silence_limit_ms",
-    milliseconds(750),
-    milliseconds(20),
-    milliseconds(600'000),
-    "Silence of a link after which it is probed on a new connection, in "
-    "milliseconds."};
 inline constexpr setting<seconds> timing_drain_limit{
     "timing",
     "drain_limit_s",
--- a/include/auburnlb/transport/companion.hpp
+++ b/include/auburnlb/transport/companion.hpp
@@ -29,6 +29,8 @@
     std::string platform_url_;
     /// Overrides what the engine says of itself when above zero.
     double tokens_per_second_ = 0;
+    /// The same for the tokens that the engine's KV cache holds.
+    std::uint64_t kv_tokens_ = 0;
     /// Steps sent to the engine in one call at most.
     std::size_t max_batch_ = 64;
     /// Calls to the engine in progress at most. A call is answered when its
--- a/src/transport/companion.cpp
+++ b/src/transport/companion.cpp
@@ -552,6 +552,10 @@
             return;
         }
         status_ = status.value();
+        if (options_.kv_tokens_ > 0)
+        {
+            status_.kv_tokens_ = options_.kv_tokens_;
+        }
         if (is_engine_up_ && table_.layers_ == status_.layers_)
         {
             return;
--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -221,6 +221,7 @@
     options.kind_ = values.get(endpoint_kind) == "plain" ? service_kind::plain
                                                          : service_kind::model;
     options.tokens_per_second_ = values.get(endpoint_tokens_per_second);
+    options.kv_tokens_ = values.get(endpoint_kv_tokens);
     options.drain_limit_ = values.get(timing_drain_limit);
     options.stream_idle_limit_ = values.get(timing_resume_grace);
     return options;
