Leave socket structures to the libraries

Cause: the bound port was read from nng's raw address, and tests built socket addresses by hand. Ruled out: nothing else; nng has an option for the port and Asio opens the tests' sockets. Measured: 27 tests of clients, bus and fakes pass. Conclusion: less code, and no foreign member names in ours.

--- a/fakes/fake_http.cpp
+++ b/fakes/fake_http.cpp
@@ -51,10 +51,10 @@
         using connection = restinio::impl::connection_t<server_traits>;
         auto const handle =
             std::move(restinio::impl::access_req_connection(*request_));
-        auto internals =
+        auto [settings, socket, lifetime] =
             dynamic_cast<connection&>(*handle).move_upgrade_internals();
         asio::error_code ignored;
-        internals.m_socket.close(ignored);
+        socket.close(ignored);
     }
 
 private:
--- a/src/transport/message_bus.cpp
+++ b/src/transport/message_bus.cpp
@@ -165,16 +165,12 @@
     static std::string bound_address(nng_listener listener,
                                      std::string const& asked)
     {
-        nng_sockaddr bound;
-        if (nng_listener_get_addr(listener, NNG_OPT_LOCADDR, &bound) != 0 ||
-            bound.s_family != NNG_AF_INET)
+        int port = 0;
+        if (nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port) != 0)
         {
             return asked;
         }
-        auto const* const port =
-            reinterpret_cast<unsigned char const*>(&bound.s_in.sa_port);
-        return asked.substr(0, asked.rfind(':') + 1) +
-               std::to_string(port[0] * 256 + port[1]);
+        return asked.substr(0, asked.rfind(':') + 1) + std::to_string(port);
     }
 
     static void on_receive(void* argument)
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -4,11 +4,8 @@
 #include <atomic>
 #include <future>
 
-#include <arpa/inet.h>
+#include <asio.hpp>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "fake_http.hpp"
 
@@ -52,22 +49,10 @@
 /// A listening socket that nobody accepts from or reads.
 struct silent_listener
 {
-    int socket_ = socket(AF_INET, SOCK_STREAM, 0);
-    std::uint16_t port_ = 0;
-
-    silent_listener()
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        auto* const generic = reinterpret_cast<sockaddr*>(&address);
-        EXPECT_EQ(bind(socket_, generic, size), 0);
-        EXPECT_EQ(listen(socket_, 8), 0);
-        getsockname(socket_, generic, &size);
-        port_ = ntohs(address.sin_port);
-    }
-    ~silent_listener() { close(socket_); }
+    asio::io_context io_;
+    asio::ip::tcp::acceptor acceptor_{io_,
+                                      {asio::ip::address_v4::loopback(), 0}};
+    std::uint16_t port_ = acceptor_.local_endpoint().port();
 };
 
 } // namespace
--- a/test/transport/message_bus_test.cpp
+++ b/test/transport/message_bus_test.cpp
@@ -1,13 +1,10 @@
 // Tests of the message bus on loopback sockets.
 #include <condition_variable>
-#include <cstring>
 #include <mutex>
 #include <vector>
 
-#include <arpa/inet.h>
+#include <asio.hpp>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "auburnlb/transport/message_bus.hpp"
 
@@ -113,22 +110,19 @@
     inbox peer_box;
     auto bus = box.open("tcp://127.0.0.1:0", 1);
     std::string const address = bus->address();
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(static_cast<std::uint16_t>(
-        std::stoi(address.substr(address.rfind(':') + 1))));
-    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    int const raw = socket(AF_INET, SOCK_STREAM, 0);
-    ASSERT_EQ(connect(raw, reinterpret_cast<sockaddr*>(&target), sizeof target),
-              0);
+    asio::io_context io;
+    asio::ip::tcp::socket raw(io);
+    raw.connect({asio::ip::address_v4::loopback(),
+                 static_cast<std::uint16_t>(
+                     std::stoi(address.substr(address.rfind(':') + 1)))});
     // The scalability protocols' greeting of a PUSH peer, then a framed body
     // that is no message of ours.
     unsigned char const greeting[] = {0, 'S', 'P', 0, 0, 0x50, 0, 0};
     unsigned char const frame[] = {0, 0, 0, 0, 0, 0, 0, 3, 'x', 'y', 'z'};
-    ASSERT_EQ(write(raw, greeting, sizeof greeting), ssize_t(sizeof greeting));
-    ASSERT_EQ(write(raw, frame, sizeof frame), ssize_t(sizeof frame));
+    asio::write(raw, asio::buffer(greeting));
+    asio::write(raw, asio::buffer(frame));
     ASSERT_TRUE(box.wait([&] { return box.garbage_ == 1; }));
-    ::close(raw);
+    raw.close();
     auto peer = peer_box.open("tcp://127.0.0.1:0", 2);
     ASSERT_TRUE(peer->send(address, cancel_stream{}));
     ASSERT_TRUE(box.wait([&] { return box.messages_.size() == 1; }));
