--- /dev/null
+++ b/include/auburnlb/router/boot_clock.hpp
@@ -0,0 +1,27 @@
+// A clock that goes on while the process is suspended.
+#ifndef AUBURNLB_ROUTER_BOOT_CLOCK_HPP
+#define AUBURNLB_ROUTER_BOOT_CLOCK_HPP
+
+#include <ctime>
+
+#include "auburnlb/state/clock.hpp"
+
+namespace auburnlb
+{
+
+/// Time since the start of the host. Callers and leases do not wait for a
+/// suspended process, so its deadlines must not stand still either.
+class boot_clock final : public clock_source
+{
+public:
+    time_point now() const override
+    {
+        timespec value{};
+        clock_gettime(CLOCK_BOOTTIME, &value);
+        return time_point(seconds(value.tv_sec) + nanoseconds(value.tv_nsec));
+    }
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -0,0 +1,118 @@
+// Connections of callers: requests come in whole, answers go out as they come.
+#ifndef AUBURNLB_ROUTER_CALLER_CONNECTION_HPP
+#define AUBURNLB_ROUTER_CALLER_CONNECTION_HPP
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "auburnlb/router/http_message.hpp"
+#include "auburnlb/router/tcp_channel.hpp"
+#include "auburnlb/state/clock.hpp"
+#include "auburnlb/state/route_table.hpp"
+
+namespace auburnlb
+{
+
+class caller_connection;
+
+/// What a whole request is handed to.
+class request_owner
+{
+public:
+    virtual ~request_owner() = default;
+    /// The caller has left; no answer is wanted any more.
+    virtual void on_caller_left() = 0;
+};
+
+/// Serves the requests of caller connections.
+class request_service
+{
+public:
+    virtual ~request_service() = default;
+    /// Begins to serve the request, which must end with an answer or an abort.
+    virtual void serve(std::shared_ptr<caller_connection> caller,
+                       http_head head, std::string body,
+                       time_point received) = 0;
+    virtual caller_limits limits() const = 0;
+    /// Answers ask the caller to close its connection.
+    virtual bool is_closing() const = 0;
+    virtual time_point now() const = 0;
+    virtual void on_connection_closed(caller_connection& connection) = 0;
+};
+
+/// One connection of a caller. It carries one request at a time; bytes of the
+/// next are kept meanwhile.
+class caller_connection final
+    : public std::enable_shared_from_this<caller_connection>
+    , public channel_receiver
+    , public http_message_sink
+{
+public:
+    caller_connection(request_service& service,
+                      std::shared_ptr<tcp_channel> channel);
+    caller_connection(caller_connection const&) = delete;
+    caller_connection& operator=(caller_connection const&) = delete;
+
+    void start();
+
+    /// Whom on_caller_left tells; reset by the end of the answer.
+    void set_owner(request_owner* owner) { owner_ = owner; }
+
+    /// Sends a whole answer. Connection fields and the length are set here.
+    void answer(http_head const& head, std::string_view body);
+    /// Sends the head of an answer whose body follows in pieces.
+    void begin_answer(http_head const& head);
+    void add_body(std::string_view piece);
+    void end_answer();
+    /// Closes without the end of the answer, so that it does not look complete.
+    void abort_answer();
+
+    /// Whether a part of an answer was sent.
+    bool has_begun_answer() const { return has_begun_answer_; }
+    bool is_idle() const { return !is_serving_ && !reader_.is_inside_message(); }
+    /// Bytes that the caller has not taken yet.
+    std::size_t unsent_bytes() const { return channel_->unsent_bytes(); }
+    /// Closes a connection on which no request is in progress.
+    void close_if_idle();
+    void on_tick(time_point now);
+
+private:
+    void on_bytes(std::string_view bytes) override;
+    void on_end(channel_end end) override;
+    void on_head(http_head head) override;
+    void on_body(std::string_view piece) override;
+    void on_message_end() override;
+
+    void read(std::string_view bytes);
+    void read_pending();
+    void reject(unsigned status);
+    /// Closes for good; the connection is dropped by its service.
+    void shut(bool is_abrupt);
+    void finish_request();
+    void append_connection_fields(std::string& out) const;
+
+    request_service& service_;
+    std::shared_ptr<tcp_channel> channel_;
+    http_reader reader_;
+    request_owner* owner_ = nullptr;
+    http_head head_;
+    std::string body_;
+    /// Bytes that came while a request was in progress.
+    std::string pending_;
+    /// Begin of the message being read, or of the idle time.
+    time_point since_{};
+    bool is_serving_ = false;
+    bool has_begun_answer_ = false;
+    /// The request in progress is the last of the connection.
+    bool is_last_ = false;
+    bool is_body_too_large_ = false;
+    bool is_closed_ = false;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -0,0 +1,148 @@
+// One request of a caller on its way to endpoints and back.
+#ifndef AUBURNLB_ROUTER_FORWARDED_REQUEST_HPP
+#define AUBURNLB_ROUTER_FORWARDED_REQUEST_HPP
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "auburnlb/coordination/attempt_outcome.hpp"
+#include "auburnlb/coordination/path_choice.hpp"
+#include "auburnlb/protocol/event_splitter.hpp"
+#include "auburnlb/router/caller_connection.hpp"
+#include "auburnlb/router/endpoint_pool.hpp"
+#include "auburnlb/router/router_core.hpp"
+#include "auburnlb/state/refusal.hpp"
+
+namespace auburnlb
+{
+
+/// A request from its arrival until its caller has an answer or has left.
+/// Invariant: in router_core::active_ until it is settled.
+class forwarded_request final
+    : public std::enable_shared_from_this<forwarded_request>
+    , public request_owner
+    , public exchange_receiver
+{
+public:
+    /// Checks the request and begins to serve it.
+    static void begin(router_core& core,
+                      std::shared_ptr<caller_connection> caller, http_head head,
+                      std::string body, time_point received);
+
+    forwarded_request(router_core& core,
+                      std::shared_ptr<caller_connection> caller, http_head head,
+                      std::string body, time_point received);
+
+    /// Sends the request if an endpoint has room for it; whether it was sent
+    /// or settled.
+    bool try_start(time_point now);
+
+    /// Gives up waiting.
+    void refuse_waiting(time_point now);
+
+    void on_tick(time_point now);
+
+    void on_caller_left() override;
+    bool is_own_answer(http_head const& head) override;
+    void on_answer_head(http_head const& head) override;
+    void on_answer_body(std::string_view piece) override;
+    void on_answer_end() override;
+    void on_exchange_failed(exchange_failure failure) override;
+
+private:
+    /// One engine or endpoint of an attempt, and what was reserved there.
+    struct reservation
+    {
+        endpoint_ptr endpoint_;
+        endpoint_load load_;
+    };
+
+    /// Whether the request may be served at all; answers it if not.
+    bool accept();
+    bool find_route();
+    bool find_workspace();
+    bool read_facts();
+    void enqueue(time_point now);
+
+    bool start_on_path(time_point now);
+    bool start_on_endpoint(time_point now);
+    void send(endpoint_ptr const& first, std::vector<path_part> const& path,
+              time_point now);
+    std::optional<path_choice> find_path(time_point now) const;
+    double expected_answer_tokens() const;
+
+    void on_events(std::string_view piece);
+    void on_first_event(time_point now);
+    void finish_stream();
+    void finish_answer();
+    attempt_end judge_answer() const;
+    void end_attempt(attempt_end end, char const* why);
+    void repeat(attempt_end end, char const* why, time_point now);
+    attempt_limits limits_now(attempt_end end, time_point now) const;
+    void note_attempt(attempt_end end, time_point now);
+    void blame(attempt_end end, time_point now);
+    void blame_silent(time_point now);
+    void blame_refusing(time_point now);
+    void check_silence(time_point now);
+    milliseconds silence_limit() const;
+    bool can_go_elsewhere(time_point now) const;
+    /// When a caller that is refused has a prospect.
+    milliseconds return_time();
+
+    void reply(unsigned status, refusal_reason reason,
+               std::optional<milliseconds> retry_after);
+    void settle(char const* outcome, unsigned status);
+    void release();
+    bool is_stream() const { return route_->kind_ == route_kind::stream; }
+    bool may_repeat() const;
+    service_runtime& service() { return core_.services_[service_name_]; }
+
+    router_core& core_;
+    std::shared_ptr<caller_connection> caller_;
+    http_head head_;
+    std::string body_;
+    time_point received_;
+    /// Keeps route_ and service_entry_ alive.
+    std::shared_ptr<route_index const> routes_;
+    route const* route_ = nullptr;
+    std::string service_name_;
+    service_entry const* service_entry_ = nullptr;
+    caller_request facts_;
+    workspace_entry const* workspace_ = nullptr;
+    time_point deadline_{};
+    std::uint64_t ticket_ = 0;
+    bool is_waiting_ = false;
+    bool is_settled_ = false;
+
+    // The attempt in progress.
+    std::shared_ptr<endpoint_connection> connection_;
+    std::vector<reservation> reservations_;
+    path_choice path_;
+    http_head answer_head_;
+    endpoint_answer answer_;
+    std::string answer_body_;
+    bool is_streaming_ = false;
+    time_point sent_at_{};
+    time_point progress_at_{};
+    /// Moving mean of the time between two events.
+    nanoseconds event_gap_{0};
+    milliseconds extra_patience_{0};
+
+    // Over all attempts.
+    std::uint32_t sends_ = 0;
+    /// Endpoints that it was sent to, each once.
+    std::vector<std::string> sent_to_;
+    bool may_have_run_ = false;
+    event_splitter events_;
+    std::uint32_t event_count_ = 0;
+    std::optional<time_point> first_event_at_;
+    nanoseconds longest_gap_{0};
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/router/http_caller.hpp
@@ -0,0 +1,58 @@
+// Calls to HTTP servers that are not callers' requests: the platform's store,
+// orders to engines, reports of engines and exchanges between routers.
+#ifndef AUBURNLB_ROUTER_HTTP_CALLER_HPP
+#define AUBURNLB_ROUTER_HTTP_CALLER_HPP
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "auburnlb/router/endpoint_pool.hpp"
+#include "auburnlb/router/platform_protocol.hpp"
+#include "auburnlb/state/error.hpp"
+
+namespace auburnlb
+{
+
+/// The answer to a call.
+struct http_reply
+{
+    unsigned status_ = 0;
+    std::string body_;
+
+    bool operator==(http_reply const&) const = default;
+};
+
+/// Makes calls over connections of its own. Not thread-safe.
+class http_caller
+{
+public:
+    using handler = std::function<void(result<http_reply>)>;
+
+    http_caller(asio::io_context& io, clock_source const& clock);
+    ~http_caller();
+    http_caller(http_caller const&) = delete;
+    http_caller& operator=(http_caller const&) = delete;
+
+    /// The handler is called once, later, unless the caller is destroyed. Its
+    /// error is unreachable if nothing was sent, and answer_lost or timeout if
+    /// the call may have taken effect.
+    void call(std::string const& address, http_call const& call,
+              milliseconds timeout, handler handler);
+
+    /// Ends calls that took too long.
+    void on_tick(time_point now);
+
+private:
+    class pending_call;
+    using pending_ptr = std::shared_ptr<pending_call>;
+
+    clock_source const& clock_;
+    endpoint_pool pool_;
+    std::set<pending_ptr> pending_;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -0,0 +1,71 @@
+// What routers tell each other: the configuration, for those that the platform
+// turns away, and the load that they put on endpoints.
+#ifndef AUBURNLB_ROUTER_PEER_EXCHANGE_HPP
+#define AUBURNLB_ROUTER_PEER_EXCHANGE_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "auburnlb/router/http_caller.hpp"
+#include "auburnlb/router/local_server.hpp"
+#include "auburnlb/router/router_core.hpp"
+
+namespace auburnlb
+{
+
+/// What the exchange reads from and writes to the rest of the router.
+struct peer_exchange_handlers
+{
+    /// The configuration in force, as the platform wrote it; empty for none.
+    std::function<std::string const&()> configuration_text_;
+    std::function<void(std::string const& value, std::string const& peer)>
+        on_configuration_;
+    /// All endpoints as the platform's entries, by identifier.
+    std::function<std::map<std::string, std::string> const&()> endpoint_texts_;
+    std::function<void(std::map<std::string, std::string> const& entries)>
+        on_endpoints_;
+    /// Whether the store answers this router.
+    std::function<bool()> is_store_reachable_;
+};
+
+/// Asks the other routers in turn and answers their questions.
+class peer_exchange
+{
+public:
+    peer_exchange(router_core& core, http_caller& caller,
+                  peer_exchange_handlers handlers);
+
+    /// The answer to another router's question.
+    local_answer answer(std::string const& body);
+    /// A router to ask, by its control address.
+    void add_peer(std::string const& address);
+    void on_tick(time_point now);
+
+private:
+    struct peer
+    {
+        bool is_waiting_ = false;
+        /// Set after its first answer.
+        std::optional<time_point> answered_;
+        time_point next_call_{};
+        std::map<std::string, endpoint_load> loads_;
+    };
+
+    void ask(std::string const& address, peer& peer, time_point now);
+    void on_reply(std::string const& address, result<http_reply> const& reply);
+    void read_loads(peer& peer, std::string const& document);
+    void sum_loads(time_point now);
+    std::string own_state(std::uint64_t known_version, bool with_endpoints);
+
+    router_core& core_;
+    http_caller& caller_;
+    peer_exchange_handlers handlers_;
+    std::map<std::string, peer> peers_;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/router/router.hpp
@@ -0,0 +1,95 @@
+// A router: the process between callers and endpoints on a users' platform.
+#ifndef AUBURNLB_ROUTER_ROUTER_HPP
+#define AUBURNLB_ROUTER_ROUTER_HPP
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "auburnlb/router/caller_connection.hpp"
+#include "auburnlb/router/http_caller.hpp"
+#include "auburnlb/router/local_server.hpp"
+#include "auburnlb/router/peer_exchange.hpp"
+#include "auburnlb/router/placement_duty.hpp"
+#include "auburnlb/router/router_core.hpp"
+#include "auburnlb/router/store_feed.hpp"
+
+namespace auburnlb
+{
+
+/// The whole router on one thread. Destroy it only after the io_context has
+/// stopped.
+class router final : public request_service
+{
+public:
+    router(asio::io_context& io, clock_source const& clock,
+           platform_protocol const& protocol, router_options options);
+    ~router() override;
+
+    /// Opens the ports and begins to follow the store.
+    result<void> start();
+
+    /// Takes new settings; those of ports and names need a restart.
+    void reload(router_options const& options);
+
+    /// Begins a planned stop; the io_context is stopped when it is done.
+    void begin_stop();
+
+    void serve(std::shared_ptr<caller_connection> caller, http_head head,
+               std::string body, time_point received) override;
+    caller_limits limits() const override;
+    bool is_closing() const override { return core_.is_stopping_; }
+    time_point now() const override { return core_.clock_.now(); }
+    void on_connection_closed(caller_connection& connection) override;
+
+private:
+    void schedule_tick();
+    void on_tick();
+    void start_waiting(time_point now);
+    void watch_clock(time_point now);
+    void check_stop(time_point now);
+    bool is_ready() const;
+
+    void on_configuration(store_object const& object,
+                          std::string const& source);
+    void on_endpoint(std::string const& id, std::string const& value);
+    void on_endpoint_removed(std::string const& id);
+    void on_endpoint_list(std::map<std::string, std::string> const& entries);
+    void on_store_reachable(char const* kind, bool is_reachable,
+                            std::string const& reason);
+    store_feed_handlers configuration_handlers();
+    store_feed_handlers endpoint_handlers();
+    peer_exchange_handlers exchange_handlers();
+    local_answer answer_control(http_head const& head, std::string const& body);
+    void join_fleet(time_point now);
+
+    router_core core_;
+    http_caller calls_;
+    /// The platform's entries as written, for routers that it turns away.
+    std::string configuration_text_;
+    std::map<std::string, std::string> endpoint_texts_;
+    store_feed configuration_feed_;
+    store_feed endpoint_feed_;
+    peer_exchange peers_;
+    placement_duty duty_;
+    listener callers_;
+    local_server ready_server_;
+    local_server control_server_;
+    std::set<std::shared_ptr<caller_connection>> connections_;
+    asio::steady_timer timer_;
+    time_point last_tick_{};
+    std::chrono::steady_clock::time_point last_steady_{};
+    time_point next_slow_tick_{};
+    time_point next_join_{};
+    time_point stop_began_{};
+    bool has_endpoints_ = false;
+    bool is_registered_ = false;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/router/router_core.hpp
@@ -0,0 +1,69 @@
+// What the parts of a router share. One thread owns it.
+#ifndef AUBURNLB_ROUTER_ROUTER_CORE_HPP
+#define AUBURNLB_ROUTER_ROUTER_CORE_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <asio/io_context.hpp>
+
+#include "auburnlb/coordination/endpoint_directory.hpp"
+#include "auburnlb/coordination/retry_window.hpp"
+#include "auburnlb/coordination/wait_queue.hpp"
+#include "auburnlb/router/endpoint_pool.hpp"
+#include "auburnlb/router/platform_protocol.hpp"
+#include "auburnlb/router/router_options.hpp"
+#include "auburnlb/state/clock.hpp"
+#include "auburnlb/state/metrics.hpp"
+#include "auburnlb/state/route_table.hpp"
+
+namespace auburnlb
+{
+
+class forwarded_request;
+
+/// One service at this router.
+struct service_runtime
+{
+    wait_queue queue_;
+    /// The requests in the queue, by ticket.
+    std::map<std::uint64_t, std::shared_ptr<forwarded_request>> waiting_;
+    retry_window retries_;
+};
+
+struct router_core
+{
+    router_core(asio::io_context& io, clock_source const& clock,
+                platform_protocol const& protocol, router_options options)
+        : io_(io)
+        , clock_(clock)
+        , protocol_(protocol)
+        , options_(std::move(options))
+        , pool_(io, clock)
+    {
+    }
+
+    asio::io_context& io_;
+    clock_source const& clock_;
+    platform_protocol const& protocol_;
+    router_options options_;
+    /// Null until a configuration is known. Its version never falls.
+    std::shared_ptr<route_index const> routes_;
+    endpoint_directory directory_;
+    endpoint_pool pool_;
+    std::map<std::string, service_runtime> services_;
+    /// Every request that is not settled.
+    std::set<std::shared_ptr<forwarded_request>> active_;
+    /// Routers that share the limits of the fleet, this one included.
+    std::uint32_t routers_ = 1;
+    std::uint64_t last_ticket_ = 0;
+    bool is_stopping_ = false;
+    metrics_registry metrics_;
+};
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/router/router_options.hpp
@@ -0,0 +1,39 @@
+// Options of a router, from its settings.
+#ifndef AUBURNLB_ROUTER_ROUTER_OPTIONS_HPP
+#define AUBURNLB_ROUTER_ROUTER_OPTIONS_HPP
+
+#include <string>
+#include <vector>
+
+#include "auburnlb/coordination/retry_window.hpp"
+#include "auburnlb/state/clock.hpp"
+#include "auburnlb/state/settings.hpp"
+
+namespace auburnlb
+{
+
+struct router_options
+{
+    /// Unique in the fleet.
+    std::string name_;
+    std::string data_centre_;
+    /// "IP:port" of callers, of readiness probes, and of other routers and
+    /// metrics.
+    std::string callers_address_;
+    std::string ready_address_;
+    std::string control_address_;
+    std::string store_address_;
+    /// Control addresses of other routers to begin with; may be stale.
+    std::vector<std::string> seeds_;
+    retry_limits retries_;
+    /// Time between the signal to stop and the kill.
+    milliseconds stop_limit_{8'000};
+
+    bool operator==(router_options const&) const = default;
+};
+
+result<router_options> read_router_options(settings const& values);
+
+} // namespace auburnlb
+
+#endif
--- /dev/null
+++ b/include/auburnlb/router/store_feed.hpp
@@ -0,0 +1,71 @@
+// A kind of the store's objects, followed by a list and watches.
+#ifndef AUBURNLB_ROUTER_STORE_FEED_HPP
+#define AUBURNLB_ROUTER_STORE_FEED_HPP
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "auburnlb/router/http_caller.hpp"
+#include "auburnlb/router/platform_protocol.hpp"
+#include "auburnlb/state/clock.hpp"
+
+namespace auburnlb
+{
+
+/// What a feed tells.
+struct store_feed_handlers
+{
+    /// All objects of the kind.
+    std::function<void(std::vector<store_object> const&)> on_list_;
+    /// An object has changed or is gone.
+    std::function<void(store_object const&)> on_change_;
+    /// The store began or ceased to answer.
+    std::function<void(bool is_reachable, std::string const& reason)>
+        on_reachable_;
+};
+
+/// Follows one kind. Not thread-safe.
+class store_feed
+{
+public:
+    store_feed(http_caller& caller, platform_protocol const& protocol,
+               clock_source const& clock, std::string address,
+               std::string kind, store_feed_handlers handlers);
+
+    void on_tick(time_point now);
+    bool is_reachable() const { return is_reachable_; }
+    /// When the store last answered.
+    time_point answered_at() const { return answered_at_; }
+
+private:
+    void list();
+    void watch();
+    void on_list_reply(result<http_reply> const& reply);
+    void on_watch_reply(result<http_reply> const& reply);
+    void note_answer();
+    void note_failure(std::string const& reason);
+
+    http_caller& caller_;
+    platform_protocol const& protocol_;
+    clock_source const& clock_;
+    std::string address_;
+    std::string kind_;
+    store_feed_handlers handlers_;
+    /// Zero until a list was read; the next call lists again.
+    std::uint64_t revision_ = 0;
+    /// Pages of a list that is being read.
+    std::vector<store_object> listed_;
+    std::uint64_t listed_revision_ = 0;
+    bool is_waiting_ = false;
+    bool is_reachable_ = false;
+    bool was_asked_ = false;
+    time_point next_call_{};
+    time_point answered_at_{};
+    std::uint32_t failures_ = 0;
+};
+
+} // namespace auburnlb
+
+#endif
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -33,6 +33,8 @@
     process_stopped = 102,
     settings_rejected = 103,
     port_unavailable = 104,
+    clock_jumped = 105,
+    settings_reloaded = 106,
     configuration_in_force = 200,
     platform_unreachable = 202,
     platform_reachable = 203,
@@ -48,11 +50,16 @@
     stream_failed = 402,
     stream_cancelled = 403,
     request_quarantined = 404,
+    request_ended = 405,
     engine_lost = 500,
     engine_back = 501,
     claim_home_taken = 600,
     claim_home_fenced = 601,
     claim_write_failed = 602,
+    duty_taken = 700,
+    duty_lost = 701,
+    layers_ordered = 702,
+    order_failed = 703,
 };
 
 /// A named field of an event, such as {"request", "1f-3"} or {"peer", ...}.
--- a/include/auburnlb/state/settings.hpp
+++ b/include/auburnlb/state/settings.hpp
@@ -296,6 +296,47 @@
     milliseconds(600'000),
     "How long a chain keeps a stream whose entry is gone, in milliseconds."};
 
+inline constexpr setting<std::string> router_callers{
+    "router",
+    "callers",
+    "",
+    {},
+    "\"IP:port\" on which a router takes callers' requests."};
+inline constexpr setting<std::string> router_ready{
+    "router", "ready", "", {}, "\"IP:port\" of a router's readiness probe."};
+inline constexpr setting<std::string> router_control{
+    "router",
+    "control",
+    "",
+    {},
+    "\"IP:port\" on which a router serves other routers and metrics."};
+inline constexpr setting<std::string> router_store{
+    "router", "store", "", {}, "\"IP:port\" of the platform's store."};
+inline constexpr setting<std::string> router_seeds{
+    "router",
+    "seeds",
+    "",
+    {},
+    "Control addresses of some routers, separated by commas; may be stale."};
+inline constexpr setting<double> router_retry_ratio{
+    "router", "retry_ratio", 0.1, 0.0, 10.0,
+    "Repeated sends for each request that all routers together may make to a "
+    "service within the retry window."};
+inline constexpr setting<double> router_retry_slack{
+    "router", "retry_slack", 100.0, 0.0, 1e6,
+    "Repeated sends beyond that within the retry window."};
+inline constexpr setting<seconds> router_retry_window{
+    "router",     "retry_window_s", seconds(10), seconds(1),
+    seconds(600), "Length of the retry window, in seconds."};
+inline constexpr setting<milliseconds> router_stop_limit{
+    "router",
+    "stop_limit_ms",
+    milliseconds(8'000),
+    milliseconds(1'000),
+    milliseconds(600'000),
+    "Time from the signal to stop until the process is killed, in "
+    "milliseconds."};
+
 } // namespace settings_catalogue
 
 } // namespace auburnlb
--- a/include/auburnlb/transport/daemon.hpp
+++ b/include/auburnlb/transport/daemon.hpp
@@ -1,39 +1,17 @@
-// What the daemons' mains share: command line, settings, log and signals.
+// What the mains of entry and companion share: signals and options.
 #ifndef AUBURNLB_TRANSPORT_DAEMON_HPP
 #define AUBURNLB_TRANSPORT_DAEMON_HPP
 
 #include <functional>
-#include <optional>
-#include <string>
 
 #include "auburnlb/state/settings.hpp"
 #include "auburnlb/transport/companion.hpp"
+#include "auburnlb/transport/daemon_command.hpp"
 #include "auburnlb/transport/entry.hpp"
 
 namespace auburnlb
 {
 
-/// Exit codes of the daemons.
-enum class exit_code
-{
-    success = 0,
-    failure = 1,
-    usage = 2,
-};
-
-/// What the command line asks for.
-struct daemon_command
-{
-    /// Set when the process is to end at once, for example after --help.
-    std::optional<exit_code> exit_;
-    settings settings_;
-};
-
-/// Reads "--settings FILE", "--check-settings FILE", "--help" and "--version",
-/// prints what they ask for and sets up the log.
-daemon_command read_daemon_command(int argc, char** argv,
-                                   std::string const& program);
-
 /// Blocks SIGTERM and SIGINT in this and all later threads. Call it before the
 /// first thread starts.
 void block_stop_signals();
--- /dev/null
+++ b/src/coordination/attempt_outcome.cpp
@@ -0,0 +1,52 @@
+// Truthful ends of attempts.
+#include "auburnlb/coordination/attempt_outcome.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+bool has_certainly_not_run(attempt_end end)
+{
+    return end == attempt_end::not_sent || end == attempt_end::refused;
+}
+
+bool may_send_again(attempt_end end, attempt_limits const& limits)
+{
+    if (!limits.has_time_ || limits.is_suspect_)
+    {
+        return false;
+    }
+    // An attempt that never left counts neither as an endpoint nor as a repeat.
+    if (end == attempt_end::not_sent)
+    {
+        return limits.endpoints_ < limits.max_endpoints_;
+    }
+    bool const is_allowed = limits.may_repeat_ || has_certainly_not_run(end);
+    return is_allowed && limits.has_budget_ &&
+           limits.endpoints_ < limits.max_endpoints_;
+}
+
+} // namespace
+
+attempt_decision decide_after(attempt_end end, attempt_limits const& limits)
+{
+    if (may_send_again(end, limits))
+    {
+        return attempt_decision::repeat;
+    }
+    if (limits.has_delivered_)
+    {
+        return attempt_decision::break_off;
+    }
+    if (end == attempt_end::failed)
+    {
+        return attempt_decision::pass_on_error;
+    }
+    return has_certainly_not_run(end) && !limits.may_have_run_
+               ? attempt_decision::answer_not_run
+               : attempt_decision::answer_unknown;
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/coordination/endpoint_health.cpp
@@ -0,0 +1,108 @@
+// Decaying counts of failures.
+#include "auburnlb/coordination/endpoint_health.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// A fault of a few seconds is forgotten soon after it ends.
+constexpr std::chrono::duration<double> failure_half_life{2.0};
+
+/// Failures at which an endpoint is avoided for a while.
+constexpr double max_failures = 2.5;
+
+/// What one success takes off the failures.
+constexpr double success_share = 0.15;
+
+/// First time of avoidance; it doubles up to the longest.
+constexpr milliseconds first_avoidance{400};
+constexpr milliseconds longest_avoidance{3'200};
+
+/// A full endpoint has room again soon.
+constexpr milliseconds refusal_avoidance{150};
+
+/// How long a reported slowness is believed.
+constexpr milliseconds slowness_lifetime{4'000};
+
+double decayed_failures(endpoint_health const& health, time_point now)
+{
+    std::chrono::duration<double> const age =
+        std::max(now - health.updated_, nanoseconds(0));
+    return health.failures_ * std::exp2(-(age / failure_half_life));
+}
+
+void avoid(endpoint_health& health, time_point now)
+{
+    std::uint32_t const doublings = std::min(health.avoidances_, 3U);
+    milliseconds const length =
+        std::min(first_avoidance * (1U << doublings), longest_avoidance);
+    health.avoid_until_ = std::max(health.avoid_until_, now + length);
+    ++health.avoidances_;
+}
+
+void add_failure(endpoint_health& health, time_point now)
+{
+    health.failures_ += 1;
+    if (health.failures_ > max_failures && health.avoid_until_ <= now)
+    {
+        avoid(health, now);
+    }
+}
+
+} // namespace
+
+void note_evidence(endpoint_health& health, health_evidence evidence,
+                   time_point now)
+{
+    health.failures_ = decayed_failures(health, now);
+    health.updated_ = now;
+    switch (evidence)
+    {
+    case health_evidence::success:
+        health.failures_ *= 1 - success_share;
+        health.last_success_ = now;
+        health.avoidances_ = 0;
+        return;
+    case health_evidence::failure:
+        add_failure(health, now);
+        return;
+    case health_evidence::unreachable:
+    case health_evidence::silence:
+        // Requests that were sent together fail together; they are one sign.
+        if (health.avoid_until_ <= now)
+        {
+            avoid(health, now);
+        }
+        return;
+    case health_evidence::refusal:
+        health.avoid_until_ =
+            std::max(health.avoid_until_, now + refusal_avoidance);
+        return;
+    }
+}
+
+void note_slowness(endpoint_health& health, double slowness, time_point now)
+{
+    health.slowness_ = std::max(slowness, 1.0);
+    health.slowness_seen_ = now;
+}
+
+bool is_trusted(endpoint_health const& health, time_point now)
+{
+    return now >= health.avoid_until_;
+}
+
+double cost_factor(endpoint_health const& health, time_point now)
+{
+    bool const is_slowness_known =
+        now - health.slowness_seen_ < slowness_lifetime;
+    double const slowness = is_slowness_known ? health.slowness_ : 1;
+    return slowness * (1 + decayed_failures(health, now));
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/coordination/layer_plan.cpp
@@ -0,0 +1,344 @@
+// Replicas for a first start, and small repairs afterwards.
+#include "auburnlb/coordination/layer_plan.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Memory of a replica's engines over the weights of the model: the rest holds
+/// the KV cache of requests.
+constexpr double min_memory_factor = 1.2;
+
+/// Part of an engine's memory that weights may take in a repair.
+constexpr double max_weight_share = 0.9;
+
+/// Most layers that leave room for requests.
+std::uint32_t roomy_layers(plan_engine const& engine,
+                           model_profile const& model)
+{
+    if (model.layer_mb_ <= 0)
+    {
+        return model.layers_;
+    }
+    double const fitting = std::floor(engine.accelerator_.memory_mb_ *
+                                      max_weight_share / model.layer_mb_);
+    return static_cast<std::uint32_t>(
+        std::clamp(fitting, 0.0, static_cast<double>(model.layers_)));
+}
+
+double weights_mb(model_profile const& model)
+{
+    return model.layer_mb_ * static_cast<double>(model.layers_);
+}
+
+using engine_list = std::vector<plan_engine const*>;
+
+double memory_of(engine_list const& engines)
+{
+    return std::accumulate(engines.begin(), engines.end(), 0.0,
+                           [](double sum, plan_engine const* each)
+                           { return sum + each->accelerator_.memory_mb_; });
+}
+
+/// Splits the layers over the engines by memory, so that all hold the KV cache
+/// of equally many tokens. Nothing if their memory does not suffice.
+std::vector<plan_step> split_layers(engine_list const& engines,
+                                    model_profile const& model)
+{
+    double const memory = memory_of(engines);
+    std::vector<plan_step> steps;
+    double share_sum = 0;
+    std::uint32_t first = 0;
+    for (plan_engine const* const engine : engines)
+    {
+        share_sum += engine->accelerator_.memory_mb_;
+        auto const wanted = static_cast<std::uint32_t>(std::lround(
+            share_sum / memory * static_cast<double>(model.layers_)));
+        std::uint32_t const end =
+            std::min({wanted, model.layers_,
+                      first + max_layers(model, engine->accelerator_)});
+        if (end > first)
+        {
+            steps.push_back({engine->id_, {first, end}});
+        }
+        first = end;
+    }
+    return first == model.layers_ ? steps : std::vector<plan_step>();
+}
+
+/// Splits engines, the quickest first, into groups that can each hold a replica
+/// with room for requests.
+std::vector<engine_list> group_replicas(engine_list engines,
+                                        model_profile const& model)
+{
+    std::sort(engines.begin(), engines.end(),
+              [](plan_engine const* left, plan_engine const* right)
+              {
+                  return std::tie(left->accelerator_.step_factor_, left->id_) <
+                         std::tie(right->accelerator_.step_factor_, right->id_);
+              });
+    double const least = weights_mb(model) * min_memory_factor;
+    double const all = memory_of(engines);
+    auto const replicas = static_cast<std::size_t>(
+        std::max(1.0, std::floor(least > 0 ? all / least : 1.0)));
+    double const wanted =
+        std::max(least, all / static_cast<double>(replicas) * 0.98);
+    std::vector<engine_list> groups(1);
+    for (plan_engine const* const engine : engines)
+    {
+        if (groups.size() < replicas && memory_of(groups.back()) >= wanted)
+        {
+            groups.emplace_back();
+        }
+        groups.back().push_back(engine);
+    }
+    return groups;
+}
+
+std::vector<plan_step> first_plan(engine_list const& engines,
+                                  model_profile const& model)
+{
+    std::vector<plan_step> steps;
+    for (engine_list const& group : group_replicas(engines, model))
+    {
+        auto const part = split_layers(group, model);
+        steps.insert(steps.end(), part.begin(), part.end());
+    }
+    return steps;
+}
+
+/// KV tokens that the engines of a data centre have room for at each layer;
+/// zero where no engine holds the layer.
+std::vector<double> room_by_layer(engine_list const& engines,
+                                  model_profile const& model)
+{
+    std::vector<double> room(model.layers_, 0.0);
+    for (plan_engine const* const engine : engines)
+    {
+        if (!engine->layers_)
+        {
+            continue;
+        }
+        std::uint32_t const count =
+            engine->layers_->end_ - engine->layers_->first_;
+        // At least one token, since a full engine still holds the layer.
+        double const tokens = std::max(
+            1.0, kv_tokens_beside(model, engine->accelerator_, count));
+        for (std::uint32_t layer = engine->layers_->first_;
+             layer < std::min(engine->layers_->end_, model.layers_); ++layer)
+        {
+            room[layer] += tokens;
+        }
+    }
+    return room;
+}
+
+/// The first run of layers that no engine holds.
+std::optional<layer_range> first_gap(std::vector<double> const& room)
+{
+    auto const begin = std::find(room.begin(), room.end(), 0.0);
+    if (begin == room.end())
+    {
+        return std::nullopt;
+    }
+    auto const end = std::find_if(begin, room.end(),
+                                  [](double tokens) { return tokens > 0; });
+    return layer_range{static_cast<std::uint32_t>(begin - room.begin()),
+                       static_cast<std::uint32_t>(end - room.begin())};
+}
+
+/// The longest run of at most count layers around the layer with the least
+/// room whose room is about as small.
+layer_range weakest_range(std::vector<double> const& room, std::uint32_t count)
+{
+    constexpr double similar = 1.05;
+    auto const weakest = std::min_element(room.begin(), room.end());
+    double const limit = *weakest * similar;
+    auto first = static_cast<std::uint32_t>(weakest - room.begin());
+    std::uint32_t end = first;
+    while (end < room.size() && end - first < count && room[end] <= limit)
+    {
+        ++end;
+    }
+    return {first, end};
+}
+
+/// Where an engine that holds nothing is needed most.
+std::optional<layer_range> range_for(plan_engine const& engine,
+                                     std::vector<double> const& room,
+                                     model_profile const& model)
+{
+    std::uint32_t const count = roomy_layers(engine, model);
+    if (count == 0)
+    {
+        return std::nullopt;
+    }
+    if (auto const gap = first_gap(room))
+    {
+        return layer_range{gap->first_,
+                           std::min(gap->end_, gap->first_ + count)};
+    }
+    return weakest_range(room, count);
+}
+
+/// An engine whose layers touch the gap and that has memory for it as well.
+std::optional<plan_step> extend_neighbour(engine_list const& engines,
+                                          layer_range const& gap,
+                                          model_profile const& model)
+{
+    for (plan_engine const* const engine : engines)
+    {
+        if (!engine->layers_ || !engine->is_movable_)
+        {
+            continue;
+        }
+        layer_range joined = *engine->layers_;
+        if (joined.end_ == gap.first_)
+        {
+            joined.end_ = gap.end_;
+        }
+        else if (joined.first_ == gap.end_)
+        {
+            joined.first_ = gap.first_;
+        }
+        else
+        {
+            continue;
+        }
+        if (joined.end_ - joined.first_ <= roomy_layers(*engine, model))
+        {
+            return plan_step{engine->id_, joined};
+        }
+    }
+    return std::nullopt;
+}
+
+/// An engine all of whose layers others hold as well, moved to the gap.
+std::optional<plan_step> move_spare(engine_list const& engines,
+                                    layer_range const& gap,
+                                    std::vector<double> const& room,
+                                    model_profile const& model)
+{
+    for (plan_engine const* const engine : engines)
+    {
+        if (!engine->layers_ || !engine->is_movable_)
+        {
+            continue;
+        }
+        double const own = std::max(
+            1.0,
+            kv_tokens_beside(model, engine->accelerator_,
+                             engine->layers_->end_ - engine->layers_->first_));
+        bool const is_spare = std::all_of(
+            room.begin() + engine->layers_->first_,
+            room.begin() + std::min(engine->layers_->end_, model.layers_),
+            [&](double tokens) { return tokens > own * 1.5; });
+        std::uint32_t const count = roomy_layers(*engine, model);
+        if (is_spare && count > 0)
+        {
+            return plan_step{
+                engine->id_,
+                {gap.first_, std::min(gap.end_, gap.first_ + count)}};
+        }
+    }
+    return std::nullopt;
+}
+
+/// Fills what is missing, one step for each engine.
+std::vector<plan_step> repair(std::vector<plan_engine> engines,
+                              model_profile const& model)
+{
+    engine_list all;
+    for (plan_engine const& each : engines)
+    {
+        all.push_back(&each);
+    }
+    std::vector<plan_step> steps;
+    for (plan_engine& engine : engines)
+    {
+        if (engine.layers_ || !engine.is_movable_)
+        {
+            continue;
+        }
+        if (auto const range =
+                range_for(engine, room_by_layer(all, model), model))
+        {
+            engine.layers_ = range;
+            engine.is_movable_ = false;
+            steps.push_back({engine.id_, *range});
+        }
+    }
+    std::vector<double> const room = room_by_layer(all, model);
+    if (auto const gap = first_gap(room))
+    {
+        auto step = extend_neighbour(all, *gap, model);
+        if (!step)
+        {
+            step = move_spare(all, *gap, room, model);
+        }
+        if (step)
+        {
+            steps.push_back(*step);
+        }
+    }
+    return steps;
+}
+
+/// Largest memory first, so that what is needed most goes to who can hold most.
+void sort_for_repair(std::vector<plan_engine>& engines)
+{
+    std::sort(engines.begin(), engines.end(),
+              [](plan_engine const& left, plan_engine const& right)
+              {
+                  return std::make_pair(-left.accelerator_.memory_mb_,
+                                        left.id_) <
+                         std::make_pair(-right.accelerator_.memory_mb_,
+                                        right.id_);
+              });
+}
+
+} // namespace
+
+std::vector<plan_step> plan_layers(std::vector<plan_engine> const& engines,
+                                   model_profile const& model)
+{
+    std::map<std::string, std::vector<plan_engine>> by_data_centre;
+    for (plan_engine const& each : engines)
+    {
+        by_data_centre[each.data_centre_].push_back(each);
+    }
+    std::vector<plan_step> steps;
+    for (auto& [name, local] : by_data_centre)
+    {
+        bool const is_empty =
+            std::none_of(local.begin(), local.end(),
+                         [](plan_engine const& each)
+                         { return each.layers_ || !each.is_movable_; });
+        engine_list all;
+        for (plan_engine const& each : local)
+        {
+            all.push_back(&each);
+        }
+        std::vector<plan_step> part;
+        if (is_empty)
+        {
+            part = first_plan(all, model);
+        }
+        if (part.empty())
+        {
+            sort_for_repair(local);
+            part = repair(local, model);
+        }
+        steps.insert(steps.end(), part.begin(), part.end());
+    }
+    return steps;
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/coordination/path_choice.cpp
@@ -0,0 +1,278 @@
+// Shortest paths through the layers.
+#include "auburnlb/coordination/path_choice.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+constexpr double no_way = std::numeric_limits<double>::infinity();
+constexpr double ms_per_s = 1'000;
+constexpr double bits_per_byte = 8;
+constexpr double bits_per_megabit = 1e6;
+
+/// Time of a frame between two engines of a data centre, in ms.
+constexpr double local_hop_ms = 0.3;
+/// One way between data centres, in ms.
+constexpr double remote_hop_ms = 1.0;
+/// What an answer that comes from another data centre is worth avoiding, in ms:
+/// the bytes between data centres are paid for.
+constexpr double remote_first_engine_ms = 150;
+/// The link between data centres is shared, so a transfer is taken to get this
+/// part of it.
+constexpr double shared_link_share = 0.25;
+/// The longest path that engines accept.
+constexpr std::size_t max_parts = 32;
+
+/// Least part of an engine's time that counts as free when it is nearly full.
+constexpr double least_free_share = 0.08;
+
+/// Costs of one engine for the demand.
+struct engine_cost
+{
+    double prefill_ms_per_layer_ = 0;
+    double token_ms_per_layer_ = 0;
+    /// Weighed sum over the whole answer.
+    double cost_per_layer_ = 0;
+    /// Layers that the free KV cache allows.
+    std::uint32_t max_layers_ = 0;
+};
+
+/// The cheapest way to one layer boundary.
+struct way
+{
+    double cost_ = no_way;
+    std::size_t engine_ = 0;
+    /// Index of the boundary at which the last engine begins.
+    std::size_t begin_ = 0;
+    std::size_t parts_ = 0;
+};
+
+double tokens_of(path_demand const& demand)
+{
+    return demand.prompt_tokens_ + demand.answer_tokens_;
+}
+
+engine_cost cost_of(path_engine const& engine, model_profile const& model,
+                    path_demand const& demand)
+{
+    engine_cost cost;
+    double const layers = std::max(1.0, static_cast<double>(model.layers_));
+    double const held = std::max(
+        1.0, static_cast<double>(engine.layers_.end_ - engine.layers_.first_));
+    double const prefill_ms_per_token =
+        ms_per_s / model.prefill_tokens_per_s_ *
+        engine.accelerator_.prefill_factor_ / layers;
+    double const waiting_tokens = engine.prefill_backlog_ / held;
+    cost.prefill_ms_per_layer_ =
+        prefill_ms_per_token * (demand.prompt_tokens_ + waiting_tokens);
+    double const streams = static_cast<double>(engine.streams_) + 1;
+    double const context_k =
+        streams * (model.usual_prompt_ + model.usual_answer_) / ms_per_s;
+    double const step_ms = model.step_ms_ +
+                           model.step_ms_per_request_ * streams +
+                           model.step_ms_per_1k_context_ * context_k;
+    cost.token_ms_per_layer_ =
+        step_ms * engine.accelerator_.step_factor_ / layers;
+    double const free_kv =
+        engine.kv_capacity_ * demand.max_kv_share_ - engine.kv_reserved_;
+    double const free_share = std::clamp(
+        engine.kv_capacity_ <= 0 ? 1 : free_kv / engine.kv_capacity_,
+        least_free_share, 1.0);
+    cost.cost_per_layer_ =
+        (cost.prefill_ms_per_layer_ +
+         cost.token_ms_per_layer_ * demand.answer_tokens_) *
+        engine.cost_factor_ / free_share;
+    double const per_layer = std::max(1.0, tokens_of(demand));
+    cost.max_layers_ = static_cast<std::uint32_t>(
+        std::clamp(free_kv / per_layer, 0.0, layers));
+    return cost;
+}
+
+double hop_ms(path_engine const& from, path_engine const& to,
+              model_profile const& model, path_demand const& demand)
+{
+    if (from.data_centre_ == to.data_centre_)
+    {
+        return local_hop_ms;
+    }
+    if (model.data_centre_link_mbps_ <= 0)
+    {
+        return remote_hop_ms;
+    }
+    double const bits = demand.prompt_tokens_ *
+                        model.activation_bytes_per_token_ * bits_per_byte;
+    double const bits_per_ms = model.data_centre_link_mbps_ * bits_per_megabit /
+                               ms_per_s * shared_link_share;
+    return remote_hop_ms + bits / bits_per_ms;
+}
+
+std::vector<std::uint32_t> boundaries_of(std::vector<path_engine> const& engines,
+                                         std::uint32_t layers)
+{
+    std::vector<std::uint32_t> boundaries{0, layers};
+    for (path_engine const& engine : engines)
+    {
+        if (engine.is_usable_)
+        {
+            boundaries.push_back(std::min(engine.layers_.first_, layers));
+            boundaries.push_back(std::min(engine.layers_.end_, layers));
+        }
+    }
+    std::sort(boundaries.begin(), boundaries.end());
+    boundaries.erase(std::unique(boundaries.begin(), boundaries.end()),
+                     boundaries.end());
+    return boundaries;
+}
+
+/// Whether the engine is on the cheapest way to this boundary already.
+bool is_on_way(std::vector<way> const& ways, std::size_t boundary,
+               std::size_t engine)
+{
+    while (boundary != 0)
+    {
+        if (ways[boundary].engine_ == engine)
+        {
+            return true;
+        }
+        boundary = ways[boundary].begin_;
+    }
+    return false;
+}
+
+bool may_be_first(path_demand const& demand, path_engine const& engine)
+{
+    auto const& allowed = demand.allowed_first_ids_;
+    return allowed.empty() ||
+           std::find(allowed.begin(), allowed.end(), engine.id_) !=
+               allowed.end();
+}
+
+struct search
+{
+    std::vector<path_engine> const& engines_;
+    model_profile const& model_;
+    path_demand const& demand_;
+    std::vector<engine_cost> costs_;
+    std::vector<std::uint32_t> boundaries_;
+    std::vector<way> ways_;
+};
+
+double entry_cost(search const& state, std::size_t boundary, std::size_t engine)
+{
+    path_engine const& next = state.engines_[engine];
+    if (boundary == 0)
+    {
+        return next.data_centre_ == state.demand_.data_centre_
+                   ? 0
+                   : remote_first_engine_ms;
+    }
+    return hop_ms(state.engines_[state.ways_[boundary].engine_], next,
+                  state.model_, state.demand_);
+}
+
+/// Extends the way to a boundary by one engine, up to each later boundary that
+/// the engine reaches.
+void extend(search& state, std::size_t begin, std::size_t engine)
+{
+    path_engine const& next = state.engines_[engine];
+    std::uint32_t const first = state.boundaries_[begin];
+    if (!next.is_usable_ || next.layers_.first_ > first ||
+        next.layers_.end_ <= first || is_on_way(state.ways_, begin, engine) ||
+        (begin == 0 && !may_be_first(state.demand_, next)))
+    {
+        return;
+    }
+    engine_cost const& cost = state.costs_[engine];
+    double const base =
+        state.ways_[begin].cost_ + entry_cost(state, begin, engine);
+    for (std::size_t end = begin + 1; end < state.boundaries_.size() &&
+                                      state.boundaries_[end] <= next.layers_.end_;
+         ++end)
+    {
+        std::uint32_t const layers = state.boundaries_[end] - first;
+        if (layers > cost.max_layers_)
+        {
+            return;
+        }
+        double const total =
+            base + cost.cost_per_layer_ * static_cast<double>(layers);
+        if (total < state.ways_[end].cost_)
+        {
+            state.ways_[end] = {total, engine, begin,
+                                state.ways_[begin].parts_ + 1};
+        }
+    }
+}
+
+path_choice collect(search const& state)
+{
+    path_choice choice;
+    std::size_t at = state.boundaries_.size() - 1;
+    while (at != 0)
+    {
+        way const& last = state.ways_[at];
+        path_engine const& engine = state.engines_[last.engine_];
+        engine_cost const& cost = state.costs_[last.engine_];
+        layer_range const layers{state.boundaries_[last.begin_],
+                                 state.boundaries_[at]};
+        choice.path_.parts_.push_back({engine.id_, engine.address_, layers});
+        auto const count = static_cast<double>(layers.end_ - layers.first_);
+        double const hop = entry_cost(state, last.begin_, last.engine_);
+        double const pass_ms = count * cost.token_ms_per_layer_ *
+                               engine.cost_factor_ *
+                               state.model_.steps_per_event_;
+        choice.first_event_ms_ +=
+            count * cost.prefill_ms_per_layer_ * engine.cost_factor_ +
+            (last.begin_ == 0 ? 0 : hop) + pass_ms;
+        choice.event_gap_ms_ += pass_ms;
+        at = last.begin_;
+    }
+    std::reverse(choice.path_.parts_.begin(), choice.path_.parts_.end());
+    return choice;
+}
+
+} // namespace
+
+double kv_demand(path_demand const& demand, layer_range const& layers)
+{
+    return tokens_of(demand) * static_cast<double>(layers.end_ - layers.first_);
+}
+
+std::optional<path_choice> choose_path(std::vector<path_engine> const& engines,
+                                       model_profile const& model,
+                                       path_demand const& demand)
+{
+    search state{engines, model, demand, {}, {}, {}};
+    state.costs_.reserve(engines.size());
+    for (path_engine const& engine : engines)
+    {
+        state.costs_.push_back(cost_of(engine, model, demand));
+    }
+    state.boundaries_ = boundaries_of(engines, model.layers_);
+    state.ways_.resize(state.boundaries_.size());
+    state.ways_.front().cost_ = 0;
+    for (std::size_t begin = 0; begin + 1 < state.ways_.size(); ++begin)
+    {
+        if (state.ways_[begin].cost_ == no_way ||
+            state.ways_[begin].parts_ >= max_parts)
+        {
+            continue;
+        }
+        for (std::size_t engine = 0; engine < engines.size(); ++engine)
+        {
+            extend(state, begin, engine);
+        }
+    }
+    if (state.ways_.back().cost_ == no_way)
+    {
+        return std::nullopt;
+    }
+    return collect(state);
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/coordination/retry_window.cpp
@@ -0,0 +1,70 @@
+// Counting in short slots, which move out of the window as a whole.
+#include "auburnlb/coordination/retry_window.hpp"
+
+#include <algorithm>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Length of a slot.
+constexpr milliseconds slot_length{250};
+
+/// Part of the limit that is used: other routers' clocks and requests on their
+/// way are not seen here.
+constexpr double used_share = 0.8;
+
+retry_window::slot& current_slot(retry_window& window,
+                                 retry_limits const& limits, time_point now)
+{
+    // A slot counts until its end has left the window.
+    while (!window.slots_.empty() &&
+           now - window.slots_.front().begin_ > limits.window_ + slot_length)
+    {
+        window.slots_.pop_front();
+    }
+    if (window.slots_.empty() ||
+        now - window.slots_.back().begin_ >= slot_length)
+    {
+        window.slots_.push_back({now, 0, 0});
+    }
+    return window.slots_.back();
+}
+
+} // namespace
+
+void note_request(retry_window& window, retry_limits const& limits,
+                  time_point now)
+{
+    ++current_slot(window, limits, now).requests_;
+}
+
+double repeats_left(retry_window& window, retry_limits const& limits,
+                    std::uint32_t routers, time_point now)
+{
+    current_slot(window, limits, now);
+    double requests = 0;
+    double repeats = 0;
+    for (retry_window::slot const& each : window.slots_)
+    {
+        requests += each.requests_;
+        repeats += each.repeats_;
+    }
+    double const shared = limits.slack_ / std::max(routers, 1U);
+    return (limits.ratio_ * requests + shared) * used_share - repeats;
+}
+
+bool try_repeat(retry_window& window, retry_limits const& limits,
+                std::uint32_t routers, time_point now)
+{
+    if (repeats_left(window, limits, routers, now) < 1)
+    {
+        return false;
+    }
+    ++current_slot(window, limits, now).repeats_;
+    return true;
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/coordination/wait_queue.cpp
@@ -0,0 +1,125 @@
+// Order and refusals of one service's queue.
+#include "auburnlb/coordination/wait_queue.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Weight of the newest interval in the moving mean.
+constexpr double interval_weight = 0.1;
+
+/// Longer pauses come from a lost endpoint rather than from the usual rate.
+constexpr milliseconds max_interval{1'000};
+
+/// Bounds of what a refused caller is told: an earlier return would meet the
+/// same queue, a later one would waste its time.
+constexpr milliseconds min_retry_after{300};
+constexpr milliseconds max_retry_after{4'000};
+
+bool is_on_time(waiting_request const& request, time_point now)
+{
+    return now <= request.on_time_until_;
+}
+
+} // namespace
+
+void add_waiting(wait_queue& queue, waiting_request const& request)
+{
+    queue.waiting_.push_back(request);
+}
+
+void remove_waiting(wait_queue& queue, std::uint64_t ticket)
+{
+    std::erase_if(queue.waiting_, [ticket](waiting_request const& each)
+                  { return each.ticket_ == ticket; });
+}
+
+void note_start(wait_queue& queue, time_point now)
+{
+    bool const is_busy = !queue.waiting_.empty();
+    nanoseconds const interval =
+        std::min<nanoseconds>(now - queue.last_start_, max_interval);
+    queue.last_start_ = now;
+    if (!is_busy)
+    {
+        return;
+    }
+    if (queue.start_interval_ == nanoseconds(0))
+    {
+        queue.start_interval_ = interval;
+        return;
+    }
+    queue.start_interval_ +=
+        std::chrono::duration_cast<nanoseconds>(
+            (interval - queue.start_interval_) * interval_weight);
+}
+
+std::vector<std::uint64_t> start_order(wait_queue const& queue, time_point now)
+{
+    std::vector<waiting_request const*> order;
+    order.reserve(queue.waiting_.size());
+    for (waiting_request const& each : queue.waiting_)
+    {
+        order.push_back(&each);
+    }
+    std::stable_sort(
+        order.begin(), order.end(),
+        [now](waiting_request const* left, waiting_request const* right)
+        {
+            return std::make_tuple(!is_on_time(*left, now), left->priority_) <
+                   std::make_tuple(!is_on_time(*right, now), right->priority_);
+        });
+    std::vector<std::uint64_t> tickets;
+    tickets.reserve(order.size());
+    for (waiting_request const* const each : order)
+    {
+        tickets.push_back(each->ticket_);
+    }
+    return tickets;
+}
+
+std::vector<std::uint64_t> take_hopeless(wait_queue& queue, time_point now)
+{
+    std::vector<std::uint64_t> tickets;
+    std::erase_if(queue.waiting_,
+                  [&](waiting_request const& each)
+                  {
+                      if (now < each.give_up_at_)
+                      {
+                          return false;
+                      }
+                      tickets.push_back(each.ticket_);
+                      return true;
+                  });
+    return tickets;
+}
+
+nanoseconds expected_wait(wait_queue const& queue, std::int32_t priority)
+{
+    auto const ahead =
+        std::count_if(queue.waiting_.begin(), queue.waiting_.end(),
+                      [priority](waiting_request const& each)
+                      { return each.priority_ <= priority; });
+    return queue.start_interval_ * ahead;
+}
+
+bool is_hopeless(wait_queue const& queue, waiting_request const& request)
+{
+    return request.arrived_ + expected_wait(queue, request.priority_) >=
+           request.give_up_at_;
+}
+
+milliseconds retry_after(wait_queue const& queue)
+{
+    auto const all = std::chrono::duration_cast<milliseconds>(
+        queue.start_interval_ *
+        static_cast<std::int64_t>(queue.waiting_.size()));
+    return std::clamp(all, min_retry_after, max_retry_after);
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/protocol/event_splitter.cpp
@@ -0,0 +1,116 @@
+// Finding the borders and identifiers of server-sent events.
+#include "auburnlb/protocol/event_splitter.hpp"
+
+#include <charconv>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// The end of the first event in the bytes, or npos.
+std::size_t find_event_end(std::string_view bytes, std::size_t from)
+{
+    while (true)
+    {
+        std::size_t const line_end = bytes.find('\n', from);
+        if (line_end == std::string_view::npos)
+        {
+            return std::string_view::npos;
+        }
+        std::size_t next = line_end + 1;
+        if (next < bytes.size() && bytes[next] == '\r')
+        {
+            ++next;
+        }
+        if (next < bytes.size() && bytes[next] == '\n')
+        {
+            return next + 1;
+        }
+        from = line_end + 1;
+    }
+}
+
+/// The value of the line "id:" of an event, or an empty text.
+std::string_view find_id(std::string_view event)
+{
+    std::size_t line = 0;
+    while (line < event.size())
+    {
+        std::size_t end = event.find('\n', line);
+        end = end == std::string_view::npos ? event.size() : end;
+        if (event.substr(line, 3) == "id:")
+        {
+            std::string_view value = event.substr(line + 3, end - line - 3);
+            while (!value.empty() && value.front() == ' ')
+            {
+                value.remove_prefix(1);
+            }
+            while (!value.empty() && value.back() == '\r')
+            {
+                value.remove_suffix(1);
+            }
+            return value;
+        }
+        line = end + 1;
+    }
+    return {};
+}
+
+} // namespace
+
+void event_splitter::note_event(std::string_view event, event_batch& batch)
+{
+    ++batch.events_;
+    std::string_view const text = find_id(event);
+    if (text.empty())
+    {
+        return;
+    }
+    std::uint64_t id = 0;
+    auto const [end, failure] =
+        std::from_chars(text.data(), text.data() + text.size(), id);
+    if (failure != std::errc{} || end != text.data() + text.size() ||
+        (last_id_ && id <= *last_id_))
+    {
+        batch.is_out_of_order_ = true;
+        return;
+    }
+    last_id_ = id;
+    batch.last_id_ = id;
+}
+
+event_batch event_splitter::feed(std::string_view bytes)
+{
+    if (!rest_.empty())
+    {
+        joined_ = std::move(rest_);
+        joined_.append(bytes);
+        rest_.clear();
+        bytes = joined_;
+    }
+    event_batch batch;
+    std::size_t taken = 0;
+    while (taken < bytes.size() && !batch.is_out_of_order_)
+    {
+        std::size_t const end = find_event_end(bytes, taken);
+        if (end == std::string_view::npos)
+        {
+            break;
+        }
+        note_event(bytes.substr(taken, end - taken), batch);
+        if (!batch.is_out_of_order_)
+        {
+            taken = end;
+        }
+    }
+    batch.bytes_ = bytes.substr(0, taken);
+    if (!batch.is_out_of_order_)
+    {
+        rest_.assign(bytes.substr(taken));
+    }
+    return batch;
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/router/caller_connection.cpp
@@ -0,0 +1,321 @@
+// Reading of requests, framing of answers, and the timeouts of callers.
+#include "auburnlb/router/caller_connection.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// How long a connection that is being closed waits for the caller's end.
+constexpr milliseconds close_linger{1'000};
+
+/// Bytes of further requests that are kept while one is in progress.
+constexpr std::size_t max_pending_bytes = 256 * 1024;
+
+/// Bytes of answers that a slow caller may leave untaken.
+constexpr std::size_t max_untaken_bytes = 16 * 1024 * 1024;
+
+/// The size line of a chunk.
+void append_chunk_size(std::string& out, std::size_t size)
+{
+    std::array<char, 20> digits{};
+    auto const end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                   size, 16)
+                         .ptr;
+    out.append(digits.data(), end);
+    out += "\r\n";
+}
+
+bool is_length_field(std::string_view name)
+{
+    return equals_ignoring_case(name, "content-length");
+}
+
+void append_fields(std::string& out, http_head const& head)
+{
+    for (http_field const& field : head.fields_)
+    {
+        if (!is_connection_field(head, field.name_) &&
+            !is_length_field(field.name_))
+        {
+            append_field(out, field.name_, field.value_);
+        }
+    }
+}
+
+} // namespace
+
+caller_connection::caller_connection(request_service& service,
+                                     std::shared_ptr<tcp_channel> channel)
+    : service_(service)
+    , channel_(std::move(channel))
+    , reader_(http_reader::message_kind::request, *this,
+              service.limits().max_header_bytes_)
+    , since_(service.now())
+{
+}
+
+void caller_connection::start()
+{
+    channel_->start(*this);
+}
+
+void caller_connection::on_bytes(std::string_view bytes)
+{
+    auto const keep_alive = shared_from_this();
+    if (is_serving_)
+    {
+        pending_.append(bytes);
+        if (pending_.size() > max_pending_bytes)
+        {
+            on_end(channel_end::broken);
+        }
+        return;
+    }
+    read(bytes);
+}
+
+void caller_connection::read(std::string_view bytes)
+{
+    while (!bytes.empty() && !is_serving_ && !is_closed_)
+    {
+        if (!reader_.is_inside_message())
+        {
+            since_ = service_.now();
+        }
+        http_read_result const read = reader_.read(bytes);
+        bytes.remove_prefix(std::min(read.consumed_, bytes.size()));
+        if (is_closed_)
+        {
+            return;
+        }
+        constexpr unsigned bad_request = 400;
+        constexpr unsigned payload_too_large = 413;
+        constexpr unsigned header_fields_too_large = 431;
+        if (read.status_ == http_read_status::malformed)
+        {
+            reject(bad_request);
+        }
+        else if (read.status_ == http_read_status::head_too_large)
+        {
+            reject(header_fields_too_large);
+        }
+        else if (is_body_too_large_)
+        {
+            reject(payload_too_large);
+        }
+    }
+    if (!is_closed_)
+    {
+        pending_.append(bytes);
+    }
+}
+
+void caller_connection::on_head(http_head head)
+{
+    head_ = std::move(head);
+    body_.clear();
+    std::string const* const expectation = head_.find("expect");
+    if (expectation != nullptr &&
+        equals_ignoring_case(*expectation, "100-continue"))
+    {
+        channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void caller_connection::on_body(std::string_view piece)
+{
+    if (body_.size() + piece.size() > service_.limits().max_body_bytes_)
+    {
+        is_body_too_large_ = true;
+        return;
+    }
+    body_.append(piece);
+}
+
+void caller_connection::on_message_end()
+{
+    if (is_body_too_large_)
+    {
+        return;
+    }
+    is_serving_ = true;
+    has_begun_answer_ = false;
+    is_last_ = !head_.is_keep_alive_;
+    service_.serve(shared_from_this(), std::move(head_), std::move(body_),
+                   service_.now());
+}
+
+void caller_connection::on_end(channel_end end)
+{
+    auto const keep_alive = shared_from_this();
+    request_owner* const owner = std::exchange(owner_, nullptr);
+    shut(end == channel_end::broken);
+    if (owner != nullptr)
+    {
+        owner->on_caller_left();
+    }
+}
+
+void caller_connection::append_connection_fields(std::string& out) const
+{
+    if (is_last_ || service_.is_closing())
+    {
+        append_field(out, "Connection", "close");
+        return;
+    }
+    append_field(out, "Keep-Alive",
+                 "timeout=" + std::to_string(std::chrono::duration_cast<seconds>(
+                                                 service_.limits().idle_timeout_)
+                                                 .count()));
+}
+
+void caller_connection::answer(http_head const& head, std::string_view body)
+{
+    is_last_ = is_last_ || service_.is_closing();
+    std::string out;
+    append_status_line(out, head.status_);
+    append_fields(out, head);
+    append_connection_fields(out);
+    append_field(out, "Content-Length", std::to_string(body.size()));
+    out += "\r\n";
+    out += body;
+    channel_->write(out);
+    finish_request();
+}
+
+void caller_connection::begin_answer(http_head const& head)
+{
+    has_begun_answer_ = true;
+    is_last_ = is_last_ || service_.is_closing();
+    std::string out;
+    append_status_line(out, head.status_);
+    append_fields(out, head);
+    append_connection_fields(out);
+    append_field(out, "Transfer-Encoding", "chunked");
+    out += "\r\n";
+    channel_->write(out);
+}
+
+void caller_connection::add_body(std::string_view piece)
+{
+    if (piece.empty())
+    {
+        return;
+    }
+    std::string chunk;
+    constexpr std::size_t framing_bytes = 16;
+    chunk.reserve(piece.size() + framing_bytes);
+    append_chunk_size(chunk, piece.size());
+    chunk += piece;
+    chunk += "\r\n";
+    channel_->write(chunk);
+    if (channel_->unsent_bytes() > max_untaken_bytes)
+    {
+        on_end(channel_end::broken);
+    }
+}
+
+void caller_connection::end_answer()
+{
+    channel_->write("0\r\n\r\n");
+    finish_request();
+}
+
+void caller_connection::abort_answer()
+{
+    owner_ = nullptr;
+    shut(!has_begun_answer_);
+}
+
+void caller_connection::finish_request()
+{
+    owner_ = nullptr;
+    is_serving_ = false;
+    since_ = service_.now();
+    if (is_last_)
+    {
+        shut(false);
+        return;
+    }
+    read_pending();
+}
+
+void caller_connection::read_pending()
+{
+    if (pending_.empty())
+    {
+        return;
+    }
+    std::string const bytes = std::exchange(pending_, {});
+    read(bytes);
+}
+
+void caller_connection::reject(unsigned status)
+{
+    is_last_ = true;
+    is_serving_ = true;
+    http_head head;
+    head.status_ = status;
+    answer(head, "");
+}
+
+void caller_connection::shut(bool is_abrupt)
+{
+    if (std::exchange(is_closed_, true))
+    {
+        return;
+    }
+    auto const keep_alive = shared_from_this();
+    if (is_abrupt)
+    {
+        channel_->close();
+    }
+    else
+    {
+        channel_->finish(close_linger);
+    }
+    service_.on_connection_closed(*this);
+}
+
+void caller_connection::close_if_idle()
+{
+    if (is_idle() && !is_closed_)
+    {
+        shut(false);
+    }
+}
+
+void caller_connection::on_tick(time_point now)
+{
+    if (is_serving_ || is_closed_)
+    {
+        return;
+    }
+    caller_limits const limits = service_.limits();
+    if (!reader_.is_inside_message())
+    {
+        if (now - since_ > limits.idle_timeout_)
+        {
+            shut(false);
+        }
+        return;
+    }
+    // The same time again is allowed for the body as for the head.
+    milliseconds const allowed = reader_.is_inside_body()
+                                     ? 2 * limits.header_timeout_
+                                     : limits.header_timeout_;
+    constexpr unsigned request_timeout = 408;
+    if (now - since_ > allowed)
+    {
+        reject(request_timeout);
+    }
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/router/endpoint_pool.cpp
@@ -0,0 +1,350 @@
+// Exchanges over kept connections.
+#include "auburnlb/router/endpoint_pool.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <asio/ip/tcp.hpp>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// A connection within a region takes milliseconds; a host without power never
+/// answers.
+constexpr milliseconds connect_timeout{300};
+
+/// Idle time after which a connection is closed where the endpoint does not
+/// say how long it keeps one.
+constexpr milliseconds default_idle_limit{4'000};
+
+/// Part of the announced idle time that is used, so that a request never meets
+/// the endpoint's close.
+constexpr int idle_share_divisor = 2;
+
+/// Largest head of an answer.
+constexpr std::size_t max_answer_head_bytes = 64 * 1024;
+
+/// The endpoint of "IP:port"; port 0 if it cannot be read.
+asio::ip::tcp::endpoint parse_address(std::string const& address)
+{
+    std::size_t const colon = address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return {};
+    }
+    asio::error_code failure;
+    auto const ip =
+        asio::ip::make_address(address.substr(0, colon), failure);
+    std::uint16_t port = 0;
+    std::from_chars(address.data() + colon + 1,
+                    address.data() + address.size(), port);
+    return failure ? asio::ip::tcp::endpoint()
+                   : asio::ip::tcp::endpoint(ip, port);
+}
+
+/// The "timeout" of a Keep-Alive field, in whole seconds.
+milliseconds announced_idle_limit(http_head const& head)
+{
+    std::string const* const text = head.find("keep-alive");
+    constexpr std::string_view name = "timeout=";
+    std::size_t const at =
+        text == nullptr ? std::string::npos : text->find(name);
+    if (at == std::string::npos)
+    {
+        return default_idle_limit;
+    }
+    unsigned value = 0;
+    std::from_chars(text->data() + at + name.size(),
+                    text->data() + text->size(), value);
+    return std::min(milliseconds(seconds(value)) / idle_share_divisor,
+                    default_idle_limit);
+}
+
+} // namespace
+
+endpoint_connection::endpoint_connection(endpoint_pool& pool,
+                                         std::string address)
+    : pool_(pool)
+    , address_(std::move(address))
+    , idle_limit_(default_idle_limit)
+{
+}
+
+endpoint_connection::~endpoint_connection()
+{
+    if (channel_ != nullptr)
+    {
+        channel_->close();
+    }
+}
+
+void endpoint_connection::connect(time_point now)
+{
+    connecting_since_ = now;
+    channel_ = tcp_channel::connect(pool_.io_, parse_address(address_), *this);
+}
+
+void endpoint_connection::begin(std::string_view request,
+                                exchange_receiver& receiver)
+{
+    receiver_ = &receiver;
+    is_foreign_ = false;
+    has_ended_ = false;
+    reader_ = std::make_unique<http_reader>(http_reader::message_kind::response,
+                                            *this, max_answer_head_bytes);
+    channel_->write(request);
+}
+
+void endpoint_connection::cancel()
+{
+    receiver_ = nullptr;
+    if (channel_ != nullptr && channel_->is_open())
+    {
+        channel_->close();
+        pool_.remove(*this);
+    }
+}
+
+void endpoint_connection::fail(exchange_failure failure)
+{
+    auto const keep_alive = shared_from_this();
+    exchange_receiver* const receiver = std::exchange(receiver_, nullptr);
+    channel_->close();
+    pool_.remove(*this);
+    if (receiver != nullptr)
+    {
+        receiver->on_exchange_failed(failure);
+    }
+}
+
+void endpoint_connection::on_bytes(std::string_view bytes)
+{
+    auto const keep_alive = shared_from_this();
+    // Bytes on an idle connection belong to no request.
+    if (receiver_ == nullptr)
+    {
+        fail(exchange_failure::malformed);
+        return;
+    }
+    while (!bytes.empty())
+    {
+        http_read_result const read = reader_->read(bytes);
+        // The receiver may have cancelled meanwhile.
+        if (receiver_ == nullptr)
+        {
+            return;
+        }
+        bytes.remove_prefix(std::min(read.consumed_, bytes.size()));
+        if (read.status_ == http_read_status::malformed ||
+            read.status_ == http_read_status::head_too_large)
+        {
+            fail(exchange_failure::malformed);
+            return;
+        }
+        if (has_ended_)
+        {
+            settle(!bytes.empty());
+            return;
+        }
+    }
+}
+
+void endpoint_connection::on_end(channel_end end)
+{
+    auto const keep_alive = shared_from_this();
+    if (end == channel_end::not_connected)
+    {
+        fail(exchange_failure::not_connected);
+        return;
+    }
+    if (end == channel_end::closed && receiver_ != nullptr)
+    {
+        reader_->read_end();
+        if (has_ended_)
+        {
+            settle(true);
+            return;
+        }
+    }
+    fail(exchange_failure::broken);
+}
+
+void endpoint_connection::on_head(http_head head)
+{
+    constexpr unsigned interim_class = 1;
+    constexpr unsigned per_class = 100;
+    is_foreign_ = head.status_ / per_class == interim_class ||
+                  (receiver_ != nullptr && !receiver_->is_own_answer(head));
+    if (is_foreign_)
+    {
+        // An interim answer is in order; another request's answer is not, and
+        // more of them may come.
+        may_reuse_ =
+            may_reuse_ && head.status_ / per_class == interim_class;
+        return;
+    }
+    may_reuse_ = may_reuse_ && head.is_keep_alive_ && head.is_framed_;
+    idle_limit_ = announced_idle_limit(head);
+    if (receiver_ != nullptr)
+    {
+        receiver_->on_answer_head(head);
+    }
+}
+
+void endpoint_connection::on_body(std::string_view piece)
+{
+    if (!is_foreign_ && receiver_ != nullptr)
+    {
+        receiver_->on_answer_body(piece);
+    }
+}
+
+void endpoint_connection::on_message_end()
+{
+    has_ended_ = !is_foreign_;
+}
+
+void endpoint_connection::settle(bool more)
+{
+    exchange_receiver* const receiver = std::exchange(receiver_, nullptr);
+    if (more || !may_reuse_ || !channel_->is_drained())
+    {
+        // A request that is still being sent is sent to its end, so that the
+        // endpoint does not take a reset for a fault of the caller.
+        channel_->finish(connect_timeout);
+        pool_.remove(*this);
+    }
+    else
+    {
+        pool_.add_idle(shared_from_this());
+    }
+    if (receiver != nullptr)
+    {
+        receiver->on_answer_end();
+    }
+}
+
+endpoint_pool::endpoint_pool(asio::io_context& io, clock_source const& clock)
+    : io_(io)
+    , clock_(clock)
+{
+}
+
+endpoint_pool::~endpoint_pool()
+{
+    close_all_idle();
+}
+
+std::shared_ptr<endpoint_connection>
+endpoint_pool::acquire(std::string const& address, milliseconds max_idle)
+{
+    time_point const now = clock_.now();
+    auto const idle = idle_.find(address);
+    while (idle != idle_.end() && !idle->second.empty())
+    {
+        connection_ptr const connection = std::move(idle->second.back());
+        idle->second.pop_back();
+        milliseconds const limit = std::min(max_idle, connection->idle_limit_);
+        if (now - connection->idle_since_ < limit)
+        {
+            return connection;
+        }
+        connection->cancel();
+    }
+    auto connection = std::make_shared<endpoint_connection>(*this, address);
+    ++counts_[address];
+    connecting_.insert(connection);
+    connection->connect(now);
+    return connection;
+}
+
+std::size_t endpoint_pool::count(std::string const& address) const
+{
+    auto const found = counts_.find(address);
+    return found == counts_.end() ? 0 : found->second;
+}
+
+void endpoint_pool::add_idle(connection_ptr const& connection)
+{
+    connection->idle_since_ = clock_.now();
+    idle_[connection->address_].push_back(connection);
+}
+
+void endpoint_pool::remove(endpoint_connection& connection)
+{
+    auto const self = connection.shared_from_this();
+    connecting_.erase(self);
+    if (auto const idle = idle_.find(connection.address_); idle != idle_.end())
+    {
+        std::erase(idle->second, self);
+    }
+    auto const count = counts_.find(connection.address_);
+    if (count != counts_.end() && --count->second == 0)
+    {
+        counts_.erase(count);
+        idle_.erase(connection.address_);
+    }
+}
+
+void endpoint_pool::close_idle(std::string const& address)
+{
+    auto const found = idle_.find(address);
+    if (found == idle_.end())
+    {
+        return;
+    }
+    auto const connections = std::move(found->second);
+    found->second.clear();
+    for (connection_ptr const& each : connections)
+    {
+        each->cancel();
+    }
+}
+
+void endpoint_pool::close_all_idle()
+{
+    std::vector<std::string> addresses;
+    for (auto const& [address, connections] : idle_)
+    {
+        addresses.push_back(address);
+    }
+    for (std::string const& address : addresses)
+    {
+        close_idle(address);
+    }
+}
+
+void endpoint_pool::on_tick(time_point now)
+{
+    auto const connecting = connecting_;
+    for (connection_ptr const& each : connecting)
+    {
+        if (each->is_connected_)
+        {
+            connecting_.erase(each);
+        }
+        else if (now - each->connecting_since_ > connect_timeout)
+        {
+            each->fail(exchange_failure::not_connected);
+        }
+    }
+    std::vector<connection_ptr> expired;
+    for (auto const& [address, connections] : idle_)
+    {
+        std::copy_if(connections.begin(), connections.end(),
+                     std::back_inserter(expired),
+                     [&](connection_ptr const& each) {
+                         return now - each->idle_since_ >= each->idle_limit_;
+                     });
+    }
+    for (connection_ptr const& each : expired)
+    {
+        each->cancel();
+    }
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/router/http_caller.cpp
@@ -0,0 +1,165 @@
+// Calls with timeouts over kept connections.
+#include "auburnlb/router/http_caller.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Calls are few, so a connection that was idle for longer is opened again.
+constexpr milliseconds max_call_idle{3'000};
+
+/// Largest body of a reply: a page of the store is a megabyte at most.
+constexpr std::size_t max_reply_bytes = 16 * 1024 * 1024;
+
+std::string render_call(std::string const& address, http_call const& call)
+{
+    std::string out = call.method_ + " " + call.target_ + " HTTP/1.1\r\n";
+    append_field(out, "Host", address);
+    if (!call.body_.empty())
+    {
+        append_field(out, "Content-Type", "application/json");
+        append_field(out, "Content-Length", std::to_string(call.body_.size()));
+    }
+    out += "\r\n";
+    out += call.body_;
+    return out;
+}
+
+error_code to_error_code(exchange_failure failure)
+{
+    return failure == exchange_failure::not_connected ? error_code::unreachable
+                                                      : error_code::answer_lost;
+}
+
+} // namespace
+
+/// One call in progress. Invariant: in pending_ until it is settled.
+class http_caller::pending_call final
+    : public std::enable_shared_from_this<pending_call>
+    , public exchange_receiver
+{
+public:
+    pending_call(http_caller& owner, std::string step, time_point deadline,
+                 handler handler)
+        : owner_(owner)
+        , step_(std::move(step))
+        , deadline_(deadline)
+        , handler_(std::move(handler))
+    {
+    }
+
+    void begin(std::shared_ptr<endpoint_connection> connection,
+               std::string const& request)
+    {
+        connection_ = std::move(connection);
+        connection_->begin(request, *this);
+    }
+
+    time_point deadline() const { return deadline_; }
+
+    void abandon() { connection_->cancel(); }
+
+    void time_out()
+    {
+        connection_->cancel();
+        settle(error{error_code::timeout, step_, connection_->address(),
+                     "no answer in time"});
+    }
+
+    bool is_own_answer(http_head const&) override { return true; }
+
+    void on_answer_head(http_head const& head) override
+    {
+        reply_.status_ = head.status_;
+    }
+
+    void on_answer_body(std::string_view piece) override
+    {
+        if (reply_.body_.size() + piece.size() <= max_reply_bytes)
+        {
+            reply_.body_.append(piece);
+            return;
+        }
+        connection_->cancel();
+        settle(error{error_code::answer_lost, step_, connection_->address(),
+                     "the answer exceeds the limit of bytes"});
+    }
+
+    void on_answer_end() override { settle(std::move(reply_)); }
+
+    void on_exchange_failed(exchange_failure failure) override
+    {
+        settle(error{to_error_code(failure), step_, connection_->address(),
+                     failure == exchange_failure::malformed
+                         ? "the answer is no HTTP"
+                         : "the connection ended"});
+    }
+
+private:
+    void settle(result<http_reply> outcome)
+    {
+        auto const keep_alive = shared_from_this();
+        if (owner_.pending_.erase(keep_alive) == 0)
+        {
+            return;
+        }
+        handler const handler = std::move(handler_);
+        handler(std::move(outcome));
+    }
+
+    http_caller& owner_;
+    std::string step_;
+    time_point deadline_;
+    handler handler_;
+    std::shared_ptr<endpoint_connection> connection_;
+    http_reply reply_;
+};
+
+http_caller::http_caller(asio::io_context& io, clock_source const& clock)
+    : clock_(clock)
+    , pool_(io, clock)
+{
+}
+
+http_caller::~http_caller()
+{
+    for (pending_ptr const& each : pending_)
+    {
+        each->abandon();
+    }
+}
+
+void http_caller::call(std::string const& address, http_call const& call,
+                       milliseconds timeout, handler handler)
+{
+    auto const pending = std::make_shared<pending_call>(
+        *this, call.method_ + " " + call.target_, clock_.now() + timeout,
+        std::move(handler));
+    pending_.insert(pending);
+    pending->begin(pool_.acquire(address, max_call_idle),
+                   render_call(address, call));
+}
+
+void http_caller::on_tick(time_point now)
+{
+    pool_.on_tick(now);
+    std::vector<pending_ptr> late;
+    for (pending_ptr const& each : pending_)
+    {
+        if (each->deadline() <= now)
+        {
+            late.push_back(each);
+        }
+    }
+    for (pending_ptr const& each : late)
+    {
+        each->time_out();
+    }
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/router/http_message.cpp
@@ -0,0 +1,284 @@
+// Reading of messages by http_parser, and the rules of header fields.
+#include "auburnlb/router/http_message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <climits>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Fields that concern one connection only.
+constexpr std::array<std::string_view, 9> connection_fields{
+    "connection", "keep-alive",       "proxy-authenticate",
+    "te",         "trailer",          "proxy-authorization",
+    "upgrade",    "proxy-connection", "transfer-encoding"};
+
+unsigned char lower(char letter)
+{
+    return static_cast<unsigned char>(
+        std::tolower(static_cast<unsigned char>(letter)));
+}
+
+std::string_view trim(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+    {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+    {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+/// Whether a list separated by commas has the name.
+bool lists_name(std::string_view list, std::string_view name)
+{
+    while (!list.empty())
+    {
+        std::size_t const comma = list.find(',');
+        if (equals_ignoring_case(trim(list.substr(0, comma)), name))
+        {
+            return true;
+        }
+        if (comma == std::string_view::npos)
+        {
+            return false;
+        }
+        list.remove_prefix(comma + 1);
+    }
+    return false;
+}
+
+/// Whether the parser finds the end of the body without the end of the
+/// connection.
+bool is_body_framed(http_parser const& parser)
+{
+    if (parser.type == HTTP_REQUEST)
+    {
+        return true;
+    }
+    bool const has_no_body = parser.status_code / 100 == 1 ||
+                             parser.status_code == HTTP_STATUS_NO_CONTENT ||
+                             parser.status_code == HTTP_STATUS_NOT_MODIFIED;
+    return has_no_body || (parser.flags & F_CHUNKED) != 0 ||
+           parser.content_length != ULLONG_MAX;
+}
+
+} // namespace
+
+bool equals_ignoring_case(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](char a, char b) { return lower(a) == lower(b); });
+}
+
+std::string const* http_head::find(std::string_view name) const
+{
+    auto const found =
+        std::find_if(fields_.begin(), fields_.end(),
+                     [&](http_field const& field)
+                     { return equals_ignoring_case(field.name_, name); });
+    return found == fields_.end() ? nullptr : &found->value_;
+}
+
+bool is_connection_field(http_head const& head, std::string_view name)
+{
+    bool const is_fixed =
+        std::any_of(connection_fields.begin(), connection_fields.end(),
+                    [&](std::string_view each)
+                    { return equals_ignoring_case(each, name); });
+    if (is_fixed)
+    {
+        return true;
+    }
+    std::string const* const named = head.find("connection");
+    return named != nullptr && lists_name(*named, name);
+}
+
+void append_field(std::string& out, std::string_view name,
+                  std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+void append_status_line(std::string& out, unsigned status)
+{
+    out += "HTTP/1.1 ";
+    out += std::to_string(status);
+    out += ' ';
+    out += http_status_str(static_cast<http_status>(status));
+    out += "\r\n";
+}
+
+http_reader::http_reader(message_kind kind, http_message_sink& sink,
+                         std::size_t max_head_bytes)
+    : sink_(sink)
+    , max_head_bytes_(max_head_bytes)
+{
+    http_parser_init(&parser_, kind == message_kind::request ? HTTP_REQUEST
+                                                             : HTTP_RESPONSE);
+    parser_.data = this;
+}
+
+http_reader& http_reader::self_of(http_parser* parser)
+{
+    return *static_cast<http_reader*>(parser->data);
+}
+
+http_parser_settings const& http_reader::callbacks()
+{
+    static http_parser_settings const settings = []
+    {
+        http_parser_settings value;
+        http_parser_settings_init(&value);
+        value.on_message_begin = [](http_parser* parser)
+        {
+            self_of(parser).reset_message();
+            self_of(parser).is_inside_ = true;
+            return 0;
+        };
+        value.on_url =
+            [](http_parser* parser, char const* at, std::size_t length)
+        {
+            self_of(parser).head_.target_.append(at, length);
+            return 0;
+        };
+        value.on_header_field =
+            [](http_parser* parser, char const* at, std::size_t length)
+        {
+            self_of(parser).append_header_text({at, length}, true);
+            return 0;
+        };
+        value.on_header_value =
+            [](http_parser* parser, char const* at, std::size_t length)
+        {
+            self_of(parser).append_header_text({at, length}, false);
+            return 0;
+        };
+        value.on_headers_complete = [](http_parser* parser)
+        {
+            self_of(parser).finish_head();
+            return 0;
+        };
+        value.on_body =
+            [](http_parser* parser, char const* at, std::size_t length)
+        {
+            self_of(parser).sink_.on_body({at, length});
+            return 0;
+        };
+        value.on_message_complete = [](http_parser* parser)
+        {
+            self_of(parser).is_ended_ = true;
+            // Bytes that follow belong to the next message, which the owner
+            // reads when it is ready for it.
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return value;
+    }();
+    return settings;
+}
+
+void http_reader::append_header_text(std::string_view text, bool is_name)
+{
+    // The parser gives a name or value in pieces where the bytes arrive so.
+    if (is_name && (!was_name_ || head_.fields_.empty()))
+    {
+        head_.fields_.emplace_back();
+    }
+    was_name_ = is_name;
+    if (head_.fields_.empty())
+    {
+        return;
+    }
+    http_field& field = head_.fields_.back();
+    (is_name ? field.name_ : field.value_).append(text);
+}
+
+void http_reader::finish_head()
+{
+    if (parser_.type == HTTP_REQUEST)
+    {
+        head_.method_ =
+            http_method_str(static_cast<http_method>(parser_.method));
+    }
+    else
+    {
+        head_.status_ = parser_.status_code;
+    }
+    head_.is_keep_alive_ = http_should_keep_alive(&parser_) != 0;
+    head_.is_framed_ = is_body_framed(parser_);
+    is_head_done_ = true;
+    sink_.on_head(std::move(head_));
+    head_ = http_head{};
+}
+
+void http_reader::reset_message()
+{
+    head_ = http_head{};
+    head_bytes_ = 0;
+    was_name_ = false;
+    is_inside_ = false;
+    is_head_done_ = false;
+    is_ended_ = false;
+}
+
+http_read_result http_reader::read(std::string_view bytes)
+{
+    bool const was_head_done = is_head_done_;
+    std::size_t consumed = http_parser_execute(&parser_, &callbacks(),
+                                               bytes.data(), bytes.size());
+    if (!was_head_done && is_inside_)
+    {
+        head_bytes_ += consumed;
+        if (!is_head_done_ && head_bytes_ > max_head_bytes_)
+        {
+            return {http_read_status::head_too_large, consumed};
+        }
+    }
+    if (is_ended_)
+    {
+        http_parser_pause(&parser_, 0);
+        reset_message();
+        sink_.on_message_end();
+        // http_parser stops on the last byte of a message when it is paused
+        // there, and counts that byte as not taken only for a body by length.
+        return {http_read_status::message_end, consumed};
+    }
+    http_errno const failure = HTTP_PARSER_ERRNO(&parser_);
+    if (failure == HPE_HEADER_OVERFLOW)
+    {
+        return {http_read_status::head_too_large, consumed};
+    }
+    if (failure != HPE_OK || consumed != bytes.size())
+    {
+        return {http_read_status::malformed, consumed};
+    }
+    return {http_read_status::need_more, consumed};
+}
+
+http_read_status http_reader::read_end()
+{
+    http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    if (is_ended_)
+    {
+        http_parser_pause(&parser_, 0);
+        reset_message();
+        sink_.on_message_end();
+        return http_read_status::message_end;
+    }
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || is_inside_)
+    {
+        return http_read_status::malformed;
+    }
+    return http_read_status::need_more;
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/router/placement_duty.cpp
@@ -0,0 +1,363 @@
+// Lease, plan, and the orders that follow from it.
+#include "auburnlb/router/placement_duty.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include <nlohmann/json.hpp>
+
+#include "auburnlb/state/log.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+constexpr char lease_name[] = "placement";
+
+/// The duty is taken over within three seconds of its holder's end: an engine
+/// that was lost leaves the list after about as long.
+constexpr lease_limits duty_limits{milliseconds(3'000), milliseconds(1'000),
+                                   milliseconds(600), milliseconds(1'000)};
+
+constexpr milliseconds store_timeout{800};
+constexpr milliseconds report_timeout{400};
+constexpr milliseconds order_timeout{800};
+
+/// How often the plan is looked at.
+constexpr milliseconds plan_interval{200};
+
+/// An order without answer may be carried out this much later.
+constexpr milliseconds late_order_time{3'000};
+
+/// An engine whose order failed is left alone for this long.
+constexpr milliseconds failure_pause{700};
+
+/// A load takes longer than alone while others run.
+constexpr double load_time_factor = 3;
+constexpr milliseconds least_load_time{2'000};
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_created = 201;
+constexpr unsigned status_accepted = 202;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+
+std::string range_text(layer_range const& layers)
+{
+    return std::to_string(layers.first_) + "-" + std::to_string(layers.end_);
+}
+
+std::string read_holder(std::string const& value)
+{
+    auto const document = nlohmann::json::parse(value, nullptr, false);
+    return document.is_object() ? document.value("holder", "") : "";
+}
+
+milliseconds load_time_of(layer_range const& layers, model_profile const& model)
+{
+    double const share = static_cast<double>(layers.end_ - layers.first_) /
+                         std::max(1.0, static_cast<double>(model.layers_));
+    std::chrono::duration<double> const alone(model.load_s_ * share *
+                                              load_time_factor);
+    return least_load_time +
+           std::chrono::duration_cast<milliseconds>(alone);
+}
+
+} // namespace
+
+placement_duty::placement_duty(router_core& core, http_caller& caller)
+    : core_(core)
+    , caller_(caller)
+{
+    lease_.limits_ = duty_limits;
+    lease_.self_ =
+        core.options_.name_ + "@" +
+        std::to_string(core.clock_.now().time_since_epoch().count());
+}
+
+void placement_duty::on_tick(time_point now)
+{
+    run(on_lease_tick(lease_, now));
+    bool const is_held = held_number(lease_, now).has_value();
+    if (is_held != std::exchange(was_held_, is_held))
+    {
+        log(log_level::info,
+            is_held ? log_event::duty_taken : log_event::duty_lost,
+            {{"duty", lease_name},
+             {"fence", std::to_string(lease_.fencing_number_)},
+             {"holder", lease_.seen_holder_}},
+            is_held ? "this router places layers now"
+                    : "this router places layers no more");
+        orders_.clear();
+    }
+    expire_orders(now);
+    if (!is_held || now < next_plan_ || core_.routes_ == nullptr)
+    {
+        return;
+    }
+    next_plan_ = now + plan_interval;
+    for (service_entry const& each : core_.routes_->table().services_)
+    {
+        if (each.model_ && each.model_->layers_ > 1)
+        {
+            plan_service(each, now);
+        }
+    }
+}
+
+void placement_duty::release(time_point now)
+{
+    run(release_lease(lease_, now));
+}
+
+void placement_duty::run(lease_actions const& actions)
+{
+    for (lease_action const& action : actions)
+    {
+        if (auto const* const write = std::get_if<write_lease>(&action))
+        {
+            write_lease_object(*write);
+        }
+        else
+        {
+            read_lease_object();
+        }
+    }
+}
+
+void placement_duty::read_lease_object()
+{
+    caller_.call(
+        core_.options_.store_address_,
+        core_.protocol_.write_get_call_(lease_object_kind, lease_name),
+        store_timeout,
+        [this](result<http_reply> const& reply)
+        {
+            time_point const now = core_.clock_.now();
+            if (reply && reply.value().status_ == status_not_found)
+            {
+                run(on_lease_read(lease_, 0, "", now));
+                return;
+            }
+            bool const is_answer = reply && reply.value().status_ == status_ok;
+            auto const object =
+                is_answer ? core_.protocol_.read_object_(reply.value().body_)
+                          : result<store_object>(error{});
+            if (!object)
+            {
+                on_lease_failed(lease_, now);
+                return;
+            }
+            run(on_lease_read(lease_, object.value().revision_,
+                              read_holder(object.value().value_), now));
+        });
+}
+
+void placement_duty::write_lease_object(write_lease const& action)
+{
+    store_object object;
+    object.name_ = lease_name;
+    object.revision_ = action.expected_version_;
+    object.value_ = nlohmann::json{{"holder", action.holder_},
+                                   {"renewals", ++renewals_}}
+                        .dump();
+    caller_.call(
+        core_.options_.store_address_,
+        core_.protocol_.write_put_call_(lease_object_kind, object),
+        store_timeout,
+        [this](result<http_reply> const& reply)
+        {
+            time_point const now = core_.clock_.now();
+            bool const is_done = reply &&
+                                 (reply.value().status_ == status_ok ||
+                                  reply.value().status_ == status_created);
+            auto const written =
+                is_done ? core_.protocol_.read_object_(reply.value().body_)
+                        : result<store_object>(error{});
+            if (!written)
+            {
+                on_lease_failed(lease_, now);
+                return;
+            }
+            on_lease_written(lease_, written.value().revision_, now);
+        });
+}
+
+std::vector<plan_engine>
+placement_duty::engines_of(service_entry const& service, time_point now)
+{
+    std::vector<plan_engine> engines;
+    for (endpoint_ptr const& each :
+         endpoints_of(core_.directory_, service.name_))
+    {
+        endpoint_record const& record = each->record_;
+        auto const accelerator =
+            service.model_->accelerators_.find(record.accelerator_);
+        if (accelerator == service.model_->accelerators_.end() ||
+            each->missing_since_)
+        {
+            continue;
+        }
+        plan_engine engine;
+        engine.id_ = record.id_;
+        engine.data_centre_ = record.data_centre_;
+        engine.accelerator_ = accelerator->second;
+        engine.layers_ = record.layers_;
+        if (auto const order = orders_.find(record.id_); order != orders_.end())
+        {
+            engine.is_movable_ = false;
+            if (order->second.phase_ != order_phase::failed)
+            {
+                engine.layers_ = order->second.layers_;
+            }
+        }
+        engines.push_back(std::move(engine));
+    }
+    static_cast<void>(now);
+    return engines;
+}
+
+void placement_duty::plan_service(service_entry const& service, time_point now)
+{
+    for (plan_step const& step :
+         plan_layers(engines_of(service, now), *service.model_))
+    {
+        if (!orders_.contains(step.id_))
+        {
+            begin_order(step, *service.model_, now);
+        }
+    }
+}
+
+void placement_duty::expire_orders(time_point now)
+{
+    std::erase_if(
+        orders_,
+        [&](auto const& entry)
+        {
+            auto const found = core_.directory_.endpoints_.find(entry.first);
+            if (found == core_.directory_.endpoints_.end())
+            {
+                return true;
+            }
+            endpoint_record const& record = found->second->record_;
+            bool const is_done = entry.second.phase_ == order_phase::loading &&
+                                 record.layers_ == entry.second.layers_;
+            return is_done || now >= entry.second.until_ ||
+                   record.started_ms_ != entry.second.started_ms_;
+        });
+}
+
+std::string placement_duty::address_of(std::string const& id) const
+{
+    auto const found = core_.directory_.endpoints_.find(id);
+    return found == core_.directory_.endpoints_.end()
+               ? ""
+               : found->second->record_.address_;
+}
+
+void placement_duty::begin_order(plan_step const& step,
+                                 model_profile const& model, time_point now)
+{
+    endpoint_ptr const& endpoint = core_.directory_.endpoints_[step.id_];
+    orders_[step.id_] = {order_phase::asking, step.layers_,
+                         endpoint->record_.started_ms_,
+                         now + report_timeout * 2};
+    milliseconds const load_time = load_time_of(step.layers_, model);
+    caller_.call(endpoint->record_.address_,
+                 core_.protocol_.write_report_call_(), report_timeout,
+                 [this, id = step.id_,
+                  load_time](result<http_reply> const& reply)
+                 { on_report(id, reply, load_time); });
+}
+
+void placement_duty::on_report(std::string const& id,
+                               result<http_reply> const& reply,
+                               milliseconds load_time)
+{
+    auto const found = orders_.find(id);
+    time_point const now = core_.clock_.now();
+    if (found == orders_.end() || !held_number(lease_, now))
+    {
+        return;
+    }
+    if (!reply || reply.value().status_ != status_ok)
+    {
+        fail_order(id, reply ? "status " + std::to_string(reply.value().status_)
+                             : to_string(reply.error()));
+        return;
+    }
+    auto const report = core_.protocol_.read_report_(reply.value().body_);
+    if (!report)
+    {
+        fail_order(id, to_string(report.error()));
+        return;
+    }
+    if (report.value().is_busy_)
+    {
+        fail_order(id, "an order is in progress");
+        return;
+    }
+    order& order = found->second;
+    order.phase_ = order_phase::ordered;
+    order.until_ = now + order_timeout + late_order_time;
+    caller_.call(address_of(id),
+                 core_.protocol_.write_place_call_(order.layers_,
+                                                   report.value().orders_),
+                 order_timeout,
+                 [this, id, load_time](result<http_reply> const& answer)
+                 { on_order_reply(id, answer, load_time); });
+}
+
+void placement_duty::on_order_reply(std::string const& id,
+                                    result<http_reply> const& reply,
+                                    milliseconds load_time)
+{
+    auto const found = orders_.find(id);
+    if (found == orders_.end())
+    {
+        return;
+    }
+    time_point const now = core_.clock_.now();
+    order& order = found->second;
+    unsigned const status = reply ? reply.value().status_ : 0;
+    log(log_level::info, log_event::layers_ordered,
+        {{"peer", id},
+         {"layers", range_text(order.layers_)},
+         {"fence", std::to_string(lease_.fencing_number_)},
+         {"status", std::to_string(status)}},
+        reply ? "an engine was ordered to hold layers"
+              : to_string(reply.error()));
+    core_.metrics_.add("auburnlb_router_orders_total",
+                       "status=\"" + std::to_string(status) + "\"");
+    if (status == status_ok || status == status_accepted)
+    {
+        order.phase_ = order_phase::loading;
+        order.until_ = now + load_time;
+        return;
+    }
+    if (!reply)
+    {
+        // It may have been accepted, or be carried out later.
+        order.until_ = now + late_order_time;
+        return;
+    }
+    fail_order(id, "status " + std::to_string(status) +
+                       (status == status_conflict ? ", another state" : ""));
+}
+
+void placement_duty::fail_order(std::string const& id,
+                                std::string const& reason)
+{
+    log(log_level::info, log_event::order_failed,
+        {{"peer", id}, {"reason", reason}},
+        "an engine could not be ordered to hold layers");
+    order& order = orders_[id];
+    order.phase_ = order_phase::failed;
+    order.until_ = core_.clock_.now() + failure_pause;
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/router/router.cpp
@@ -0,0 +1,548 @@
+// The parts of a router and the time that drives them.
+#include "auburnlb/router/router.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "auburnlb/router/forwarded_request.hpp"
+#include "auburnlb/state/log.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Resolution of timeouts.
+constexpr milliseconds tick_interval{10};
+/// Idle connections and the like are looked at less often.
+constexpr milliseconds slow_tick_interval{100};
+
+/// A process that was suspended for this long has lost touch with its peers.
+constexpr milliseconds suspension{500};
+
+/// Waiting requests for which no room was found before a pass gives up: the
+/// others would not find any either.
+constexpr int max_vain_starts = 3;
+
+/// How long a stopping router goes on taking connections: the balancer needs
+/// two missed probes, a second apart, to turn callers away.
+constexpr milliseconds stop_notice{3'000};
+/// What is left of the limit of a stop for the process itself to end.
+constexpr milliseconds stop_reserve{500};
+
+/// Interval of reading the list of routers in the store.
+constexpr milliseconds join_interval{10'000};
+constexpr milliseconds join_retry{1'000};
+constexpr milliseconds store_timeout{800};
+constexpr char router_object_kind[] = "routers";
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_created = 201;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_not_found = 404;
+
+} // namespace
+
+router::router(asio::io_context& io, clock_source const& clock,
+               platform_protocol const& protocol, router_options options)
+    : core_(io, clock, protocol, std::move(options))
+    , calls_(io, clock)
+    , configuration_feed_(calls_, protocol, clock,
+                          core_.options_.store_address_,
+                          protocol.kind_name_(platform_kind::configuration),
+                          configuration_handlers())
+    , endpoint_feed_(calls_, protocol, clock, core_.options_.store_address_,
+                     protocol.kind_name_(platform_kind::endpoints),
+                     endpoint_handlers())
+    , peers_(core_, calls_, exchange_handlers())
+    , duty_(core_, calls_)
+    , callers_(io,
+               [this](asio::ip::tcp::socket socket)
+               {
+                   auto const connection = std::make_shared<caller_connection>(
+                       *this, tcp_channel::accepted(std::move(socket)));
+                   connections_.insert(connection);
+                   connection->start();
+               })
+    , ready_server_(io, clock,
+                    [this](http_head const&, std::string const&)
+                    {
+                        return local_answer{
+                            is_ready() ? status_ok : status_unavailable,
+                            "text/plain", ""};
+                    })
+    , control_server_(io, clock,
+                      [this](http_head const& head, std::string const& body)
+                      { return answer_control(head, body); })
+    , timer_(io)
+{
+}
+
+router::~router()
+{
+    core_.active_.clear();
+}
+
+result<void> router::start()
+{
+    if (auto opened = callers_.open(core_.options_.callers_address_); !opened)
+    {
+        return opened.error();
+    }
+    if (auto opened = ready_server_.open(core_.options_.ready_address_);
+        !opened)
+    {
+        return opened.error();
+    }
+    if (auto opened = control_server_.open(core_.options_.control_address_);
+        !opened)
+    {
+        return opened.error();
+    }
+    last_tick_ = core_.clock_.now();
+    last_steady_ = std::chrono::steady_clock::now();
+    schedule_tick();
+    on_tick();
+    return boost::outcome_v2::success();
+}
+
+void router::reload(router_options const& options)
+{
+    core_.options_.retries_ = options.retries_;
+    core_.options_.stop_limit_ = options.stop_limit_;
+    for (std::string const& seed : options.seeds_)
+    {
+        peers_.add_peer(seed);
+    }
+    log(log_level::info, log_event::settings_reloaded, {},
+        "the settings were read again");
+}
+
+void router::begin_stop()
+{
+    if (std::exchange(core_.is_stopping_, true))
+    {
+        return;
+    }
+    time_point const now = core_.clock_.now();
+    stop_began_ = now;
+    duty_.release(now);
+    log(log_level::info, log_event::process_stopping,
+        {{"requests", std::to_string(core_.active_.size())}},
+        "a planned stop begins");
+}
+
+void router::check_stop(time_point now)
+{
+    if (!core_.is_stopping_)
+    {
+        return;
+    }
+    auto const stopping = now - stop_began_;
+    if (stopping > stop_notice)
+    {
+        auto const connections = connections_;
+        for (auto const& each : connections)
+        {
+            each->close_if_idle();
+        }
+    }
+    bool const is_done = stopping > stop_notice && core_.active_.empty();
+    if (is_done || stopping > core_.options_.stop_limit_ - stop_reserve)
+    {
+        log(log_level::info, log_event::process_stopped,
+            {{"requests", std::to_string(core_.active_.size())}},
+            "the router has stopped");
+        core_.io_.stop();
+    }
+}
+
+void router::schedule_tick()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](asio::error_code const& failure)
+        {
+            if (!failure)
+            {
+                schedule_tick();
+                on_tick();
+            }
+        });
+}
+
+void router::watch_clock(time_point now)
+{
+    auto const steady = std::chrono::steady_clock::now();
+    nanoseconds const missed =
+        (now - last_tick_) - (steady - last_steady_);
+    last_tick_ = now;
+    last_steady_ = steady;
+    if (missed < suspension)
+    {
+        return;
+    }
+    log(log_level::warning, log_event::clock_jumped,
+        {{"missed_ms",
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(missed).count())}},
+        "the process was suspended; kept connections are not trusted");
+    core_.pool_.close_all_idle();
+}
+
+void router::on_tick()
+{
+    time_point const now = core_.clock_.now();
+    watch_clock(now);
+    core_.pool_.on_tick(now);
+    calls_.on_tick(now);
+    configuration_feed_.on_tick(now);
+    endpoint_feed_.on_tick(now);
+    peers_.on_tick(now);
+    duty_.on_tick(now);
+    auto const active = core_.active_;
+    for (auto const& each : active)
+    {
+        each->on_tick(now);
+    }
+    start_waiting(now);
+    if (now < next_slow_tick_)
+    {
+        return;
+    }
+    next_slow_tick_ = now + slow_tick_interval;
+    for (endpoint_ptr const& each : expire_missing(core_.directory_, now))
+    {
+        log(log_level::info, log_event::peer_lost,
+            {{"peer", each->record_.id_}, {"reason", "not listed"}},
+            "an endpoint did not come back with the platform");
+    }
+    auto const connections = connections_;
+    for (auto const& each : connections)
+    {
+        each->on_tick(now);
+    }
+    ready_server_.on_tick(now);
+    control_server_.on_tick(now);
+    join_fleet(now);
+    check_stop(now);
+}
+
+void router::start_waiting(time_point now)
+{
+    for (auto& [name, service] : core_.services_)
+    {
+        for (std::uint64_t const ticket : take_hopeless(service.queue_, now))
+        {
+            auto const found = service.waiting_.find(ticket);
+            auto const request = found->second;
+            service.waiting_.erase(found);
+            request->refuse_waiting(now);
+        }
+        int vain = 0;
+        for (std::uint64_t const ticket : start_order(service.queue_, now))
+        {
+            auto const found = service.waiting_.find(ticket);
+            if (found == service.waiting_.end())
+            {
+                continue;
+            }
+            auto const request = found->second;
+            if (request->try_start(now))
+            {
+                remove_waiting(service.queue_, ticket);
+                service.waiting_.erase(ticket);
+            }
+            else if (++vain >= max_vain_starts)
+            {
+                break;
+            }
+        }
+    }
+}
+
+bool router::is_ready() const
+{
+    return core_.routes_ != nullptr && has_endpoints_ && !core_.is_stopping_;
+}
+
+void router::serve(std::shared_ptr<caller_connection> caller, http_head head,
+                   std::string body, time_point received)
+{
+    forwarded_request::begin(core_, std::move(caller), std::move(head),
+                             std::move(body), received);
+}
+
+caller_limits router::limits() const
+{
+    return core_.routes_ == nullptr ? caller_limits{}
+                                    : core_.routes_->table().limits_;
+}
+
+void router::on_connection_closed(caller_connection& connection)
+{
+    connections_.erase(connection.shared_from_this());
+}
+
+void router::on_configuration(store_object const& object,
+                              std::string const& source)
+{
+    auto table = core_.protocol_.read_route_table_(object.value_);
+    if (!table)
+    {
+        log(log_level::error, log_event::configuration_rejected,
+            {{"version", std::to_string(object.revision_)}, {"peer", source}},
+            table.error().detail_);
+        return;
+    }
+    std::uint64_t const known =
+        core_.routes_ == nullptr ? 0 : core_.routes_->table().version_;
+    if (table.value().version_ <= known)
+    {
+        return;
+    }
+    core_.routes_ =
+        std::make_shared<route_index const>(std::move(table).value());
+    configuration_text_ = object.value_;
+    log(log_level::info, log_event::configuration_in_force,
+        {{"version", std::to_string(core_.routes_->table().version_)},
+         {"peer", source}},
+        "a newer configuration is in force");
+}
+
+void router::on_endpoint(std::string const& id, std::string const& value)
+{
+    endpoint_texts_[id] = value;
+    auto const record = core_.protocol_.read_endpoint_(id, value);
+    if (!record)
+    {
+        log(log_level::warning, log_event::configuration_rejected,
+            {{"peer", id}}, record.error().detail_);
+        on_endpoint_removed(id);
+        return;
+    }
+    has_endpoints_ = true;
+    endpoint_change const change =
+        apply_record(core_.directory_, record.value());
+    switch (change)
+    {
+    case endpoint_change::joined:
+    case endpoint_change::replaced:
+        core_.pool_.close_idle(record.value().address_);
+        log(log_level::info,
+            change == endpoint_change::joined ? log_event::peer_joined
+                                              : log_event::peer_replaced,
+            {{"peer", id},
+             {"address", record.value().address_},
+             {"service", record.value().service_}},
+            "an endpoint is known");
+        return;
+    case endpoint_change::leaving:
+        log(log_level::info, log_event::peer_leaving,
+            {{"peer", id}, {"service", record.value().service_}},
+            "an endpoint takes no new requests");
+        return;
+    default:
+        return;
+    }
+}
+
+void router::on_endpoint_removed(std::string const& id)
+{
+    endpoint_texts_.erase(id);
+    auto const found = core_.directory_.endpoints_.find(id);
+    std::string const address =
+        found == core_.directory_.endpoints_.end()
+            ? ""
+            : found->second->record_.address_;
+    if (apply_removal(core_.directory_, id, core_.clock_.now()) ==
+        endpoint_change::removed)
+    {
+        core_.pool_.close_idle(address);
+        log(log_level::info, log_event::peer_lost,
+            {{"peer", id}, {"reason", "removed from the list"}},
+            "an endpoint is gone");
+    }
+}
+
+void router::on_endpoint_list(std::map<std::string, std::string> const& entries)
+{
+    std::vector<std::string> gone;
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        if (!entries.contains(id))
+        {
+            gone.push_back(id);
+        }
+    }
+    for (std::string const& id : gone)
+    {
+        on_endpoint_removed(id);
+    }
+    for (auto const& [id, value] : entries)
+    {
+        on_endpoint(id, value);
+    }
+}
+
+void router::on_store_reachable(char const* kind, bool is_reachable,
+                                std::string const& reason)
+{
+    log(is_reachable ? log_level::info : log_level::warning,
+        is_reachable ? log_event::platform_reachable
+                     : log_event::platform_unreachable,
+        {{"peer", core_.options_.store_address_},
+         {"kind", kind},
+         {"reason", reason}},
+        is_reachable ? "the platform's store answers"
+                     : "the platform's store does not answer");
+}
+
+store_feed_handlers router::configuration_handlers()
+{
+    return {[this](std::vector<store_object> const& objects)
+            {
+                for (store_object const& each : objects)
+                {
+                    on_configuration(each, "store");
+                }
+            },
+            [this](store_object const& object)
+            {
+                if (!object.is_deleted_)
+                {
+                    on_configuration(object, "store");
+                }
+            },
+            [this](bool is_reachable, std::string const& reason)
+            { on_store_reachable("configuration", is_reachable, reason); }};
+}
+
+store_feed_handlers router::endpoint_handlers()
+{
+    return {[this](std::vector<store_object> const& objects)
+            {
+                std::map<std::string, std::string> entries;
+                for (store_object const& each : objects)
+                {
+                    entries[each.name_] = each.value_;
+                }
+                on_endpoint_list(entries);
+            },
+            [this](store_object const& object)
+            {
+                if (object.is_deleted_)
+                {
+                    on_endpoint_removed(object.name_);
+                    return;
+                }
+                on_endpoint(object.name_, object.value_);
+            },
+            [this](bool is_reachable, std::string const& reason)
+            {
+                if (is_reachable && has_endpoints_)
+                {
+                    on_platform_back(core_.directory_, core_.clock_.now());
+                }
+                on_store_reachable("endpoints", is_reachable, reason);
+            }};
+}
+
+peer_exchange_handlers router::exchange_handlers()
+{
+    return {[this]() -> std::string const& { return configuration_text_; },
+            [this](std::string const& value, std::string const& peer)
+            {
+                store_object object;
+                object.value_ = value;
+                on_configuration(object, peer);
+            },
+            [this]() -> std::map<std::string, std::string> const&
+            { return endpoint_texts_; },
+            [this](std::map<std::string, std::string> const& entries)
+            {
+                if (!endpoint_feed_.is_reachable())
+                {
+                    on_endpoint_list(entries);
+                }
+            },
+            [this] {
+                return endpoint_feed_.is_reachable() &&
+                       configuration_feed_.is_reachable();
+            }};
+}
+
+local_answer router::answer_control(http_head const& head,
+                                    std::string const& body)
+{
+    if (head.target_ == "/metrics")
+    {
+        return {status_ok, "text/plain; version=0.0.4",
+                core_.metrics_.render()};
+    }
+    if (head.target_ == "/exchange")
+    {
+        return peers_.answer(body);
+    }
+    return {status_not_found, "text/plain", "no such page\n"};
+}
+
+void router::join_fleet(time_point now)
+{
+    if (now < next_join_ || core_.is_stopping_)
+    {
+        return;
+    }
+    next_join_ = now + join_retry;
+    if (!is_registered_)
+    {
+        store_object object;
+        object.name_ = core_.options_.name_;
+        object.value_ =
+            nlohmann::json{{"control", core_.options_.control_address_}}.dump();
+        calls_.call(core_.options_.store_address_,
+                    core_.protocol_.write_put_call_(router_object_kind, object),
+                    store_timeout,
+                    [this](result<http_reply> const& reply)
+                    {
+                        is_registered_ =
+                            reply &&
+                            (reply.value().status_ == status_ok ||
+                             reply.value().status_ == status_created ||
+                             reply.value().status_ == status_conflict);
+                    });
+        return;
+    }
+    next_join_ = now + join_interval;
+    calls_.call(core_.options_.store_address_,
+                core_.protocol_.write_list_call_(router_object_kind, ""),
+                store_timeout,
+                [this](result<http_reply> const& reply)
+                {
+                    if (!reply || reply.value().status_ != status_ok)
+                    {
+                        return;
+                    }
+                    auto const page =
+                        core_.protocol_.read_page_(reply.value().body_);
+                    if (!page)
+                    {
+                        return;
+                    }
+                    for (store_object const& each : page.value().objects_)
+                    {
+                        auto const value = nlohmann::json::parse(
+                            each.value_, nullptr, false);
+                        if (value.is_object())
+                        {
+                            peers_.add_peer(value.value("control", ""));
+                        }
+                    }
+                });
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/src/router/tcp_channel.cpp
@@ -0,0 +1,252 @@
+// Non-blocking reads and writes of one connection.
+#include "auburnlb/router/tcp_channel.hpp"
+
+#include <array>
+#include <utility>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <asio/steady_timer.hpp>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Bytes read at a time.
+constexpr std::size_t read_buffer_bytes = 64 * 1024;
+
+/// How long sent bytes may stay unacknowledged before the connection is given
+/// up, so that a connection that some middlebox forgot does not hang.
+constexpr int unacknowledged_limit_ms = 2'000;
+
+std::array<char, read_buffer_bytes>& read_buffer()
+{
+    static std::array<char, read_buffer_bytes> buffer;
+    return buffer;
+}
+
+std::string peer_text(asio::ip::tcp::endpoint const& peer)
+{
+    return peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+} // namespace
+
+tcp_channel::tcp_channel(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket))
+{
+}
+
+std::shared_ptr<tcp_channel> tcp_channel::accepted(asio::ip::tcp::socket socket)
+{
+    std::shared_ptr<tcp_channel> channel(new tcp_channel(std::move(socket)));
+    asio::error_code failure;
+    auto const peer = channel->socket_.remote_endpoint(failure);
+    channel->peer_ = failure ? "" : peer_text(peer);
+    channel->configure_socket();
+    return channel;
+}
+
+std::shared_ptr<tcp_channel>
+tcp_channel::connect(asio::io_context& io, asio::ip::tcp::endpoint const& peer,
+                     channel_receiver& receiver)
+{
+    std::shared_ptr<tcp_channel> channel(
+        new tcp_channel(asio::ip::tcp::socket(io)));
+    channel->peer_ = peer_text(peer);
+    channel->receiver_ = &receiver;
+    channel->is_connected_ = false;
+    asio::error_code failure;
+    channel->socket_.open(asio::ip::tcp::v4(), failure);
+    channel->configure_socket();
+    channel->socket_.async_connect(
+        peer,
+        [channel](asio::error_code const& outcome)
+        {
+            if (!channel->is_open())
+            {
+                return;
+            }
+            if (outcome)
+            {
+                channel->end_with(channel_end::not_connected);
+                return;
+            }
+            channel->is_connected_ = true;
+            channel->wait_readable();
+            channel->write_unsent();
+            if (channel->receiver_ != nullptr)
+            {
+                channel->receiver_->on_connected();
+            }
+        });
+    return channel;
+}
+
+void tcp_channel::configure_socket()
+{
+    // A failure leaves the connection usable, only slower or slower to end.
+    asio::error_code ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.set_option(user_timeout(unacknowledged_limit_ms), ignored);
+}
+
+void tcp_channel::start(channel_receiver& receiver)
+{
+    bool const was_reading = receiver_ != nullptr;
+    receiver_ = &receiver;
+    if (!was_reading && is_connected_)
+    {
+        wait_readable();
+    }
+}
+
+void tcp_channel::wait_readable()
+{
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](asio::error_code const& wait)
+                       {
+                           if (!wait && self->is_open())
+                           {
+                               self->read_available();
+                           }
+                       });
+}
+
+void tcp_channel::read_available()
+{
+    asio::error_code failure;
+    std::size_t const length =
+        socket_.read_some(asio::buffer(read_buffer()), failure);
+    if (failure == asio::error::would_block ||
+        failure == asio::error::interrupted)
+    {
+        wait_readable();
+        return;
+    }
+    if (failure)
+    {
+        end_with(failure == asio::error::eof ? channel_end::closed
+                                             : channel_end::broken);
+        return;
+    }
+    // The wait is begun first, since the receiver may close the channel.
+    wait_readable();
+    if (receiver_ != nullptr && !is_finishing_)
+    {
+        receiver_->on_bytes({read_buffer().data(), length});
+    }
+}
+
+void tcp_channel::write(std::string_view bytes)
+{
+    if (!is_open() || is_finishing_)
+    {
+        return;
+    }
+    if (!is_connected_ || !unsent_.empty())
+    {
+        unsent_.append(bytes);
+        return;
+    }
+    asio::error_code failure;
+    std::size_t const sent =
+        socket_.write_some(asio::buffer(bytes.data(), bytes.size()), failure);
+    // A broken connection shows itself to the reader, which reports it.
+    has_sent_ = has_sent_ || sent > 0;
+    if (sent < bytes.size() && (!failure || failure == asio::error::would_block))
+    {
+        unsent_.append(bytes.substr(sent));
+        wait_writable();
+    }
+}
+
+void tcp_channel::wait_writable()
+{
+    if (std::exchange(is_waiting_writable_, true))
+    {
+        return;
+    }
+    socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                       [self = shared_from_this()](asio::error_code const& wait)
+                       {
+                           self->is_waiting_writable_ = false;
+                           if (!wait && self->is_open())
+                           {
+                               self->write_unsent();
+                           }
+                       });
+}
+
+void tcp_channel::write_unsent()
+{
+    if (unsent_.empty())
+    {
+        return;
+    }
+    asio::error_code failure;
+    std::size_t const sent = socket_.write_some(asio::buffer(unsent_), failure);
+    has_sent_ = has_sent_ || sent > 0;
+    if (failure && failure != asio::error::would_block)
+    {
+        unsent_.clear();
+        return;
+    }
+    unsent_.erase(0, sent);
+    if (!unsent_.empty())
+    {
+        wait_writable();
+        return;
+    }
+    if (is_finishing_)
+    {
+        asio::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+}
+
+void tcp_channel::close()
+{
+    receiver_ = nullptr;
+    asio::error_code ignored;
+    socket_.close(ignored);
+}
+
+void tcp_channel::finish(milliseconds linger)
+{
+    if (!is_open() || is_finishing_)
+    {
+        return;
+    }
+    is_finishing_ = true;
+    receiver_ = nullptr;
+    if (unsent_.empty())
+    {
+        asio::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+    auto timer = std::make_shared<asio::steady_timer>(socket_.get_executor(),
+                                                      linger);
+    timer->async_wait([self = shared_from_this(), timer](
+                          asio::error_code const&) { self->close(); });
+}
+
+void tcp_channel::end_with(channel_end end)
+{
+    channel_receiver* const receiver = std::exchange(receiver_, nullptr);
+    auto const keep_alive = shared_from_this();
+    close();
+    if (receiver != nullptr)
+    {
+        receiver->on_end(end);
+    }
+}
+
+} // namespace auburnlb
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -37,6 +37,8 @@
     {log_event::process_stopped, "process_stopped"},
     {log_event::settings_rejected, "settings_rejected"},
     {log_event::port_unavailable, "port_unavailable"},
+    {log_event::clock_jumped, "clock_jumped"},
+    {log_event::settings_reloaded, "settings_reloaded"},
     {log_event::configuration_in_force, "configuration_in_force"},
     {log_event::platform_unreachable, "platform_unreachable"},
     {log_event::platform_reachable, "platform_reachable"},
@@ -52,11 +54,16 @@
     {log_event::stream_failed, "stream_failed"},
     {log_event::stream_cancelled, "stream_cancelled"},
     {log_event::request_quarantined, "request_quarantined"},
+    {log_event::request_ended, "request_ended"},
     {log_event::engine_lost, "engine_lost"},
     {log_event::engine_back, "engine_back"},
     {log_event::claim_home_taken, "claim_home_taken"},
     {log_event::claim_home_fenced, "claim_home_fenced"},
     {log_event::claim_write_failed, "claim_write_failed"},
+    {log_event::duty_taken, "duty_taken"},
+    {log_event::duty_lost, "duty_lost"},
+    {log_event::layers_ordered, "layers_ordered"},
+    {log_event::order_failed, "order_failed"},
 });
 
 constexpr auto event_list = []
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -106,6 +106,15 @@
         describe(timing_hosts_poll),
         describe(timing_watch_wait),
         describe(timing_resume_grace),
+        describe(router_callers),
+        describe(router_ready),
+        describe(router_control),
+        describe(router_store),
+        describe(router_seeds),
+        describe(router_retry_ratio),
+        describe(router_retry_slack),
+        describe(router_retry_window),
+        describe(router_stop_limit),
     };
 }
 
@@ -296,7 +305,7 @@
 {
     ordered_json schema;
     schema["$schema"] = "http://json-schema.org/draft-07/schema#";
-    schema["title"] = "Settings of auburnlb-entry and auburnlb-companion";
+    schema["title"] = "Settings of auburnlb's daemons";
     schema["type"] = "object";
     schema["additionalProperties"] = false;
     for (setting_description const& which : describe_settings())
