Let the first plan wait for the engines

Cause: engines register over two seconds and the first plan was made for one. Ruled out: load; 25 in 100 of the engines held layers that others missed.

--- a/include/auburnlb/router/placement_duty.hpp
+++ b/include/auburnlb/router/placement_duty.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,12 +51,23 @@
         time_point until_{};
     };
 
+    /// Engines of a service that holds no layers yet.
+    struct joining
+    {
+        std::size_t engines_ = 0;
+        std::optional<time_point> began_;
+        time_point changed_{};
+    };
+
     void run(lease_actions const& actions);
     void read_lease_object();
     void write_lease_object(write_lease const& action);
     void plan_service(service_entry const& service, time_point now);
     std::vector<plan_engine> engines_of(service_entry const& service,
                                         time_point now);
+    /// Whether engines are still joining before the first plan.
+    bool is_joining(service_entry const& service,
+                    std::vector<plan_engine> const& engines, time_point now);
     void expire_orders(time_point now);
     void begin_order(plan_step const& step, model_profile const& model,
                      time_point now);
@@ -73,6 +85,8 @@
     /// Counts renewals, so that each changes the object.
     std::uint64_t renewals_ = 0;
     std::map<std::string, order> orders_;
+    /// By service.
+    std::map<std::string, joining> joining_;
     time_point next_plan_{};
 };
 
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -29,6 +29,12 @@
 /// How often the plan is looked at.
 constexpr milliseconds plan_interval{200};
 
+/// The first plan waits until no engine has joined for this long, since it
+/// shares the layers among those that it knows, but not longer than this after
+/// the first one.
+constexpr milliseconds join_pause{700};
+constexpr milliseconds longest_join_wait{3'500};
+
 /// An order without answer may be carried out this much later.
 constexpr milliseconds late_order_time{3'000};
 
@@ -220,10 +226,32 @@
     return engines;
 }
 
+bool placement_duty::is_joining(service_entry const& service,
+                                std::vector<plan_engine> const& engines,
+                                time_point now)
+{
+    joining& state = joining_[service.name_];
+    if (state.engines_ != engines.size())
+    {
+        state.engines_ = engines.size();
+        state.changed_ = now;
+        state.began_ = state.began_.value_or(now);
+    }
+    bool const is_first_plan =
+        std::none_of(engines.begin(), engines.end(),
+                     [](plan_engine const& each) { return each.layers_; });
+    return is_first_plan && now - state.changed_ < join_pause &&
+           now - *state.began_ < longest_join_wait;
+}
+
 void placement_duty::plan_service(service_entry const& service, time_point now)
 {
-    for (plan_step const& step :
-         plan_layers(engines_of(service, now), *service.model_))
+    std::vector<plan_engine> const engines = engines_of(service, now);
+    if (engines.empty() || is_joining(service, engines, now))
+    {
+        return;
+    }
+    for (plan_step const& step : plan_layers(engines, *service.model_))
     {
         if (!orders_.contains(step.id_))
         {
