Repair a placement where layers have least room, and price hops by frames

Cause: after a lost engine the plan only filled layers that nobody held, so a replica of three data centres broke for good; paths crossed data centres for want of a price for each frame. Change: engines move from layers with most room to those with least if that raises the least by 1.3; empty ones go to the weakest layers; a hop costs its frames over the whole stream.

--- a/src/coordination/layer_plan.cpp
+++ b/src/coordination/layer_plan.cpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <numeric>
+#include <tuple>
 
 namespace auburnlb
 {
@@ -16,8 +18,16 @@
 /// the KV cache of requests.
 constexpr double min_memory_factor = 1.2;
 
-/// Part of an engine's memory that weights may take in a repair.
-constexpr double max_weight_share = 0.9;
+/// Part of an engine's memory that weights may take in a repair: what is left
+/// holds the KV cache of about as many tokens as in a first plan.
+constexpr double max_weight_share = 1 / min_memory_factor;
+
+/// A layer has about as much room as another up to this factor.
+constexpr double similar_room = 1.3;
+
+/// Factor by which a move must raise the least room, so that engines do not
+/// move to and fro.
+constexpr double min_gain = 1.3;
 
 /// Most layers that leave room for requests.
 std::uint32_t roomy_layers(plan_engine const& engine,
@@ -140,115 +150,91 @@
     return room;
 }
 
-/// The first run of layers that no engine holds.
-std::optional<layer_range> first_gap(std::vector<double> const& room)
+/// KV tokens of an engine that holds this many layers; at least one, since an
+/// engine without room still holds its layers.
+double own_room(plan_engine const& engine, model_profile const& model,
+                std::uint32_t layers)
 {
-    auto const begin = std::find(room.begin(), room.end(), 0.0);
-    if (begin == room.end())
-    {
-        return std::nullopt;
-    }
-    auto const end = std::find_if(begin, room.end(),
-                                  [](double tokens) { return tokens > 0; });
-    return layer_range{static_cast<std::uint32_t>(begin - room.begin()),
-                       static_cast<std::uint32_t>(end - room.begin())};
+    return std::max(1.0, kv_tokens_beside(model, engine.accelerator_, layers));
 }
 
-/// The longest run of at most count layers around the layer with the least
-/// room whose room is about as small.
+/// At most count layers around the weakest one whose room is about as small.
 layer_range weakest_range(std::vector<double> const& room, std::uint32_t count)
 {
-    constexpr double similar = 1.05;
     auto const weakest = std::min_element(room.begin(), room.end());
-    double const limit = *weakest * similar;
+    double const limit = *weakest * similar_room;
     auto first = static_cast<std::uint32_t>(weakest - room.begin());
-    std::uint32_t end = first;
+    std::uint32_t end = first + 1;
     while (end < room.size() && end - first < count && room[end] <= limit)
     {
         ++end;
     }
+    while (first > 0 && end - first < count && room[first - 1] <= limit)
+    {
+        --first;
+    }
     return {first, end};
 }
 
-/// Where an engine that holds nothing is needed most.
-std::optional<layer_range> range_for(plan_engine const& engine,
-                                     std::vector<double> const& room,
-                                     model_profile const& model)
+/// The least room that the engine's layers would have without it.
+double room_without(plan_engine const& engine, std::vector<double> const& room,
+                    model_profile const& model)
 {
-    std::uint32_t const count = roomy_layers(engine, model);
-    if (count == 0)
-    {
-        return std::nullopt;
-    }
-    if (auto const gap = first_gap(room))
+    layer_range const layers = *engine.layers_;
+    double const own =
+        own_room(engine, model, layers.end_ - layers.first_);
+    double least = std::numeric_limits<double>::infinity();
+    for (std::uint32_t layer = layers.first_;
+         layer < std::min(layers.end_, model.layers_); ++layer)
     {
-        return layer_range{gap->first_,
-                           std::min(gap->end_, gap->first_ + count)};
+        least = std::min(least, room[layer] - own);
     }
-    return weakest_range(room, count);
+    return least;
 }
 
-/// An engine whose layers touch the gap and that has memory for it as well.
-std::optional<plan_step> extend_neighbour(engine_list const& engines,
-                                          layer_range const& gap,
-                                          model_profile const& model)
+/// Gives engines that hold nothing the layers that are held least.
+std::vector<plan_step> fill_with_empty(std::vector<plan_engine>& engines,
+                                       engine_list const& all,
+                                       model_profile const& model)
 {
-    for (plan_engine const* const engine : engines)
+    std::vector<plan_step> steps;
+    for (plan_engine& engine : engines)
     {
-        if (!engine->layers_ || !engine->is_movable_)
-        {
-            continue;
-        }
-        layer_range joined = *engine->layers_;
-        if (joined.end_ == gap.first_)
-        {
-            joined.end_ = gap.end_;
-        }
-        else if (joined.first_ == gap.end_)
-        {
-            joined.first_ = gap.first_;
-        }
-        else
+        std::uint32_t const count = roomy_layers(engine, model);
+        if (engine.layers_ || !engine.is_movable_ || count == 0)
         {
             continue;
         }
-        if (joined.end_ - joined.first_ <= roomy_layers(*engine, model))
-        {
-            return plan_step{engine->id_, joined};
-        }
+        engine.layers_ = weakest_range(room_by_layer(all, model), count);
+        engine.is_movable_ = false;
+        steps.push_back({engine.id_, *engine.layers_});
     }
-    return std::nullopt;
+    return steps;
 }
 
-/// An engine all of whose layers others hold as well, moved to the gap.
-std::optional<plan_step> move_spare(engine_list const& engines,
-                                    layer_range const& gap,
-                                    std::vector<double> const& room,
-                                    model_profile const& model)
+/// The engine whose move to the weakest layers raises the least room most, or
+/// null if none raises it enough.
+plan_engine* find_mover(std::vector<plan_engine>& engines,
+                        std::vector<double> const& room,
+                        model_profile const& model)
 {
-    for (plan_engine const* const engine : engines)
+    double most = *std::min_element(room.begin(), room.end()) * min_gain;
+    plan_engine* mover = nullptr;
+    for (plan_engine& engine : engines)
     {
-        if (!engine->layers_ || !engine->is_movable_)
+        if (!engine.layers_ || !engine.is_movable_ ||
+            roomy_layers(engine, model) == 0)
         {
             continue;
         }
-        double const own = std::max(
-            1.0,
-            kv_tokens_beside(model, engine->accelerator_,
-                             engine->layers_->end_ - engine->layers_->first_));
-        bool const is_spare = std::all_of(
-            room.begin() + engine->layers_->first_,
-            room.begin() + std::min(engine->layers_->end_, model.layers_),
-            [&](double tokens) { return tokens > own * 1.5; });
-        std::uint32_t const count = roomy_layers(*engine, model);
-        if (is_spare && count > 0)
+        double const left = room_without(engine, room, model);
+        if (left > most)
         {
-            return plan_step{
-                engine->id_,
-                {gap.first_, std::min(gap.end_, gap.first_ + count)}};
+            most = left;
+            mover = &engine;
         }
     }
-    return std::nullopt;
+    return mover;
 }
 
 /// Fills what is missing, one step for each engine.
@@ -260,33 +246,18 @@
     {
         all.push_back(&each);
     }
-    std::vector<plan_step> steps;
-    for (plan_engine& engine : engines)
+    std::vector<plan_step> steps = fill_with_empty(engines, all, model);
+    while (steps.size() < model.parallel_loads_)
     {
-        if (engine.layers_ || !engine.is_movable_)
-        {
-            continue;
-        }
-        if (auto const range =
-                range_for(engine, room_by_layer(all, model), model))
-        {
-            engine.layers_ = range;
-            engine.is_movable_ = false;
-            steps.push_back({engine.id_, *range});
-        }
-    }
-    std::vector<double> const room = room_by_layer(all, model);
-    if (auto const gap = first_gap(room))
-    {
-        auto step = extend_neighbour(all, *gap, model);
-        if (!step)
-        {
-            step = move_spare(all, *gap, room, model);
-        }
-        if (step)
+        std::vector<double> const room = room_by_layer(all, model);
+        plan_engine* const mover = find_mover(engines, room, model);
+        if (mover == nullptr)
         {
-            steps.push_back(*step);
+            break;
         }
+        mover->layers_ = weakest_range(room, roomy_layers(*mover, model));
+        mover->is_movable_ = false;
+        steps.push_back({mover->id_, *mover->layers_});
     }
     return steps;
 }
--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -19,12 +19,17 @@
 constexpr double local_hop_ms = 0.3;
 /// One way between data centres, in ms.
 constexpr double remote_hop_ms = 1.0;
-/// What an answer that comes from another data centre is worth avoiding, in ms:
-/// the bytes between data centres are paid for.
-constexpr double remote_first_engine_ms = 150;
 /// The link between data centres is shared, so a transfer is taken to get this
 /// part of it.
 constexpr double shared_link_share = 0.25;
+
+// What else counts against a way, as ms of a stream's time.
+/// The activations of a prompt that are moved between engines.
+constexpr double hop_penalty_ms = 60;
+/// A link that other streams need as well, and that may be slow or cut.
+constexpr double remote_hop_penalty_ms = 400;
+/// An answer whose bytes cross between data centres.
+constexpr double remote_first_penalty_ms = 250;
 /// The longest path that engines accept.
 constexpr std::size_t max_parts = 32;
 
@@ -162,17 +167,33 @@
     std::vector<way> ways_;
 };
 
+/// Time that the way into the engine adds to the first event.
+double entry_ms(search const& state, std::size_t boundary, std::size_t engine)
+{
+    if (boundary == 0)
+    {
+        return 0;
+    }
+    return hop_ms(state.engines_[state.ways_[boundary].engine_],
+                  state.engines_[engine], state.model_, state.demand_);
+}
+
+/// What the way into the engine costs over the whole stream.
 double entry_cost(search const& state, std::size_t boundary, std::size_t engine)
 {
-    path_engine const& next = state.engines_[engine];
+    std::string const& to = state.engines_[engine].data_centre_;
     if (boundary == 0)
     {
-        return next.data_centre_ == state.demand_.data_centre_
-                   ? 0
-                   : remote_first_engine_ms;
+        return to == state.demand_.data_centre_ ? 0 : remote_first_penalty_ms;
     }
-    return hop_ms(state.engines_[state.ways_[boundary].engine_], next,
-                  state.model_, state.demand_);
+    bool const is_local =
+        state.engines_[state.ways_[boundary].engine_].data_centre_ == to;
+    double const events = state.demand_.answer_tokens_ /
+                          std::max(1U, state.model_.steps_per_event_);
+    double const frames_ms =
+        events * (is_local ? local_hop_ms : remote_hop_ms);
+    return entry_ms(state, boundary, engine) + frames_ms +
+           (is_local ? hop_penalty_ms : remote_hop_penalty_ms);
 }
 
 /// Extends the way to a boundary by one engine, up to each later boundary that
@@ -222,14 +243,14 @@
                                  state.boundaries_[at]};
         choice.path_.parts_.push_back({engine.id_, engine.address_, layers});
         auto const count = static_cast<double>(layers.end_ - layers.first_);
-        double const hop = entry_cost(state, last.begin_, last.engine_);
+        double const hop = entry_ms(state, last.begin_, last.engine_);
         double const pass_ms = count * cost.token_ms_per_layer_ *
                                engine.cost_factor_ *
                                state.model_.steps_per_event_;
         choice.first_event_ms_ +=
             count * cost.prefill_ms_per_layer_ * engine.cost_factor_ +
-            (last.begin_ == 0 ? 0 : hop) + pass_ms;
-        choice.event_gap_ms_ += pass_ms;
+            hop + pass_ms;
+        choice.event_gap_ms_ += pass_ms + (last.begin_ == 0 ? 0 : remote_hop_ms);
         at = last.begin_;
     }
     std::reverse(choice.path_.parts_.begin(), choice.path_.parts_.end());
