Move engines only where layers run short, one at a time

Change: a move needs a layer whose KV cache is in use to 0.8, and no other move in its data centre; engines with fewest streams go first.

--- a/include/auburnlb/coordination/layer_plan.hpp
+++ b/include/auburnlb/coordination/layer_plan.hpp
@@ -23,6 +23,10 @@
     std::optional<layer_range> layers_;
     /// Whether it may be ordered to hold other layers now.
     bool is_movable_ = true;
+    /// Streams that pass through it: layers are given up only after them.
+    std::uint32_t streams_ = 0;
+    /// Tokens of KV cache that these have or will need.
+    double used_tokens_ = 0;
 
     bool operator==(plan_engine const&) const = default;
 };
@@ -40,9 +44,10 @@
 /// they have one. Replicas of the model stay within a data centre, because the
 /// links between them are shared. The first plan splits the engines of a data
 /// centre into whole replicas. Later, engines that hold nothing fill the layers
-/// that are held least, and an engine moves only for layers that no engine of
-/// its data centre holds. No engine is ordered to hold more than its memory
-/// allows.
+/// that are held least. An engine that holds layers moves only for layers that
+/// no engine of its data centre holds, or that are used up while others have
+/// room: it takes nothing new until its streams have ended. No engine is
+/// ordered to hold more than its memory allows.
 std::vector<plan_step> plan_layers(std::vector<plan_engine> const& engines,
                                    model_profile const& model);
 
--- a/src/coordination/layer_plan.cpp
+++ b/src/coordination/layer_plan.cpp
@@ -25,6 +25,9 @@
 /// A layer has about as much room as another up to this factor.
 constexpr double similar_room = 1.3;
 
+/// Part of the weakest layers' room whose use calls for a move.
+constexpr double short_share = 0.8;
+
 /// Factor by which a move must raise the least room, so that engines do not
 /// move to and fro.
 constexpr double min_gain = 1.3;
@@ -212,14 +215,17 @@
     return steps;
 }
 
-/// The engine whose move to the weakest layers raises the least room most, or
-/// null if none raises it enough.
+/// The engine whose move to the weakest layers raises the least room enough:
+/// the one with the fewest streams, then the one that leaves most. Null if none
+/// does.
 plan_engine* find_mover(std::vector<plan_engine>& engines,
                         std::vector<double> const& room,
                         model_profile const& model)
 {
-    double most = *std::min_element(room.begin(), room.end()) * min_gain;
+    double const least =
+        *std::min_element(room.begin(), room.end()) * min_gain;
     plan_engine* mover = nullptr;
+    std::pair<std::uint32_t, double> best;
     for (plan_engine& engine : engines)
     {
         if (!engine.layers_ || !engine.is_movable_ ||
@@ -228,15 +234,46 @@
             continue;
         }
         double const left = room_without(engine, room, model);
-        if (left > most)
+        std::pair const rank(engine.streams_, -left);
+        if (left > least && (mover == nullptr || rank < best))
         {
-            most = left;
+            best = rank;
             mover = &engine;
         }
     }
     return mover;
 }
 
+/// Whether streams are kept waiting by the weakest layers.
+bool is_short_of_room(engine_list const& engines,
+                      std::vector<double> const& room)
+{
+    auto const weakest = static_cast<std::uint32_t>(
+        std::min_element(room.begin(), room.end()) - room.begin());
+    if (room[weakest] <= 0)
+    {
+        return true;
+    }
+    double used = 0;
+    for (plan_engine const* const engine : engines)
+    {
+        if (engine->layers_ && engine->layers_->first_ <= weakest &&
+            weakest < engine->layers_->end_)
+        {
+            used += engine->used_tokens_;
+        }
+    }
+    return used >= room[weakest] * short_share;
+}
+
+/// Whether an engine of the data centre is changing its layers.
+bool is_moving(engine_list const& engines)
+{
+    return std::any_of(engines.begin(), engines.end(),
+                       [](plan_engine const* each)
+                       { return each->layers_ && !each->is_movable_; });
+}
+
 /// Fills what is missing, one step for each engine.
 std::vector<plan_step> repair(std::vector<plan_engine> engines,
                               model_profile const& model)
@@ -247,17 +284,16 @@
         all.push_back(&each);
     }
     std::vector<plan_step> steps = fill_with_empty(engines, all, model);
-    while (steps.size() < model.parallel_loads_)
+    std::vector<double> const room = room_by_layer(all, model);
+    // One move at a time: each takes room away until it is done.
+    if (!steps.empty() || is_moving(all) || !is_short_of_room(all, room))
     {
-        std::vector<double> const room = room_by_layer(all, model);
-        plan_engine* const mover = find_mover(engines, room, model);
-        if (mover == nullptr)
-        {
-            break;
-        }
-        mover->layers_ = weakest_range(room, roomy_layers(*mover, model));
-        mover->is_movable_ = false;
-        steps.push_back({mover->id_, *mover->layers_});
+        return steps;
+    }
+    if (plan_engine const* const mover = find_mover(engines, room, model))
+    {
+        steps.push_back(
+            {mover->id_, weakest_range(room, roomy_layers(*mover, model))});
     }
     return steps;
 }
