Tell lost engines from slow ones by probes, and never give up a begun stream early

Ruled out: load; the cut streams had engines with room. Change: probes of engines without progress, resumption before new requests, 503 for streams in the last 5 s of a stop, slack that grows over a window.

--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -41,6 +41,12 @@
     endpoint_load foreign_load_;
     /// Last time that work at it made progress.
     time_point last_progress_{};
+    /// Last time that it answered a probe, and that it did not.
+    time_point probe_answered_{};
+    time_point probe_failed_{};
+    /// When the last probe was sent, and whether its outcome is open.
+    time_point probe_sent_{};
+    bool is_probed_ = false;
     /// An engine said that it does not hold the layers that its record names;
     /// believed until this time, or until the record changes.
     time_point layers_lost_until_{};
@@ -100,6 +106,14 @@
 /// Whether a new request may be sent to it now.
 bool takes_requests(known_endpoint const& endpoint, time_point now);
 
+/// Whether the endpoint showed a sign of life since that time: progress of
+/// work, or an answer to a probe.
+bool is_alive_since(known_endpoint const& endpoint, time_point since);
+
+/// Whether its last probe failed since that time and nothing came from it
+/// after.
+bool is_dead_since(known_endpoint const& endpoint, time_point since);
+
 /// An engine as the choice of paths sees it.
 path_engine to_path_engine(known_endpoint const& endpoint,
                            model_profile const& model, time_point now);
--- a/include/auburnlb/coordination/retry_window.hpp
+++ b/include/auburnlb/coordination/retry_window.hpp
@@ -36,6 +36,9 @@
         bool operator==(slot const&) const = default;
     };
     std::deque<slot> slots_;
+    /// The slack is not used in full before a whole window has passed since
+    /// then: a process that ran here before may have used it.
+    time_point began_{};
 
     bool operator==(retry_window const&) const = default;
 };
--- /dev/null
+++ b/include/auburnlb/router/endpoint_prober.hpp
@@ -0,0 +1,39 @@
+// Probes of endpoints that show no progress.
+#ifndef AUBURNLB_ROUTER_ENDPOINT_PROBER_HPP
+#define AUBURNLB_ROUTER_ENDPOINT_PROBER_HPP
+
+#include "auburnlb/coordination/endpoint_directory.hpp"
+#include "auburnlb/router/http_caller.hpp"
+#include "auburnlb/router/platform_protocol.hpp"
+
+namespace auburnlb
+{
+
+/// Asks engines for their report, to tell one that is lost from one that is
+/// slow. Not thread-safe.
+class endpoint_prober
+{
+public:
+    endpoint_prober(http_caller& caller, platform_protocol const& protocol,
+                    clock_source const& clock)
+        : caller_(caller)
+        , protocol_(protocol)
+        , clock_(clock)
+    {
+    }
+
+    /// Sends a probe, unless one is under way or was sent just before.
+    void probe(endpoint_ptr const& endpoint);
+
+private:
+    void on_reply(endpoint_ptr const& endpoint,
+                  result<http_reply> const& reply);
+
+    http_caller& caller_;
+    platform_protocol const& protocol_;
+    clock_source const& clock_;
+};
+
+} // namespace auburnlb
+
+#endif
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -66,6 +66,10 @@
     bool find_route();
     bool find_workspace();
     bool read_facts();
+    /// Whether the router stops before the request could end.
+    bool is_too_late_to_begin() const;
+    std::int32_t priority() const;
+    waiting_request make_waiting(time_point now);
     void enqueue(time_point now);
 
     bool start_on_path(time_point now);
@@ -85,7 +89,11 @@
     attempt_limits limits_now(attempt_end end, time_point now) const;
     void note_attempt(attempt_end end, time_point now);
     void blame(attempt_end end, time_point now);
-    void blame_silent(time_point now);
+    /// Blames engines of the path that did not answer a probe since the last
+    /// progress; whether there is one.
+    bool blame_silent(time_point now);
+    /// Probes engines of the path without a sign of life since that time.
+    void probe_silent(time_point since);
     void blame_refusing(time_point now);
     void check_silence(time_point now);
     milliseconds silence_limit() const;
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -48,6 +48,7 @@
     struct peer
     {
         bool is_waiting_ = false;
+        time_point known_since_{};
         /// Set after its first answer.
         std::optional<time_point> answered_;
         time_point next_call_{};
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -68,7 +68,6 @@
     void join_fleet(time_point now);
 
     router_core core_;
-    http_caller calls_;
     /// The platform's entries as written, for routers that it turns away.
     std::string configuration_text_;
     std::map<std::string, std::string> endpoint_texts_;
@@ -85,7 +84,6 @@
     std::chrono::steady_clock::time_point last_steady_{};
     time_point next_slow_tick_{};
     time_point next_join_{};
-    time_point stop_began_{};
     bool has_endpoints_ = false;
     bool is_registered_ = false;
 };
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -14,6 +14,8 @@
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
 #include "auburnlb/router/endpoint_pool.hpp"
+#include "auburnlb/router/endpoint_prober.hpp"
+#include "auburnlb/router/http_caller.hpp"
 #include "auburnlb/router/platform_protocol.hpp"
 #include "auburnlb/router/router_options.hpp"
 #include "auburnlb/state/clock.hpp"
@@ -43,6 +45,9 @@
         , protocol_(protocol)
         , options_(std::move(options))
         , pool_(io, clock)
+        , calls_(io, clock)
+        , prober_(calls_, protocol, clock)
+        , started_(clock.now())
     {
     }
 
@@ -54,6 +59,10 @@
     std::shared_ptr<route_index const> routes_;
     endpoint_directory directory_;
     endpoint_pool pool_;
+    /// Calls that are not callers' requests.
+    http_caller calls_;
+    endpoint_prober prober_;
+    time_point started_{};
     std::map<std::string, service_runtime> services_;
     /// Every request that is not settled.
     std::set<std::shared_ptr<forwarded_request>> active_;
@@ -61,6 +70,8 @@
     std::uint32_t routers_ = 1;
     std::uint64_t last_ticket_ = 0;
     bool is_stopping_ = false;
+    /// When a planned stop began.
+    time_point stop_began_{};
     metrics_registry metrics_;
 };
 
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -136,6 +136,17 @@
            is_trusted(endpoint.health_, now);
 }
 
+bool is_alive_since(known_endpoint const& endpoint, time_point since)
+{
+    return std::max(endpoint.last_progress_, endpoint.probe_answered_) >= since;
+}
+
+bool is_dead_since(known_endpoint const& endpoint, time_point since)
+{
+    return endpoint.probe_failed_ >= since &&
+           !is_alive_since(endpoint, endpoint.probe_failed_);
+}
+
 path_engine to_path_engine(known_endpoint const& endpoint,
                            model_profile const& model, time_point now)
 {
--- a/src/coordination/retry_window.cpp
+++ b/src/coordination/retry_window.cpp
@@ -16,6 +16,9 @@
 /// way are not seen here.
 constexpr double used_share = 0.8;
 
+/// Part of the slack that a new process may use at once.
+constexpr double least_slack_share = 0.2;
+
 retry_window::slot& current_slot(retry_window& window,
                                  retry_limits const& limits, time_point now)
 {
@@ -52,7 +55,10 @@
         requests += each.requests_;
         repeats += each.repeats_;
     }
-    double const shared = limits.slack_ / std::max(routers, 1U);
+    double const age = std::chrono::duration<double>(now - window.began_) /
+                       std::chrono::duration<double>(limits.window_);
+    double const shared = limits.slack_ / std::max(routers, 1U) *
+                          std::clamp(age, least_slack_share, 1.0);
     return (limits.ratio_ * requests + shared) * used_share - repeats;
 }
 
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -30,6 +30,13 @@
 /// another router soon.
 constexpr milliseconds retry_without_configuration{500};
 
+/// Time that a stopping router needs for a request that it begins: most
+/// streams end within it.
+constexpr milliseconds time_for_stream{5'000};
+constexpr milliseconds time_for_call{1'000};
+/// A caller that returns reaches another router.
+constexpr milliseconds retry_at_other_router{100};
+
 /// Part of a caller's patience after which a waiting request is given up: the
 /// rest is needed to make the first event.
 constexpr double waiting_share = 0.7;
@@ -62,6 +69,9 @@
 /// An idempotent call is repeated elsewhere after this many latency targets.
 constexpr double silent_targets = 1.5;
 
+/// Silences after which an attempt is given up whose engines all answer.
+constexpr int slow_patience = 4;
+
 /// Weight of the newest gap in the moving mean.
 constexpr double gap_weight = 0.2;
 
@@ -76,6 +86,9 @@
 /// otherwise.
 constexpr std::uint32_t max_sends = 5;
 
+/// A stream that has begun goes before all that have not.
+constexpr std::int32_t begun_priority = -1;
+
 /// What a refused caller of a plain service is told.
 constexpr milliseconds short_return{30};
 
@@ -146,7 +159,13 @@
     {
         return;
     }
-    note_request(request->service().retries_, core.options_.retries_, received);
+    service_runtime& runtime = request->service();
+    runtime.retries_.began_ = core.started_;
+    note_request(runtime.retries_, core.options_.retries_, received);
+    if (runtime.queue_.waiting_.empty() && request->try_start(received))
+    {
+        return;
+    }
     request->enqueue(received);
 }
 
@@ -171,7 +190,28 @@
               retry_without_configuration);
         return false;
     }
-    return find_route() && read_facts() && find_workspace();
+    if (!find_route() || !read_facts() || !find_workspace())
+    {
+        return false;
+    }
+    if (is_too_late_to_begin())
+    {
+        reply(status_unavailable, refusal_reason::entry_stopping,
+              retry_at_other_router);
+        return false;
+    }
+    return true;
+}
+
+bool forwarded_request::is_too_late_to_begin() const
+{
+    if (!core_.is_stopping_)
+    {
+        return false;
+    }
+    auto const left =
+        core_.stop_began_ + core_.options_.stop_limit_ - received_;
+    return left < (is_stream() ? time_for_stream : time_for_call);
 }
 
 bool forwarded_request::find_route()
@@ -227,29 +267,44 @@
     return true;
 }
 
-void forwarded_request::enqueue(time_point now)
+std::int32_t forwarded_request::priority() const
+{
+    return workspace_ != nullptr
+               ? workspace_->priority_.value_or(route_->priority_)
+               : route_->priority_;
+}
+
+waiting_request forwarded_request::make_waiting(time_point now)
 {
     waiting_request entry;
     ticket_ = ++core_.last_ticket_;
     entry.ticket_ = ticket_;
-    entry.priority_ = workspace_ != nullptr
-                          ? workspace_->priority_.value_or(route_->priority_)
-                          : route_->priority_;
+    entry.priority_ = priority();
     entry.arrived_ = now;
     entry.on_time_until_ = received_ + route_->latency_target_ * 2 / 3;
     entry.give_up_at_ = deadline_ - least_plain_time;
-    if (is_stream())
+    if (!is_stream())
     {
-        auto const patience = std::chrono::duration_cast<milliseconds>(
-            route_->caller_patience_ * waiting_share);
-        entry.give_up_at_ = std::min(entry.give_up_at_, received_ + patience);
+        return entry;
     }
-    service_runtime& runtime = service();
-    if (runtime.queue_.waiting_.empty() && try_start(now))
+    // The caller of a begun stream counts from the last event.
+    time_point const since = event_count_ > 0 ? progress_at_ : received_;
+    if (event_count_ > 0)
     {
-        return;
+        entry.priority_ = begun_priority;
+        entry.on_time_until_ = since + route_->max_event_gap_;
     }
-    if (is_hopeless(runtime.queue_, entry) || now >= entry.give_up_at_)
+    auto const patience = std::chrono::duration_cast<milliseconds>(
+        route_->caller_patience_ * waiting_share);
+    entry.give_up_at_ = std::min(entry.give_up_at_, since + patience);
+    return entry;
+}
+
+void forwarded_request::enqueue(time_point now)
+{
+    waiting_request const entry = make_waiting(now);
+    service_runtime& runtime = service();
+    if (is_hopeless(runtime.queue_, entry))
     {
         refuse_waiting(now);
         return;
@@ -404,12 +459,8 @@
     if (is_stream())
     {
         request.last_event_id_ = events_.last_id();
-        std::int32_t const priority =
-            workspace_ != nullptr
-                ? workspace_->priority_.value_or(route_->priority_)
-                : route_->priority_;
         request.urgency_ = static_cast<std::uint32_t>(
-            std::clamp(priority + usual_urgency_offset, 0, last_urgency));
+            std::clamp(priority() + usual_urgency_offset, 0, last_urgency));
     }
     ++sends_;
     if (std::find(sent_to_.begin(), sent_to_.end(), request.endpoint_id_) ==
@@ -604,9 +655,9 @@
     limits.may_have_run_ = may_have_run_;
     limits.has_delivered_ = caller_->has_begun_answer();
     auto& runtime = core_.services_[service_name_];
-    limits.has_budget_ = end == attempt_end::not_sent ||
-                         repeats_left(runtime.retries_, core_.options_.retries_,
-                                      core_.routers_, now) >= 1;
+    double const left = repeats_left(runtime.retries_, core_.options_.retries_,
+                                     core_.routers_, now);
+    limits.has_budget_ = end == attempt_end::not_sent || left >= 1;
     return limits;
 }
 
@@ -675,7 +726,10 @@
          {"events", std::to_string(event_count_)},
          {"path", path_text(path_.path_.parts_)}},
         why);
-    enqueue(now);
+    if (!try_start(now))
+    {
+        enqueue(now);
+    }
 }
 
 void forwarded_request::blame(attempt_end end, time_point now)
@@ -698,7 +752,7 @@
         note_evidence(first, health_evidence::failure, now);
         return;
     case attempt_end::silent:
-        blame_silent(now);
+        // Engines were blamed when the silence was noticed.
         return;
     }
 }
@@ -721,16 +775,28 @@
     note_evidence(culprit->health_, health_evidence::refusal, now);
 }
 
-void forwarded_request::blame_silent(time_point now)
+bool forwarded_request::blame_silent(time_point now)
 {
-    // An engine through which other streams go on is not the one that is lost.
-    milliseconds const limit = silence_limit();
+    bool is_found = false;
     for (reservation const& each : reservations_)
     {
-        if (now - each.endpoint_->last_progress_ >= limit)
+        known_endpoint& endpoint = *each.endpoint_;
+        if (is_dead_since(endpoint, progress_at_))
         {
-            note_evidence(each.endpoint_->health_, health_evidence::silence,
-                          now);
+            note_evidence(endpoint.health_, health_evidence::silence, now);
+            is_found = true;
+        }
+    }
+    return is_found;
+}
+
+void forwarded_request::probe_silent(time_point since)
+{
+    for (reservation const& each : reservations_)
+    {
+        if (!is_alive_since(*each.endpoint_, since))
+        {
+            core_.prober_.probe(each.endpoint_);
         }
     }
 }
@@ -766,17 +832,34 @@
 
 void forwarded_request::check_silence(time_point now)
 {
-    milliseconds const limit = silence_limit() + extra_patience_;
-    if (now - progress_at_ < limit || !may_repeat())
+    if (!may_repeat())
+    {
+        return;
+    }
+    milliseconds const limit = silence_limit();
+    auto const silence = now - progress_at_;
+    bool const is_model = !path_.path_.parts_.empty();
+    if (is_model && silence >= limit / 2)
+    {
+        probe_silent(now - limit / 2);
+    }
+    if (silence < limit + extra_patience_)
+    {
+        return;
+    }
+    // Engines that answer are slow rather than lost; what they run is waited
+    // for, unless it takes far too long.
+    bool const is_lost = blame_silent(now);
+    if (is_model && !is_lost && silence < slow_patience * limit)
     {
         return;
     }
-    blame_silent(now);
     attempt_limits const limits = limits_now(attempt_end::silent, now);
     if (decide_after(attempt_end::silent, limits) == attempt_decision::repeat &&
         can_go_elsewhere(now))
     {
-        end_attempt(attempt_end::silent, "no progress");
+        end_attempt(attempt_end::silent, is_lost ? "an engine is lost"
+                                                 : "no progress");
         return;
     }
     // Nowhere to go: the endpoint may still go on.
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds load_lifetime{1'500};
 
 /// A router that has not answered for this long does not share the limits.
-constexpr milliseconds member_lifetime{12'000};
+constexpr milliseconds member_lifetime{30'000};
 
 /// A router that has not answered for this long is not asked any more.
 constexpr milliseconds forget_after{60'000};
@@ -49,7 +49,11 @@
 {
     if (address != core_.options_.control_address_ && !address.empty())
     {
-        peers_.try_emplace(address);
+        auto const [entry, is_new] = peers_.try_emplace(address);
+        if (is_new)
+        {
+            entry->second.known_since_ = core_.clock_.now();
+        }
     }
 }
 
@@ -112,7 +116,11 @@
     std::uint32_t routers = 1;
     for (auto& [address, peer] : peers_)
     {
-        if (peer.answered_ && now - *peer.answered_ < member_lifetime)
+        // One that has not answered yet may live beyond a cut.
+        bool const may_live =
+            peer.answered_ ? now - *peer.answered_ < member_lifetime
+                           : now - peer.known_since_ < member_lifetime;
+        if (may_live)
         {
             ++routers;
         }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -31,7 +31,7 @@
 /// two missed probes, a second apart, to turn callers away.
 constexpr milliseconds stop_notice{3'000};
 /// What is left of the limit of a stop for the process itself to end.
-constexpr milliseconds stop_reserve{500};
+constexpr milliseconds stop_reserve{250};
 
 /// Interval of reading the list of routers in the store.
 constexpr milliseconds join_interval{10'000};
@@ -50,16 +50,15 @@
 router::router(asio::io_context& io, clock_source const& clock,
                platform_protocol const& protocol, router_options options)
     : core_(io, clock, protocol, std::move(options))
-    , calls_(io, clock)
-    , configuration_feed_(calls_, protocol, clock,
+    , configuration_feed_(core_.calls_, protocol, clock,
                           core_.options_.store_address_,
                           protocol.kind_name_(platform_kind::configuration),
                           configuration_handlers())
-    , endpoint_feed_(calls_, protocol, clock, core_.options_.store_address_,
+    , endpoint_feed_(core_.calls_, protocol, clock, core_.options_.store_address_,
                      protocol.kind_name_(platform_kind::endpoints),
                      endpoint_handlers())
-    , peers_(core_, calls_, exchange_handlers())
-    , duty_(core_, calls_)
+    , peers_(core_, core_.calls_, exchange_handlers())
+    , duty_(core_, core_.calls_)
     , callers_(io,
                [this](asio::ip::tcp::socket socket)
                {
@@ -129,7 +128,7 @@
         return;
     }
     time_point const now = core_.clock_.now();
-    stop_began_ = now;
+    core_.stop_began_ = now;
     duty_.release(now);
     log(log_level::info, log_event::process_stopping,
         {{"requests", std::to_string(core_.active_.size())}},
@@ -142,7 +141,7 @@
     {
         return;
     }
-    auto const stopping = now - stop_began_;
+    auto const stopping = now - core_.stop_began_;
     if (stopping > stop_notice)
     {
         auto const connections = connections_;
@@ -199,7 +198,7 @@
     time_point const now = core_.clock_.now();
     watch_clock(now);
     core_.pool_.on_tick(now);
-    calls_.on_tick(now);
+    core_.calls_.on_tick(now);
     configuration_feed_.on_tick(now);
     endpoint_feed_.on_tick(now);
     peers_.on_tick(now);
@@ -504,7 +503,7 @@
         object.name_ = core_.options_.name_;
         object.value_ =
             nlohmann::json{{"control", core_.options_.control_address_}}.dump();
-        calls_.call(core_.options_.store_address_,
+        core_.calls_.call(core_.options_.store_address_,
                     core_.protocol_.write_put_call_(router_object_kind, object),
                     store_timeout,
                     [this](result<http_reply> const& reply)
@@ -518,7 +517,7 @@
         return;
     }
     next_join_ = now + join_interval;
-    calls_.call(core_.options_.store_address_,
+    core_.calls_.call(core_.options_.store_address_,
                 core_.protocol_.write_list_call_(router_object_kind, ""),
                 store_timeout,
                 [this](result<http_reply> const& reply)
