Refuse requests that crash endpoints, and read settings that change silently

Cause: nothing on the platform's path counted crashes under one request; a settings file may change without a signal. Ruled out: crash_suspicion, which follows stages of a chain and is tied to its attempts; only crashes confirmed by a refused connection count, and each router tells what it saw itself.

--- a/daemons/router/main.cpp
+++ b/daemons/router/main.cpp
@@ -1,9 +1,12 @@
 // The router's daemon: serves callers on the users' platform.
 #include <csignal>
-#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <utility>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 
 #include "auburnlb/router/boot_clock.hpp"
 #include "auburnlb/router/router.hpp"
@@ -16,40 +19,96 @@
 
 using namespace auburnlb;
 
-void follow_signals(asio::signal_set& signals, router& process,
-                    std::string const& settings_path)
+/// How often the settings file is compared with what is in force: it may
+/// change without a signal.
+constexpr seconds settings_poll{2};
+
+std::string read_text(std::string const& path)
 {
-    signals.async_wait(
-        [&signals, &process, settings_path](asio::error_code const& failure,
-                                            int signal)
-        {
-            if (failure)
-            {
-                return;
-            }
-            if (signal == SIGHUP)
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Follows signals and the settings file.
+class supervisor
+{
+public:
+    supervisor(asio::io_context& io, router& process, std::string path)
+        : process_(process)
+        , path_(std::move(path))
+        , text_(read_text(path_))
+        , signals_(io, SIGTERM, SIGINT, SIGHUP)
+        , timer_(io)
+    {
+        follow_signals();
+        follow_settings();
+    }
+
+private:
+    void follow_signals()
+    {
+        signals_.async_wait(
+            [this](asio::error_code const& failure, int signal)
             {
-                auto const values = settings::load(settings_path);
-                auto const options =
-                    values ? read_router_options(values.value())
-                           : result<router_options>(values.error());
-                if (options)
+                if (failure)
                 {
-                    process.reload(options.value());
+                    return;
+                }
+                if (signal == SIGHUP)
+                {
+                    reload();
                 }
                 else
                 {
-                    log(log_level::error, log_event::settings_rejected, {},
-                        options.error().detail_);
+                    process_.begin_stop();
                 }
-            }
-            else
+                follow_signals();
+            });
+    }
+
+    void follow_settings()
+    {
+        timer_.expires_after(settings_poll);
+        timer_.async_wait(
+            [this](asio::error_code const& failure)
             {
-                process.begin_stop();
-            }
-            follow_signals(signals, process, settings_path);
-        });
-}
+                if (!failure)
+                {
+                    reload();
+                    follow_settings();
+                }
+            });
+    }
+
+    void reload()
+    {
+        std::string text = read_text(path_);
+        if (text == text_)
+        {
+            return;
+        }
+        text_ = std::move(text);
+        auto const values = settings::parse(path_, text_);
+        auto const options = values ? read_router_options(values.value())
+                                    : result<router_options>(values.error());
+        if (options)
+        {
+            process_.reload(options.value());
+            return;
+        }
+        log(log_level::error, log_event::settings_rejected, {},
+            options.error().detail_ + "; the settings before stay in force");
+    }
+
+    router& process_;
+    std::string path_;
+    /// The file's content as last read.
+    std::string text_;
+    asio::signal_set signals_;
+    asio::steady_timer timer_;
+};
 
 } // namespace
 
@@ -73,8 +132,7 @@
     asio::io_context io(single_thread);
     boot_clock const clock;
     router process(io, clock, platform::protocol(), std::move(options).value());
-    asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    follow_signals(signals, process, command.settings_path_);
+    supervisor const supervisor(io, process, command.settings_path_);
     if (auto started = process.start(); !started)
     {
         log(log_level::error, log_event::port_unavailable,
--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -47,9 +47,9 @@
 /// One connection of a caller. It carries one request at a time; bytes of the
 /// next are kept meanwhile.
 class caller_connection final
-    : public std::enable_shared_from_this<caller_connection>
-    , public channel_receiver
-    , public http_message_sink
+    : public std::enable_shared_from_this<caller_connection>,
+      public channel_receiver,
+      public http_message_sink
 {
 public:
     caller_connection(request_service& service,
@@ -73,7 +73,10 @@
 
     /// Whether a part of an answer was sent.
     bool has_begun_answer() const { return has_begun_answer_; }
-    bool is_idle() const { return !is_serving_ && !reader_.is_inside_message(); }
+    bool is_idle() const
+    {
+        return !is_serving_ && !reader_.is_inside_message();
+    }
     /// Bytes that the caller has not taken yet.
     std::size_t unsent_bytes() const { return channel_->unsent_bytes(); }
     /// Closes a connection on which no request is in progress.
--- a/include/auburnlb/router/endpoint_pool.hpp
+++ b/include/auburnlb/router/endpoint_pool.hpp
@@ -48,9 +48,9 @@
 
 /// One connection to an endpoint, which carries one request at a time.
 class endpoint_connection final
-    : public std::enable_shared_from_this<endpoint_connection>
-    , public channel_receiver
-    , public http_message_sink
+    : public std::enable_shared_from_this<endpoint_connection>,
+      public channel_receiver,
+      public http_message_sink
 {
 public:
     endpoint_connection(endpoint_pool& pool, std::string address);
@@ -60,7 +60,9 @@
 
     /// Sends a request. The receiver must live until the answer ended, the
     /// exchange failed, or cancel() was called.
-    void begin(std::string_view request, exchange_receiver& receiver);
+    /// @param is_head the answer has no body, whatever its head says
+    void begin(std::string_view request, exchange_receiver& receiver,
+               bool is_head = false);
 
     /// Closes the connection, which tells the endpoint to stop the work. The
     /// receiver hears nothing more.
--- a/include/auburnlb/router/endpoint_prober.hpp
+++ b/include/auburnlb/router/endpoint_prober.hpp
@@ -2,6 +2,9 @@
 #ifndef AUBURNLB_ROUTER_ENDPOINT_PROBER_HPP
 #define AUBURNLB_ROUTER_ENDPOINT_PROBER_HPP
 
+#include <functional>
+#include <utility>
+
 #include "auburnlb/coordination/endpoint_directory.hpp"
 #include "auburnlb/router/http_caller.hpp"
 #include "auburnlb/router/platform_protocol.hpp"
@@ -22,16 +25,25 @@
     {
     }
 
+    /// Called when an endpoint refuses connections: its process is gone.
+    void set_on_dead(std::function<void(known_endpoint const&)> handler)
+    {
+        on_dead_ = std::move(handler);
+    }
+
     /// Sends a probe, unless one is under way or was sent just before.
     void probe(endpoint_ptr const& endpoint);
 
 private:
+    void note_silence(endpoint_ptr const& endpoint, error const& failure,
+                      time_point now);
     void on_reply(endpoint_ptr const& endpoint,
                   result<http_reply> const& reply);
 
     http_caller& caller_;
     platform_protocol const& protocol_;
     clock_source const& clock_;
+    std::function<void(known_endpoint const&)> on_dead_;
 };
 
 } // namespace auburnlb
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -23,9 +23,9 @@
 /// A request from its arrival until its caller has an answer or has left.
 /// Invariant: in router_core::active_ until it is settled.
 class forwarded_request final
-    : public std::enable_shared_from_this<forwarded_request>
-    , public request_owner
-    , public exchange_receiver
+    : public std::enable_shared_from_this<forwarded_request>,
+      public request_owner,
+      public exchange_receiver
 {
 public:
     /// Checks the request and begins to serve it.
@@ -116,13 +116,15 @@
     time_point received_;
     /// Keeps route_ and service_entry_ alive.
     std::shared_ptr<route_index const> routes_;
+    /// Unique at this router.
+    std::uint64_t ticket_ = 0;
     route const* route_ = nullptr;
     std::string service_name_;
     service_entry const* service_entry_ = nullptr;
     caller_request facts_;
     workspace_entry const* workspace_ = nullptr;
     time_point deadline_{};
-    std::uint64_t ticket_ = 0;
+    request_fingerprint fingerprint_ = 0;
     bool is_waiting_ = false;
     bool is_settled_ = false;
 
--- a/include/auburnlb/router/http_message.hpp
+++ b/include/auburnlb/router/http_message.hpp
@@ -109,6 +109,12 @@
     /// length, and need_more if nothing was begun.
     http_read_status read_end();
 
+    /// Answers to HEAD have no body.
+    void set_without_body(bool is_without_body)
+    {
+        is_without_body_ = is_without_body;
+    }
+
     /// Whether a part of a message was read.
     bool is_inside_message() const { return is_inside_; }
     bool is_inside_body() const { return is_inside_ && is_head_done_; }
@@ -117,7 +123,8 @@
     static http_parser_settings const& callbacks();
     static http_reader& self_of(http_parser* parser);
     void append_header_text(std::string_view text, bool is_name);
-    void finish_head();
+    /// Gives the head to the sink; whether its names are valid.
+    bool finish_head();
     void reset_message();
 
     http_parser parser_{};
@@ -129,7 +136,7 @@
     bool is_inside_ = false;
     bool is_head_done_ = false;
     bool is_ended_ = false;
-    bool is_head_too_large_ = false;
+    bool is_without_body_ = false;
 };
 
 } // namespace auburnlb
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -9,6 +9,8 @@
 #include <optional>
 #include <string>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "auburnlb/router/http_caller.hpp"
 #include "auburnlb/router/local_server.hpp"
 #include "auburnlb/router/router_core.hpp"
@@ -57,7 +59,8 @@
 
     void ask(std::string const& address, peer& peer, time_point now);
     void on_reply(std::string const& address, result<http_reply> const& reply);
-    void read_loads(peer& peer, std::string const& document);
+    void read_loads(peer& peer, nlohmann::json const& state);
+    void read_crashes(std::string const& address, nlohmann::json const& state);
     void sum_loads(time_point now);
     std::string own_state(std::uint64_t known_version, bool with_endpoints);
 
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -57,6 +57,7 @@
     void on_configuration(store_object const& object,
                           std::string const& source);
     void on_endpoint(std::string const& id, std::string const& value);
+    void on_endpoint_dead(known_endpoint const& endpoint);
     void on_endpoint_removed(std::string const& id);
     void on_endpoint_list(std::map<std::string, std::string> const& entries);
     void on_store_reachable(char const* kind, bool is_reachable,
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "auburnlb/coordination/crash_counts.hpp"
 #include "auburnlb/coordination/endpoint_directory.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
@@ -58,6 +59,7 @@
     /// Null until a configuration is known. Its version never falls.
     std::shared_ptr<route_index const> routes_;
     endpoint_directory directory_;
+    crash_counts crashes_;
     endpoint_pool pool_;
     /// Calls that are not callers' requests.
     http_caller calls_;
--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -31,8 +31,8 @@
 {
 public:
     store_feed(http_caller& caller, platform_protocol const& protocol,
-               clock_source const& clock, std::string address,
-               std::string kind, store_feed_handlers handlers);
+               clock_source const& clock, std::string address, std::string kind,
+               store_feed_handlers handlers);
 
     void on_tick(time_point now);
     bool is_reachable() const { return is_reachable_; }
--- a/include/auburnlb/state/settings.hpp
+++ b/include/auburnlb/state/settings.hpp
@@ -319,15 +319,20 @@
     {},
     "Control addresses of some routers, separated by commas; may be stale."};
 inline constexpr setting<double> router_retry_ratio{
-    "router", "retry_ratio", 0.1, 0.0, 10.0,
+    "router",
+    "retry_ratio",
+    0.1,
+    0.0,
+    10.0,
     "Repeated sends for each request that all routers together may make to a "
     "service within the retry window."};
 inline constexpr setting<double> router_retry_slack{
-    "router", "retry_slack", 100.0, 0.0, 1e6,
-    "Repeated sends beyond that within the retry window."};
+    "router", "retry_slack",
+    100.0,    0.0,
+    1e6,      "Repeated sends beyond that within the retry window."};
 inline constexpr setting<seconds> router_retry_window{
-    "router",     "retry_window_s", seconds(10), seconds(1),
-    seconds(600), "Length of the retry window, in seconds."};
+    "router",   "retry_window_s", seconds(10),
+    seconds(1), seconds(600),     "Length of the retry window, in seconds."};
 inline constexpr setting<milliseconds> router_stop_limit{
     "router",
     "stop_limit_ms",
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -23,8 +23,8 @@
     return left.layers_ != right.layers_;
 }
 
-double load_share(known_endpoint const& endpoint, std::string const& data_centre,
-                  time_point now)
+double load_share(known_endpoint const& endpoint,
+                  std::string const& data_centre, time_point now)
 {
     double const requests =
         static_cast<double>(endpoint.load_.requests_) +
--- a/src/coordination/layer_plan.cpp
+++ b/src/coordination/layer_plan.cpp
@@ -142,8 +142,8 @@
         std::uint32_t const count =
             engine->layers_->end_ - engine->layers_->first_;
         // At least one token, since a full engine still holds the layer.
-        double const tokens = std::max(
-            1.0, kv_tokens_beside(model, engine->accelerator_, count));
+        double const tokens =
+            std::max(1.0, kv_tokens_beside(model, engine->accelerator_, count));
         for (std::uint32_t layer = engine->layers_->first_;
              layer < std::min(engine->layers_->end_, model.layers_); ++layer)
         {
@@ -184,8 +184,7 @@
                     model_profile const& model)
 {
     layer_range const layers = *engine.layers_;
-    double const own =
-        own_room(engine, model, layers.end_ - layers.first_);
+    double const own = own_room(engine, model, layers.end_ - layers.first_);
     double least = std::numeric_limits<double>::infinity();
     for (std::uint32_t layer = layers.first_;
          layer < std::min(layers.end_, model.layers_); ++layer)
@@ -222,8 +221,7 @@
                         std::vector<double> const& room,
                         model_profile const& model)
 {
-    double const least =
-        *std::min_element(room.begin(), room.end()) * min_gain;
+    double const least = *std::min_element(room.begin(), room.end()) * min_gain;
     plan_engine* mover = nullptr;
     std::pair<std::uint32_t, double> best;
     for (plan_engine& engine : engines)
@@ -301,14 +299,13 @@
 /// Largest memory first, so that what is needed most goes to who can hold most.
 void sort_for_repair(std::vector<plan_engine>& engines)
 {
-    std::sort(engines.begin(), engines.end(),
-              [](plan_engine const& left, plan_engine const& right)
-              {
-                  return std::make_pair(-left.accelerator_.memory_mb_,
-                                        left.id_) <
-                         std::make_pair(-right.accelerator_.memory_mb_,
-                                        right.id_);
-              });
+    std::sort(
+        engines.begin(), engines.end(),
+        [](plan_engine const& left, plan_engine const& right)
+        {
+            return std::make_pair(-left.accelerator_.memory_mb_, left.id_) <
+                   std::make_pair(-right.accelerator_.memory_mb_, right.id_);
+        });
 }
 
 } // namespace
--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -69,9 +69,9 @@
     double const layers = std::max(1.0, static_cast<double>(model.layers_));
     double const held = std::max(
         1.0, static_cast<double>(engine.layers_.end_ - engine.layers_.first_));
-    double const prefill_ms_per_token =
-        ms_per_s / model.prefill_tokens_per_s_ *
-        engine.accelerator_.prefill_factor_ / layers;
+    double const prefill_ms_per_token = ms_per_s / model.prefill_tokens_per_s_ *
+                                        engine.accelerator_.prefill_factor_ /
+                                        layers;
     double const waiting_tokens = engine.prefill_backlog_ / held;
     cost.prefill_ms_per_layer_ =
         prefill_ms_per_token * (demand.prompt_tokens_ + waiting_tokens);
@@ -85,13 +85,12 @@
         step_ms * engine.accelerator_.step_factor_ / layers;
     double const free_kv =
         engine.kv_capacity_ * demand.max_kv_share_ - engine.kv_reserved_;
-    double const free_share = std::clamp(
-        engine.kv_capacity_ <= 0 ? 1 : free_kv / engine.kv_capacity_,
-        least_free_share, 1.0);
-    cost.cost_per_layer_ =
-        (cost.prefill_ms_per_layer_ +
-         cost.token_ms_per_layer_ * demand.answer_tokens_) *
-        engine.cost_factor_ / free_share;
+    double const free_share =
+        std::clamp(engine.kv_capacity_ <= 0 ? 1 : free_kv / engine.kv_capacity_,
+                   least_free_share, 1.0);
+    cost.cost_per_layer_ = (cost.prefill_ms_per_layer_ +
+                            cost.token_ms_per_layer_ * demand.answer_tokens_) *
+                           engine.cost_factor_ / free_share;
     double const per_layer = std::max(1.0, tokens_of(demand));
     cost.max_layers_ = static_cast<std::uint32_t>(
         std::clamp(free_kv / per_layer, 0.0, layers));
@@ -116,8 +115,8 @@
     return remote_hop_ms + bits / bits_per_ms;
 }
 
-std::vector<std::uint32_t> boundaries_of(std::vector<path_engine> const& engines,
-                                         std::uint32_t layers)
+std::vector<std::uint32_t>
+boundaries_of(std::vector<path_engine> const& engines, std::uint32_t layers)
 {
     std::vector<std::uint32_t> boundaries{0, layers};
     for (path_engine const& engine : engines)
@@ -152,9 +151,8 @@
 bool may_be_first(path_demand const& demand, path_engine const& engine)
 {
     auto const& allowed = demand.allowed_first_ids_;
-    return allowed.empty() ||
-           std::find(allowed.begin(), allowed.end(), engine.id_) !=
-               allowed.end();
+    return allowed.empty() || std::find(allowed.begin(), allowed.end(),
+                                        engine.id_) != allowed.end();
 }
 
 struct search
@@ -190,8 +188,7 @@
         state.engines_[state.ways_[boundary].engine_].data_centre_ == to;
     double const events = state.demand_.answer_tokens_ /
                           std::max(1U, state.model_.steps_per_event_);
-    double const frames_ms =
-        events * (is_local ? local_hop_ms : remote_hop_ms);
+    double const frames_ms = events * (is_local ? local_hop_ms : remote_hop_ms);
     return entry_ms(state, boundary, engine) + frames_ms +
            (is_local ? hop_penalty_ms : remote_hop_penalty_ms);
 }
@@ -211,8 +208,9 @@
     engine_cost const& cost = state.costs_[engine];
     double const base =
         state.ways_[begin].cost_ + entry_cost(state, begin, engine);
-    for (std::size_t end = begin + 1; end < state.boundaries_.size() &&
-                                      state.boundaries_[end] <= next.layers_.end_;
+    for (std::size_t end = begin + 1;
+         end < state.boundaries_.size() &&
+         state.boundaries_[end] <= next.layers_.end_;
          ++end)
     {
         std::uint32_t const layers = state.boundaries_[end] - first;
@@ -248,9 +246,10 @@
                                engine.cost_factor_ *
                                state.model_.steps_per_event_;
         choice.first_event_ms_ +=
-            count * cost.prefill_ms_per_layer_ * engine.cost_factor_ +
-            hop + pass_ms;
-        choice.event_gap_ms_ += pass_ms + (last.begin_ == 0 ? 0 : remote_hop_ms);
+            count * cost.prefill_ms_per_layer_ * engine.cost_factor_ + hop +
+            pass_ms;
+        choice.event_gap_ms_ +=
+            pass_ms + (last.begin_ == 0 ? 0 : remote_hop_ms);
         at = last.begin_;
     }
     std::reverse(choice.path_.parts_.begin(), choice.path_.parts_.end());
--- a/src/coordination/wait_queue.cpp
+++ b/src/coordination/wait_queue.cpp
@@ -54,9 +54,8 @@
         queue.start_interval_ = interval;
         return;
     }
-    queue.start_interval_ +=
-        std::chrono::duration_cast<nanoseconds>(
-            (interval - queue.start_interval_) * interval_weight);
+    queue.start_interval_ += std::chrono::duration_cast<nanoseconds>(
+        (interval - queue.start_interval_) * interval_weight);
 }
 
 std::vector<std::uint64_t> start_order(wait_queue const& queue, time_point now)
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -25,9 +25,9 @@
 void append_chunk_size(std::string& out, std::size_t size)
 {
     std::array<char, 20> digits{};
-    auto const end = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                   size, 16)
-                         .ptr;
+    auto const end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), size, 16)
+            .ptr;
     out.append(digits.data(), end);
     out += "\r\n";
 }
@@ -171,9 +171,10 @@
         return;
     }
     append_field(out, "Keep-Alive",
-                 "timeout=" + std::to_string(std::chrono::duration_cast<seconds>(
-                                                 service_.limits().idle_timeout_)
-                                                 .count()));
+                 "timeout=" +
+                     std::to_string(std::chrono::duration_cast<seconds>(
+                                        service_.limits().idle_timeout_)
+                                        .count()));
 }
 
 void caller_connection::answer(http_head const& head, std::string_view body)
--- a/src/router/endpoint_pool.cpp
+++ b/src/router/endpoint_pool.cpp
@@ -37,11 +37,10 @@
         return {};
     }
     asio::error_code failure;
-    auto const ip =
-        asio::ip::make_address(address.substr(0, colon), failure);
+    auto const ip = asio::ip::make_address(address.substr(0, colon), failure);
     std::uint16_t port = 0;
-    std::from_chars(address.data() + colon + 1,
-                    address.data() + address.size(), port);
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
+                    port);
     return failure ? asio::ip::tcp::endpoint()
                    : asio::ip::tcp::endpoint(ip, port);
 }
@@ -89,13 +88,14 @@
 }
 
 void endpoint_connection::begin(std::string_view request,
-                                exchange_receiver& receiver)
+                                exchange_receiver& receiver, bool is_head)
 {
     receiver_ = &receiver;
     is_foreign_ = false;
     has_ended_ = false;
     reader_ = std::make_unique<http_reader>(http_reader::message_kind::response,
                                             *this, max_answer_head_bytes);
+    reader_->set_without_body(is_head);
     channel_->write(request);
 }
 
@@ -183,8 +183,7 @@
     {
         // An interim answer is in order; another request's answer is not, and
         // more of them may come.
-        may_reuse_ =
-            may_reuse_ && head.status_ / per_class == interim_class;
+        may_reuse_ = may_reuse_ && head.status_ / per_class == interim_class;
         return;
     }
     may_reuse_ = may_reuse_ && head.is_keep_alive_ && head.is_framed_;
@@ -337,9 +336,8 @@
     {
         std::copy_if(connections.begin(), connections.end(),
                      std::back_inserter(expired),
-                     [&](connection_ptr const& each) {
-                         return now - each->idle_since_ >= each->idle_limit_;
-                     });
+                     [&](connection_ptr const& each)
+                     { return now - each->idle_since_ >= each->idle_limit_; });
     }
     for (connection_ptr const& each : expired)
     {
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -12,6 +12,10 @@
 /// An engine answers a report within a few milliseconds, also under load.
 constexpr milliseconds probe_timeout{80};
 
+/// A host without a listener refuses a connection at once; one that is dark or
+/// cut off does not answer.
+constexpr milliseconds refusal_time{40};
+
 /// Streams that stall together need one probe.
 constexpr milliseconds probe_interval{200};
 
@@ -36,24 +40,40 @@
                  { on_reply(endpoint, reply); });
 }
 
+void endpoint_prober::note_silence(endpoint_ptr const& endpoint,
+                                   error const& failure, time_point now)
+{
+    endpoint->probe_failed_ = now;
+    note_evidence(endpoint->health_, health_evidence::silence, now);
+    log(log_level::warning, log_event::peer_silent,
+        {{"peer", endpoint->record_.id_},
+         {"address", endpoint->record_.address_}},
+        to_string(failure));
+    bool const is_refused = failure.code_ == error_code::unreachable &&
+                            now - endpoint->probe_sent_ < refusal_time;
+    if (is_refused && on_dead_)
+    {
+        on_dead_(*endpoint);
+    }
+}
+
 void endpoint_prober::on_reply(endpoint_ptr const& endpoint,
                                result<http_reply> const& reply)
 {
     time_point const now = clock_.now();
     endpoint->is_probed_ = false;
-    auto const report = reply ? protocol_.read_report_(reply.value().body_)
-                              : result<engine_report>(reply.error());
-    if (!report)
+    if (!reply)
     {
-        endpoint->probe_failed_ = now;
-        note_evidence(endpoint->health_, health_evidence::silence, now);
-        log(log_level::warning, log_event::peer_silent,
-            {{"peer", endpoint->record_.id_},
-             {"address", endpoint->record_.address_}},
-            to_string(report.error()));
+        note_silence(endpoint, reply.error(), now);
         return;
     }
     endpoint->probe_answered_ = now;
+    // A plain service answers without a report, which shows enough.
+    auto const report = protocol_.read_report_(reply.value().body_);
+    if (!report)
+    {
+        return;
+    }
     note_slowness(endpoint->health_, report.value().slowness_, now);
     bool const is_other_run =
         report.value().started_ms_ != endpoint->record_.started_ms_;
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -179,6 +179,7 @@
     , body_(std::move(body))
     , received_(received)
     , routes_(core.routes_)
+    , ticket_(++core.last_ticket_)
 {
 }
 
@@ -200,6 +201,15 @@
               retry_at_other_router);
         return false;
     }
+    fingerprint_ =
+        fingerprint_of(workspace_ == nullptr ? "" : workspace_->name_,
+                       head_.method_ + head_.target_, body_);
+    if (crashes_of(core_.crashes_, fingerprint_, received_) >= refused_crashes)
+    {
+        reply(status_unavailable, refusal_reason::suspected_crash,
+              std::nullopt);
+        return false;
+    }
     return true;
 }
 
@@ -217,8 +227,8 @@
 bool forwarded_request::find_route()
 {
     std::string const* const host = head_.find("host");
-    route_ = host == nullptr ? nullptr
-                             : routes_->find_route(*host, head_.target_);
+    route_ =
+        host == nullptr ? nullptr : routes_->find_route(*host, head_.target_);
     if (route_ == nullptr)
     {
         reply(status_not_found, refusal_reason::unknown_path, std::nullopt);
@@ -257,8 +267,8 @@
     {
         return true;
     }
-    workspace_ = facts_.api_key_ ? routes_->find_workspace(*facts_.api_key_)
-                                 : nullptr;
+    workspace_ =
+        facts_.api_key_ ? routes_->find_workspace(*facts_.api_key_) : nullptr;
     if (workspace_ == nullptr)
     {
         reply(status_unauthorized, refusal_reason::unauthorized, std::nullopt);
@@ -277,7 +287,6 @@
 waiting_request forwarded_request::make_waiting(time_point now)
 {
     waiting_request entry;
-    ticket_ = ++core_.last_ticket_;
     entry.ticket_ = ticket_;
     entry.priority_ = priority();
     entry.arrived_ = now;
@@ -329,8 +338,7 @@
               std::nullopt);
         return;
     }
-    reply(status_unavailable, refusal_reason::overloaded,
-          return_time());
+    reply(status_unavailable, refusal_reason::overloaded, return_time());
 }
 
 milliseconds forwarded_request::return_time()
@@ -341,8 +349,7 @@
 
 bool forwarded_request::try_start(time_point now)
 {
-    bool const is_model = service_entry_ != nullptr &&
-                          service_entry_->model_ &&
+    bool const is_model = service_entry_ != nullptr && service_entry_->model_ &&
                           service_entry_->model_->layers_ > 1;
     bool const is_started =
         is_model ? start_on_path(now) : start_on_endpoint(now);
@@ -481,7 +488,7 @@
                                       may_repeat() ? max_idle_repeatable
                                                    : max_idle_at_most_once);
     connection_->begin(core_.protocol_.write_request_(head_, body_, request),
-                       *this);
+                       *this, head_.method_ == "HEAD");
 }
 
 bool forwarded_request::is_own_answer(http_head const& head)
@@ -565,8 +572,7 @@
     {
         if (each.load_.prefill_backlog_ > 0)
         {
-            subtract_load(*each.endpoint_,
-                          {0, 0, each.load_.prefill_backlog_});
+            subtract_load(*each.endpoint_, {0, 0, each.load_.prefill_backlog_});
             each.load_.prefill_backlog_ = 0;
             note_evidence(each.endpoint_->health_, health_evidence::success,
                           now);
@@ -592,6 +598,7 @@
         end_attempt(attempt_end::broken, "the stream ended within an event");
         return;
     }
+    clear_crashes(core_.crashes_, fingerprint_);
     caller_->end_answer();
     settle("complete", answer_head_.status_);
 }
@@ -607,9 +614,8 @@
 
 void forwarded_request::finish_answer()
 {
-    bool const is_usable =
-        answer_.is_signed_ && !answer_.is_not_run_ &&
-        answer_head_.status_ < first_server_error;
+    bool const is_usable = answer_.is_signed_ && !answer_.is_not_run_ &&
+                           answer_head_.status_ < first_server_error;
     if (!is_usable)
     {
         end_attempt(judge_answer(), "the endpoint answered with an error");
@@ -620,6 +626,7 @@
     {
         note_evidence(each.endpoint_->health_, health_evidence::success, now);
     }
+    clear_crashes(core_.crashes_, fingerprint_);
     caller_->answer(answer_head_, answer_body_);
     settle("complete", answer_head_.status_);
 }
@@ -653,6 +660,8 @@
     limits.endpoints_ = sends_;
     limits.has_time_ = deadline_ - now > least_attempt_time;
     limits.may_have_run_ = may_have_run_;
+    limits.is_suspect_ =
+        crashes_of(core_.crashes_, fingerprint_, now) >= suspect_crashes;
     limits.has_delivered_ = caller_->has_begun_answer();
     auto& runtime = core_.services_[service_name_];
     double const left = repeats_left(runtime.retries_, core_.options_.retries_,
@@ -692,8 +701,7 @@
         repeat(end, why, now);
         return;
     case attempt_decision::answer_not_run:
-        reply(status_unavailable, refusal_reason::engine_failed,
-              return_time());
+        reply(status_unavailable, refusal_reason::engine_failed, return_time());
         return;
     case attempt_decision::answer_unknown:
         reply(status_bad_gateway, refusal_reason::call_outcome_unknown,
@@ -748,8 +756,14 @@
         blame_refusing(now);
         return;
     case attempt_end::failed:
+        note_evidence(first, health_evidence::failure, now);
+        return;
     case attempt_end::broken:
         note_evidence(first, health_evidence::failure, now);
+        note_broken_run(core_.crashes_,
+                        reservations_.front().endpoint_->record_.address_,
+                        fingerprint_, now);
+        core_.prober_.probe(reservations_.front().endpoint_);
         return;
     case attempt_end::silent:
         // Engines were blamed when the silence was noticed.
@@ -858,8 +872,8 @@
     if (decide_after(attempt_end::silent, limits) == attempt_decision::repeat &&
         can_go_elsewhere(now))
     {
-        end_attempt(attempt_end::silent, is_lost ? "an engine is lost"
-                                                 : "no progress");
+        end_attempt(attempt_end::silent,
+                    is_lost ? "an engine is lost" : "no progress");
         return;
     }
     // Nowhere to go: the endpoint may still go on.
@@ -924,8 +938,8 @@
     if (retry_after)
     {
         constexpr double ms_per_s = 1'000;
-        std::string text =
-            std::to_string(static_cast<double>(retry_after->count()) / ms_per_s);
+        std::string text = std::to_string(
+            static_cast<double>(retry_after->count()) / ms_per_s);
         head.fields_.push_back({"Retry-After", text});
     }
     nlohmann::json const body{{"error", auburnlb::to_string(reason)},
--- a/src/router/http_caller.cpp
+++ b/src/router/http_caller.cpp
@@ -40,8 +40,8 @@
 
 /// One call in progress. Invariant: in pending_ until it is settled.
 class http_caller::pending_call final
-    : public std::enable_shared_from_this<pending_call>
-    , public exchange_receiver
+    : public std::enable_shared_from_this<pending_call>,
+      public exchange_receiver
 {
 public:
     pending_call(http_caller& owner, std::string step, time_point deadline,
--- a/src/router/http_message.cpp
+++ b/src/router/http_message.cpp
@@ -164,8 +164,14 @@
         };
         value.on_headers_complete = [](http_parser* parser)
         {
-            self_of(parser).finish_head();
-            return 0;
+            http_reader& self = self_of(parser);
+            constexpr int is_invalid = -1;
+            constexpr int has_no_body = 1;
+            if (!self.finish_head())
+            {
+                return is_invalid;
+            }
+            return self.is_without_body_ ? has_no_body : 0;
         };
         value.on_body =
             [](http_parser* parser, char const* at, std::size_t length)
@@ -202,8 +208,16 @@
     (is_name ? field.name_ : field.value_).append(text);
 }
 
-void http_reader::finish_head()
+bool http_reader::finish_head()
 {
+    // The parser lets some of them pass, and others read them differently.
+    for (http_field const& field : head_.fields_)
+    {
+        if (field.name_.find_first_of(" \t") != std::string::npos)
+        {
+            return false;
+        }
+    }
     if (parser_.type == HTTP_REQUEST)
     {
         head_.method_ =
@@ -218,6 +232,7 @@
     is_head_done_ = true;
     sink_.on_head(std::move(head_));
     head_ = http_head{};
+    return true;
 }
 
 void http_reader::reset_message()
@@ -233,8 +248,8 @@
 http_read_result http_reader::read(std::string_view bytes)
 {
     bool const was_head_done = is_head_done_;
-    std::size_t consumed = http_parser_execute(&parser_, &callbacks(),
-                                               bytes.data(), bytes.size());
+    std::size_t consumed =
+        http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
     if (!was_head_done && is_inside_)
     {
         head_bytes_ += consumed;
--- a/src/router/local_server.cpp
+++ b/src/router/local_server.cpp
@@ -27,9 +27,8 @@
     bool is_valid = !failure && colon != std::string::npos;
     if (is_valid)
     {
-        auto const parsed =
-            std::from_chars(address.data() + colon + 1,
-                            address.data() + address.size(), port);
+        auto const parsed = std::from_chars(
+            address.data() + colon + 1, address.data() + address.size(), port);
         is_valid = parsed.ec == std::errc{};
     }
     if (!is_valid)
@@ -112,9 +111,8 @@
     , listener_(io,
                 [this](asio::ip::tcp::socket socket)
                 {
-                    auto const connection =
-                        std::make_shared<caller_connection>(
-                            *this, tcp_channel::accepted(std::move(socket)));
+                    auto const connection = std::make_shared<caller_connection>(
+                        *this, tcp_channel::accepted(std::move(socket)));
                     connections_.insert(connection);
                     connection->start();
                 })
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -77,6 +77,11 @@
     {
         state["configuration"] = handlers_.configuration_text_();
     }
+    for (auto const& [fingerprint, crashes] :
+         own_crashes(core_.crashes_, core_.clock_.now()))
+    {
+        state["crashes"].push_back({fingerprint, crashes});
+    }
     if (with_endpoints && handlers_.is_store_reachable_())
     {
         state["endpoints"] = handlers_.endpoint_texts_();
@@ -117,9 +122,9 @@
     for (auto& [address, peer] : peers_)
     {
         // One that has not answered yet may live beyond a cut.
-        bool const may_live =
-            peer.answered_ ? now - *peer.answered_ < member_lifetime
-                           : now - peer.known_since_ < member_lifetime;
+        bool const may_live = peer.answered_
+                                  ? now - *peer.answered_ < member_lifetime
+                                  : now - peer.known_since_ < member_lifetime;
         if (may_live)
         {
             ++routers;
@@ -136,11 +141,11 @@
 {
     peer.is_waiting_ = true;
     peer.next_call_ = now + ask_interval;
-    json const question{
-        {"from", core_.options_.control_address_},
-        {"version",
-         core_.routes_ == nullptr ? 0 : core_.routes_->table().version_},
-        {"with_endpoints", !handlers_.is_store_reachable_()}};
+    json const question{{"from", core_.options_.control_address_},
+                        {"version", core_.routes_ == nullptr
+                                        ? 0
+                                        : core_.routes_->table().version_},
+                        {"with_endpoints", !handlers_.is_store_reachable_()}};
     caller_.call(address, {"POST", "/exchange", question.dump()}, ask_timeout,
                  [this, address](result<http_reply> const& reply)
                  { on_reply(address, reply); });
@@ -169,7 +174,8 @@
         return;
     }
     peer.answered_ = now;
-    read_loads(peer, reply.value().body_);
+    read_loads(peer, state);
+    read_crashes(address, state);
     sum_loads(now);
     if (auto const text = state.find("configuration");
         text != state.end() && text->is_string())
@@ -191,10 +197,9 @@
     }
 }
 
-void peer_exchange::read_loads(peer& peer, std::string const& document)
+void peer_exchange::read_loads(peer& peer, json const& state)
 {
     peer.loads_.clear();
-    json const state = json::parse(document, nullptr, false);
     auto const loads = state.find("loads");
     if (loads == state.end() || !loads->is_object())
     {
@@ -203,7 +208,9 @@
     for (auto const& [id, load] : loads->items())
     {
         constexpr std::size_t figures = 3;
-        if (load.is_array() && load.size() == figures)
+        if (load.is_array() && load.size() == figures &&
+            load[0].is_number_unsigned() && load[1].is_number() &&
+            load[2].is_number())
         {
             peer.loads_[id] = {load[0].get<std::uint32_t>(),
                                load[1].get<double>(), load[2].get<double>()};
@@ -211,6 +218,22 @@
     }
 }
 
+void peer_exchange::read_crashes(std::string const& address, json const& state)
+{
+    crash_table table;
+    for (json const& each : state.value("crashes", json::array()))
+    {
+        constexpr std::size_t figures = 2;
+        if (each.is_array() && each.size() == figures &&
+            each[0].is_number_unsigned() && each[1].is_number_unsigned())
+        {
+            table[each[0].get<request_fingerprint>()] =
+                each[1].get<std::uint32_t>();
+        }
+    }
+    merge_crashes(core_.crashes_, address, std::move(table));
+}
+
 void peer_exchange::sum_loads(time_point now)
 {
     for (auto const& [id, endpoint] : core_.directory_.endpoints_)
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -68,8 +68,7 @@
                          std::max(1.0, static_cast<double>(model.layers_));
     std::chrono::duration<double> const alone(model.load_s_ * share *
                                               load_time_factor);
-    return least_load_time +
-           std::chrono::duration_cast<milliseconds>(alone);
+    return least_load_time + std::chrono::duration_cast<milliseconds>(alone);
 }
 
 } // namespace
@@ -79,9 +78,8 @@
     , caller_(caller)
 {
     lease_.limits_ = duty_limits;
-    lease_.self_ =
-        core.options_.name_ + "@" +
-        std::to_string(core.clock_.now().time_since_epoch().count());
+    lease_.self_ = core.options_.name_ + "@" +
+                   std::to_string(core.clock_.now().time_since_epoch().count());
 }
 
 void placement_duty::on_tick(time_point now)
@@ -167,29 +165,30 @@
     store_object object;
     object.name_ = lease_name;
     object.revision_ = action.expected_version_;
-    object.value_ = nlohmann::json{{"holder", action.holder_},
-                                   {"renewals", ++renewals_}}
-                        .dump();
-    caller_.call(
-        core_.options_.store_address_,
-        core_.protocol_.write_put_call_(lease_object_kind, object),
-        store_timeout,
-        [this](result<http_reply> const& reply)
-        {
-            time_point const now = core_.clock_.now();
-            bool const is_done = reply &&
-                                 (reply.value().status_ == status_ok ||
-                                  reply.value().status_ == status_created);
-            auto const written =
-                is_done ? core_.protocol_.read_object_(reply.value().body_)
-                        : result<store_object>(error{});
-            if (!written)
-            {
-                on_lease_failed(lease_, now);
-                return;
-            }
-            on_lease_written(lease_, written.value().revision_, now);
-        });
+    object.value_ = nlohmann::json{
+        {"holder", action.holder_},
+        {"renewals",
+         ++renewals_}}.dump();
+    caller_.call(core_.options_.store_address_,
+                 core_.protocol_.write_put_call_(lease_object_kind, object),
+                 store_timeout,
+                 [this](result<http_reply> const& reply)
+                 {
+                     time_point const now = core_.clock_.now();
+                     bool const is_done =
+                         reply && (reply.value().status_ == status_ok ||
+                                   reply.value().status_ == status_created);
+                     auto const written =
+                         is_done
+                             ? core_.protocol_.read_object_(reply.value().body_)
+                             : result<store_object>(error{});
+                     if (!written)
+                     {
+                         on_lease_failed(lease_, now);
+                         return;
+                     }
+                     on_lease_written(lease_, written.value().revision_, now);
+                 });
 }
 
 std::vector<plan_engine>
@@ -270,21 +269,22 @@
 
 void placement_duty::expire_orders(time_point now)
 {
-    std::erase_if(
-        orders_,
-        [&](auto const& entry)
-        {
-            auto const found = core_.directory_.endpoints_.find(entry.first);
-            if (found == core_.directory_.endpoints_.end())
-            {
-                return true;
-            }
-            endpoint_record const& record = found->second->record_;
-            bool const is_done = entry.second.phase_ == order_phase::loading &&
-                                 record.layers_ == entry.second.layers_;
-            return is_done || now >= entry.second.until_ ||
-                   record.started_ms_ != entry.second.started_ms_;
-        });
+    std::erase_if(orders_,
+                  [&](auto const& entry)
+                  {
+                      auto const found =
+                          core_.directory_.endpoints_.find(entry.first);
+                      if (found == core_.directory_.endpoints_.end())
+                      {
+                          return true;
+                      }
+                      endpoint_record const& record = found->second->record_;
+                      bool const is_done =
+                          entry.second.phase_ == order_phase::loading &&
+                          record.layers_ == entry.second.layers_;
+                      return is_done || now >= entry.second.until_ ||
+                             record.started_ms_ != entry.second.started_ms_;
+                  });
 }
 
 std::string placement_duty::address_of(std::string const& id) const
@@ -303,11 +303,11 @@
                          endpoint->record_.started_ms_,
                          now + report_timeout * 2};
     milliseconds const load_time = load_time_of(step.layers_, model);
-    caller_.call(endpoint->record_.address_,
-                 core_.protocol_.write_report_call_(), report_timeout,
-                 [this, id = step.id_,
-                  load_time](result<http_reply> const& reply)
-                 { on_report(id, reply, load_time); });
+    caller_.call(
+        endpoint->record_.address_, core_.protocol_.write_report_call_(),
+        report_timeout,
+        [this, id = step.id_, load_time](result<http_reply> const& reply)
+        { on_report(id, reply, load_time); });
 }
 
 void placement_duty::on_report(std::string const& id,
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -54,9 +54,9 @@
                           core_.options_.store_address_,
                           protocol.kind_name_(platform_kind::configuration),
                           configuration_handlers())
-    , endpoint_feed_(core_.calls_, protocol, clock, core_.options_.store_address_,
-                     protocol.kind_name_(platform_kind::endpoints),
-                     endpoint_handlers())
+    , endpoint_feed_(
+          core_.calls_, protocol, clock, core_.options_.store_address_,
+          protocol.kind_name_(platform_kind::endpoints), endpoint_handlers())
     , peers_(core_, core_.calls_, exchange_handlers())
     , duty_(core_, core_.calls_)
     , callers_(io,
@@ -70,9 +70,9 @@
     , ready_server_(io, clock,
                     [this](http_head const&, std::string const&)
                     {
-                        return local_answer{
-                            is_ready() ? status_ok : status_unavailable,
-                            "text/plain", ""};
+                        return local_answer{is_ready() ? status_ok
+                                                       : status_unavailable,
+                                            "text/plain", ""};
                     })
     , control_server_(io, clock,
                       [this](http_head const& head, std::string const& body)
@@ -102,6 +102,8 @@
     {
         return opened.error();
     }
+    core_.prober_.set_on_dead([this](known_endpoint const& endpoint)
+                              { on_endpoint_dead(endpoint); });
     last_tick_ = core_.clock_.now();
     last_steady_ = std::chrono::steady_clock::now();
     schedule_tick();
@@ -177,8 +179,7 @@
 void router::watch_clock(time_point now)
 {
     auto const steady = std::chrono::steady_clock::now();
-    nanoseconds const missed =
-        (now - last_tick_) - (steady - last_steady_);
+    nanoseconds const missed = (now - last_tick_) - (steady - last_steady_);
     last_tick_ = now;
     last_steady_ = steady;
     if (missed < suspension)
@@ -354,10 +355,9 @@
 {
     endpoint_texts_.erase(id);
     auto const found = core_.directory_.endpoints_.find(id);
-    std::string const address =
-        found == core_.directory_.endpoints_.end()
-            ? ""
-            : found->second->record_.address_;
+    std::string const address = found == core_.directory_.endpoints_.end()
+                                    ? ""
+                                    : found->second->record_.address_;
     if (apply_removal(core_.directory_, id, core_.clock_.now()) ==
         endpoint_change::removed)
     {
@@ -368,6 +368,24 @@
     }
 }
 
+void router::on_endpoint_dead(known_endpoint const& endpoint)
+{
+    time_point const now = core_.clock_.now();
+    for (request_fingerprint const each :
+         confirm_crash(core_.crashes_, endpoint.record_.address_, now))
+    {
+        std::uint32_t const crashes = crashes_of(core_.crashes_, each, now);
+        if (crashes >= suspect_crashes)
+        {
+            log(log_level::warning, log_event::request_quarantined,
+                {{"peer", endpoint.record_.id_},
+                 {"fingerprint", std::to_string(each)},
+                 {"crashes", std::to_string(crashes)}},
+                "endpoints crashed under the same request");
+        }
+    }
+}
+
 void router::on_endpoint_list(std::map<std::string, std::string> const& entries)
 {
     std::vector<std::string> gone;
@@ -418,7 +436,9 @@
                 }
             },
             [this](bool is_reachable, std::string const& reason)
-            { on_store_reachable("configuration", is_reachable, reason); }};
+            {
+                on_store_reachable("configuration", is_reachable, reason);
+            }};
 }
 
 store_feed_handlers router::endpoint_handlers()
@@ -469,7 +489,8 @@
                     on_endpoint_list(entries);
                 }
             },
-            [this] {
+            [this]
+            {
                 return endpoint_feed_.is_reachable() &&
                        configuration_feed_.is_reachable();
             }};
@@ -503,45 +524,44 @@
         object.name_ = core_.options_.name_;
         object.value_ =
             nlohmann::json{{"control", core_.options_.control_address_}}.dump();
-        core_.calls_.call(core_.options_.store_address_,
-                    core_.protocol_.write_put_call_(router_object_kind, object),
-                    store_timeout,
-                    [this](result<http_reply> const& reply)
-                    {
-                        is_registered_ =
-                            reply &&
-                            (reply.value().status_ == status_ok ||
-                             reply.value().status_ == status_created ||
-                             reply.value().status_ == status_conflict);
-                    });
+        core_.calls_.call(
+            core_.options_.store_address_,
+            core_.protocol_.write_put_call_(router_object_kind, object),
+            store_timeout,
+            [this](result<http_reply> const& reply)
+            {
+                is_registered_ =
+                    reply && (reply.value().status_ == status_ok ||
+                              reply.value().status_ == status_created ||
+                              reply.value().status_ == status_conflict);
+            });
         return;
     }
     next_join_ = now + join_interval;
-    core_.calls_.call(core_.options_.store_address_,
-                core_.protocol_.write_list_call_(router_object_kind, ""),
-                store_timeout,
-                [this](result<http_reply> const& reply)
+    core_.calls_.call(
+        core_.options_.store_address_,
+        core_.protocol_.write_list_call_(router_object_kind, ""), store_timeout,
+        [this](result<http_reply> const& reply)
+        {
+            if (!reply || reply.value().status_ != status_ok)
+            {
+                return;
+            }
+            auto const page = core_.protocol_.read_page_(reply.value().body_);
+            if (!page)
+            {
+                return;
+            }
+            for (store_object const& each : page.value().objects_)
+            {
+                auto const value =
+                    nlohmann::json::parse(each.value_, nullptr, false);
+                if (value.is_object())
                 {
-                    if (!reply || reply.value().status_ != status_ok)
-                    {
-                        return;
-                    }
-                    auto const page =
-                        core_.protocol_.read_page_(reply.value().body_);
-                    if (!page)
-                    {
-                        return;
-                    }
-                    for (store_object const& each : page.value().objects_)
-                    {
-                        auto const value = nlohmann::json::parse(
-                            each.value_, nullptr, false);
-                        if (value.is_object())
-                        {
-                            peers_.add_peer(value.value("control", ""));
-                        }
-                    }
-                });
+                    peers_.add_peer(value.value("control", ""));
+                }
+            }
+        });
 }
 
 } // namespace auburnlb
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -56,18 +56,17 @@
 void store_feed::list()
 {
     std::string const after = listed_.empty() ? "" : listed_.back().name_;
-    caller_.call(address_, protocol_.write_list_call_(kind_, after),
-                 list_timeout, [this](result<http_reply> const& reply)
-                 { on_list_reply(reply); });
+    caller_.call(
+        address_, protocol_.write_list_call_(kind_, after), list_timeout,
+        [this](result<http_reply> const& reply) { on_list_reply(reply); });
 }
 
 void store_feed::watch()
 {
-    caller_.call(address_,
-                 protocol_.write_watch_call_(kind_, revision_, watch_wait),
-                 watch_wait + watch_margin,
-                 [this](result<http_reply> const& reply)
-                 { on_watch_reply(reply); });
+    caller_.call(
+        address_, protocol_.write_watch_call_(kind_, revision_, watch_wait),
+        watch_wait + watch_margin,
+        [this](result<http_reply> const& reply) { on_watch_reply(reply); });
 }
 
 void store_feed::on_list_reply(result<http_reply> const& reply)
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -65,27 +65,27 @@
     asio::error_code failure;
     channel->socket_.open(asio::ip::tcp::v4(), failure);
     channel->configure_socket();
-    channel->socket_.async_connect(
-        peer,
-        [channel](asio::error_code const& outcome)
-        {
-            if (!channel->is_open())
-            {
-                return;
-            }
-            if (outcome)
-            {
-                channel->end_with(channel_end::not_connected);
-                return;
-            }
-            channel->is_connected_ = true;
-            channel->wait_readable();
-            channel->write_unsent();
-            if (channel->receiver_ != nullptr)
-            {
-                channel->receiver_->on_connected();
-            }
-        });
+    channel->socket_.async_connect(peer,
+                                   [channel](asio::error_code const& outcome)
+                                   {
+                                       if (!channel->is_open())
+                                       {
+                                           return;
+                                       }
+                                       if (outcome)
+                                       {
+                                           channel->end_with(
+                                               channel_end::not_connected);
+                                           return;
+                                       }
+                                       channel->is_connected_ = true;
+                                       channel->wait_readable();
+                                       channel->write_unsent();
+                                       if (channel->receiver_ != nullptr)
+                                       {
+                                           channel->receiver_->on_connected();
+                                       }
+                                   });
     return channel;
 }
 
@@ -161,7 +161,8 @@
         socket_.write_some(asio::buffer(bytes.data(), bytes.size()), failure);
     // A broken connection shows itself to the reader, which reports it.
     has_sent_ = has_sent_ || sent > 0;
-    if (sent < bytes.size() && (!failure || failure == asio::error::would_block))
+    if (sent < bytes.size() &&
+        (!failure || failure == asio::error::would_block))
     {
         unsent_.append(bytes.substr(sent));
         wait_writable();
@@ -232,10 +233,10 @@
         asio::error_code ignored;
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
-    auto timer = std::make_shared<asio::steady_timer>(socket_.get_executor(),
-                                                      linger);
-    timer->async_wait([self = shared_from_this(), timer](
-                          asio::error_code const&) { self->close(); });
+    auto timer =
+        std::make_shared<asio::steady_timer>(socket_.get_executor(), linger);
+    timer->async_wait([self = shared_from_this(),
+                       timer](asio::error_code const&) { self->close(); });
 }
 
 void tcp_channel::end_with(channel_end end)
--- a/src/state/route_table.cpp
+++ b/src/state/route_table.cpp
@@ -7,7 +7,8 @@
 namespace auburnlb
 {
 
-route_index::route_index(route_table table) : table_(std::move(table))
+route_index::route_index(route_table table)
+    : table_(std::move(table))
 {
     for (route const& each : table_.routes_)
     {
