Count the wait at each engine in the choice of paths

Ruled out: reservations that leak; the same engines served 0.99 after the routers' restart because KV accounts and paths began anew.

--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -23,6 +23,10 @@
 /// part of it.
 constexpr double shared_link_share = 0.25;
 
+/// Part of an engine's pass over all its layers for which what arrives at a
+/// busy engine waits.
+constexpr double waited_share = 0.8;
+
 // What else counts against a way, as ms of a stream's time.
 /// The activations of a prompt that are moved between engines.
 constexpr double hop_penalty_ms = 60;
@@ -41,6 +45,8 @@
 {
     double prefill_ms_per_layer_ = 0;
     double token_ms_per_layer_ = 0;
+    /// Time for which an event waits until the engine's pass before is over.
+    double wait_ms_ = 0;
     /// Weighed sum over the whole answer.
     double cost_per_layer_ = 0;
     /// Layers that the free KV cache allows.
@@ -83,6 +89,9 @@
                            model.step_ms_per_1k_context_ * context_k;
     cost.token_ms_per_layer_ =
         step_ms * engine.accelerator_.step_factor_ / layers;
+    cost.wait_ms_ = cost.token_ms_per_layer_ * held *
+                    static_cast<double>(model.steps_per_event_) * waited_share *
+                    engine.cost_factor_;
     double const free_kv =
         engine.kv_capacity_ * demand.max_kv_share_ - engine.kv_reserved_;
     double const free_share =
@@ -176,6 +185,12 @@
                   state.engines_[engine], state.model_, state.demand_);
 }
 
+double events_of(search const& state)
+{
+    return state.demand_.answer_tokens_ /
+           std::max(1U, state.model_.steps_per_event_);
+}
+
 /// What the way into the engine costs over the whole stream.
 double entry_cost(search const& state, std::size_t boundary, std::size_t engine)
 {
@@ -186,9 +201,8 @@
     }
     bool const is_local =
         state.engines_[state.ways_[boundary].engine_].data_centre_ == to;
-    double const events = state.demand_.answer_tokens_ /
-                          std::max(1U, state.model_.steps_per_event_);
-    double const frames_ms = events * (is_local ? local_hop_ms : remote_hop_ms);
+    double const frames_ms =
+        events_of(state) * (is_local ? local_hop_ms : remote_hop_ms);
     return entry_ms(state, boundary, engine) + frames_ms +
            (is_local ? hop_penalty_ms : remote_hop_penalty_ms);
 }
@@ -206,8 +220,9 @@
         return;
     }
     engine_cost const& cost = state.costs_[engine];
-    double const base =
-        state.ways_[begin].cost_ + entry_cost(state, begin, engine);
+    double const base = state.ways_[begin].cost_ +
+                        entry_cost(state, begin, engine) +
+                        events_of(state) * cost.wait_ms_;
     for (std::size_t end = begin + 1;
          end < state.boundaries_.size() &&
          state.boundaries_[end] <= next.layers_.end_;
@@ -242,9 +257,10 @@
         choice.path_.parts_.push_back({engine.id_, engine.address_, layers});
         auto const count = static_cast<double>(layers.end_ - layers.first_);
         double const hop = entry_ms(state, last.begin_, last.engine_);
-        double const pass_ms = count * cost.token_ms_per_layer_ *
-                               engine.cost_factor_ *
-                               state.model_.steps_per_event_;
+        double const pass_ms = cost.wait_ms_ +
+                               count * cost.token_ms_per_layer_ *
+                                   engine.cost_factor_ *
+                                   state.model_.steps_per_event_;
         choice.first_event_ms_ +=
             count * cost.prefill_ms_per_layer_ * engine.cost_factor_ + hop +
             pass_ms;
