--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -18,6 +18,16 @@
 namespace auburnlb
 {
 
+/// The lease of a duty, as its holder tells the others.
+struct told_lease
+{
+    std::string holder_;
+    /// Version of the lease's object in the store.
+    std::uint64_t version_ = 0;
+
+    bool operator==(told_lease const&) const = default;
+};
+
 /// What the exchange reads from and writes to the rest of the router.
 struct peer_exchange_handlers
 {
@@ -29,6 +39,9 @@
     std::function<std::map<std::string, std::string> const&()> endpoint_texts_;
     std::function<void(std::map<std::string, std::string> const& entries)>
         on_endpoints_;
+    /// The lease that this router holds, if any.
+    std::function<std::optional<told_lease>()> held_lease_;
+    std::function<void(told_lease const&)> on_lease_;
     /// Whether the store answers this router.
     std::function<bool()> is_store_reachable_;
 };
--- a/include/auburnlb/router/placement_duty.hpp
+++ b/include/auburnlb/router/placement_duty.hpp
@@ -11,6 +11,7 @@
 #include "auburnlb/coordination/layer_plan.hpp"
 #include "auburnlb/coordination/lease.hpp"
 #include "auburnlb/router/http_caller.hpp"
+#include "auburnlb/router/peer_exchange.hpp"
 #include "auburnlb/router/router_core.hpp"
 
 namespace auburnlb
@@ -25,6 +26,13 @@
 
     void on_tick(time_point now);
 
+    /// The lease, while this router holds it.
+    std::optional<told_lease> held_lease(time_point now) const;
+
+    /// Another router says that it holds the lease. While it renews it, the
+    /// store need not be asked.
+    void on_told_lease(told_lease const& lease, time_point now);
+
     /// Gives the lease up, for a planned stop.
     void release(time_point now);
 
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -2,6 +2,7 @@
 #include "auburnlb/router/peer_exchange.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -16,7 +17,7 @@
 using nlohmann::json;
 
 /// Interval of questions to a router that answers, and to one that does not.
-constexpr milliseconds ask_interval{250};
+constexpr milliseconds ask_interval{400};
 constexpr milliseconds silent_interval{1'000};
 constexpr milliseconds ask_timeout{400};
 
@@ -66,8 +67,9 @@
         endpoint_load const& load = endpoint->load_;
         if (load.requests_ > 0)
         {
-            state["loads"][id] = {load.requests_, load.kv_reserved_,
-                                  load.prefill_backlog_};
+            state["loads"][id] = {load.requests_,
+                                  std::llround(load.kv_reserved_),
+                                  std::llround(load.prefill_backlog_)};
         }
     }
     std::uint64_t const version =
@@ -77,6 +79,11 @@
     {
         state["configuration"] = handlers_.configuration_text_();
     }
+    if (auto const lease = handlers_.held_lease_())
+    {
+        state["lease"] = {{"holder", lease->holder_},
+                          {"version", lease->version_}};
+    }
     for (auto const& [fingerprint, crashes] :
          own_crashes(core_.crashes_, core_.clock_.now()))
     {
@@ -176,6 +183,12 @@
     peer.answered_ = now;
     read_loads(peer, state);
     read_crashes(address, state);
+    if (auto const lease = state.find("lease");
+        lease != state.end() && lease->is_object())
+    {
+        handlers_.on_lease_({lease->value("holder", ""),
+                             lease->value("version", std::uint64_t{0})});
+    }
     sum_loads(now);
     if (auto const text = state.find("configuration");
         text != state.end() && text->is_string())
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -20,7 +20,7 @@
 /// The duty is taken over within three seconds of its holder's end: an engine
 /// that was lost leaves the list after about as long.
 constexpr lease_limits duty_limits{milliseconds(3'000), milliseconds(1'000),
-                                   milliseconds(600), milliseconds(1'000)};
+                                   milliseconds(600), milliseconds(1'500)};
 
 constexpr milliseconds store_timeout{800};
 constexpr milliseconds report_timeout{400};
@@ -112,6 +112,23 @@
     }
 }
 
+std::optional<told_lease> placement_duty::held_lease(time_point now) const
+{
+    auto const number = held_number(lease_, now);
+    return number ? std::optional(told_lease{lease_.self_, *number})
+                  : std::nullopt;
+}
+
+void placement_duty::on_told_lease(told_lease const& lease, time_point now)
+{
+    bool const is_news =
+        lease.version_ > lease_.seen_version_ && !lease.holder_.empty();
+    if (is_news && !lease_.is_waiting_ && !held_number(lease_, now))
+    {
+        run(on_lease_read(lease_, lease.version_, lease.holder_, now));
+    }
+}
+
 void placement_duty::release(time_point now)
 {
     run(release_lease(lease_, now));
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -12,11 +12,14 @@
 
 /// How long a watch waits at the store. It also bounds how long a connection
 /// that silently died hides a change.
-constexpr milliseconds watch_wait{1'500};
+constexpr milliseconds watch_wait{1'700};
 /// What the store's answer may take beyond that.
-constexpr milliseconds watch_margin{600};
+constexpr milliseconds watch_margin{500};
 constexpr milliseconds list_timeout{1'000};
 
+/// Pause after a change, so that changes that come together cost one call.
+constexpr milliseconds batch_pause{100};
+
 /// Pause after a failed call; it doubles up to the longest.
 constexpr milliseconds first_pause{50};
 constexpr milliseconds longest_pause{400};
@@ -127,6 +130,10 @@
     }
     note_answer();
     revision_ = std::max(revision_, page.value().revision_);
+    if (!page.value().objects_.empty())
+    {
+        next_call_ = answered_at_ + batch_pause;
+    }
     for (store_object const& each : page.value().objects_)
     {
         handlers_.on_change_(each);
