--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -33,7 +33,7 @@
 /// A link that other streams need as well, and that may be slow or cut.
 constexpr double remote_hop_penalty_ms = 400;
 /// An answer whose bytes cross between data centres.
-constexpr double remote_first_penalty_ms = 250;
+constexpr double remote_first_penalty_ms = 1'000;
 /// The longest path that engines accept.
 constexpr std::size_t max_parts = 32;
 
