--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -257,10 +257,10 @@
         choice.path_.parts_.push_back({engine.id_, engine.address_, layers});
         auto const count = static_cast<double>(layers.end_ - layers.first_);
         double const hop = entry_ms(state, last.begin_, last.engine_);
-        double const pass_ms = cost.wait_ms_ +
-                               count * cost.token_ms_per_layer_ *
-                                   engine.cost_factor_ *
-                                   state.model_.steps_per_event_;
+        double const pass_ms =
+            cost.wait_ms_ + count * cost.token_ms_per_layer_ *
+                                engine.cost_factor_ *
+                                state.model_.steps_per_event_;
         choice.first_event_ms_ +=
             count * cost.prefill_ms_per_layer_ * engine.cost_factor_ + hop +
             pass_ms;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -492,7 +492,8 @@
             [this] { return duty_.held_lease(core_.clock_.now()); },
             [this](told_lease const& lease)
             { duty_.on_told_lease(lease, core_.clock_.now()); },
-            [this] {
+            [this]
+            {
                 return endpoint_feed_.is_reachable() &&
                        configuration_feed_.is_reachable();
             }};
--- /dev/null
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -0,0 +1,162 @@
+// Tests of known endpoints, their health and their choice.
+#include <gtest/gtest.h>
+
+#include "auburnlb/coordination/endpoint_directory.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+time_point const start = time_point{} + seconds(100);
+
+endpoint_record record(std::string const& id,
+                       std::string const& data_centre = "dc-1")
+{
+    endpoint_record value;
+    value.id_ = id;
+    value.service_ = "service";
+    value.address_ = "address-of-" + id;
+    value.data_centre_ = data_centre;
+    value.slots_ = 6;
+    value.started_ms_ = 1'000;
+    return value;
+}
+
+std::string chosen(endpoint_directory const& directory,
+                   std::vector<std::string> const& excluded = {})
+{
+    auto const endpoint = choose_endpoint(endpoints_of(directory, "service"),
+                                          "dc-1", excluded, start);
+    return endpoint == nullptr ? "" : endpoint->record_.id_;
+}
+
+} // namespace
+
+TEST(endpoint_directory, tells_what_changed)
+{
+    endpoint_directory directory;
+    endpoint_record value = record("a");
+    EXPECT_EQ(apply_record(directory, value), endpoint_change::joined);
+    EXPECT_EQ(apply_record(directory, value), endpoint_change::none);
+    value.layers_ = layer_range{0, 10};
+    EXPECT_EQ(apply_record(directory, value), endpoint_change::updated);
+    value.is_draining_ = true;
+    EXPECT_EQ(apply_record(directory, value), endpoint_change::leaving);
+    value.started_ms_ = 2'000;
+    EXPECT_EQ(apply_record(directory, value), endpoint_change::replaced);
+    EXPECT_EQ(apply_removal(directory, "a", start), endpoint_change::removed);
+    EXPECT_EQ(apply_removal(directory, "a", start), endpoint_change::none);
+}
+
+TEST(endpoint_directory, a_restart_under_the_same_name_starts_anew)
+{
+    endpoint_directory directory;
+    apply_record(directory, record("a"));
+    endpoint_ptr const before = directory.endpoints_["a"];
+    add_load(*before, {5, 100, 10});
+    endpoint_record value = record("a");
+    value.started_ms_ = 2'000;
+    apply_record(directory, value);
+    EXPECT_TRUE(before->is_gone_);
+    EXPECT_EQ(directory.endpoints_["a"]->load_, endpoint_load{});
+}
+
+TEST(endpoint_directory, entries_that_lapsed_in_an_outage_are_kept_for_a_while)
+{
+    endpoint_directory directory;
+    apply_record(directory, record("a"));
+    apply_record(directory, record("b"));
+    on_platform_back(directory, start);
+    EXPECT_EQ(apply_removal(directory, "a", start), endpoint_change::none);
+    EXPECT_EQ(apply_removal(directory, "b", start), endpoint_change::none);
+    apply_record(directory, record("b"));
+    EXPECT_TRUE(expire_missing(directory, start + seconds(1)).empty());
+    EXPECT_EQ(chosen(directory), "a");
+    auto const gone = expire_missing(directory, start + list_recovery);
+    ASSERT_EQ(gone.size(), 1U);
+    EXPECT_EQ(gone.front()->record_.id_, "a");
+    EXPECT_EQ(chosen(directory), "b");
+}
+
+TEST(endpoint_directory, draining_endpoints_get_no_new_work)
+{
+    endpoint_directory directory;
+    endpoint_record value = record("a");
+    value.is_draining_ = true;
+    apply_record(directory, value);
+    EXPECT_EQ(chosen(directory), "");
+}
+
+TEST(endpoint_directory, the_near_and_idle_endpoint_is_chosen)
+{
+    endpoint_directory directory;
+    apply_record(directory, record("far", "dc-2"));
+    apply_record(directory, record("near"));
+    EXPECT_EQ(chosen(directory), "near");
+    EXPECT_EQ(chosen(directory, {"near"}), "far");
+    directory.endpoints_["near"]->load_.requests_ = 6;
+    EXPECT_EQ(chosen(directory), "far");
+}
+
+TEST(endpoint_directory, an_endpoint_that_fails_is_avoided_and_tried_again)
+{
+    endpoint_directory directory;
+    apply_record(directory, record("a"));
+    apply_record(directory, record("b", "dc-2"));
+    endpoint_health& health = directory.endpoints_["a"]->health_;
+    for (int failure = 0; failure < 3; ++failure)
+    {
+        note_evidence(health, health_evidence::failure, start);
+    }
+    EXPECT_EQ(chosen(directory), "b");
+    EXPECT_TRUE(is_trusted(health, start + seconds(5)));
+}
+
+TEST(endpoint_directory, rare_failures_do_not_exclude_an_endpoint)
+{
+    endpoint_health health;
+    time_point now = start;
+    for (int request = 0; request < 400; ++request)
+    {
+        now += milliseconds(100);
+        note_evidence(health,
+                      request % 7 == 0 ? health_evidence::failure
+                                       : health_evidence::success,
+                      now);
+        EXPECT_TRUE(is_trusted(health, now)) << request;
+    }
+}
+
+TEST(endpoint_directory, avoidance_grows_while_nothing_succeeds)
+{
+    endpoint_health health;
+    note_evidence(health, health_evidence::unreachable, start);
+    auto const first = health.avoid_until_ - start;
+    time_point const again = health.avoid_until_;
+    note_evidence(health, health_evidence::unreachable, again);
+    EXPECT_EQ(health.avoid_until_ - again, 2 * first);
+    note_evidence(health, health_evidence::success, again);
+    time_point const later = health.avoid_until_;
+    note_evidence(health, health_evidence::unreachable, later);
+    EXPECT_EQ(health.avoid_until_ - later, first);
+}
+
+TEST(endpoint_directory, slowness_is_believed_for_a_while)
+{
+    endpoint_health health;
+    note_slowness(health, 5, start);
+    EXPECT_GE(cost_factor(health, start + seconds(1)), 5);
+    EXPECT_LT(cost_factor(health, start + seconds(10)), 1.1);
+}
+
+TEST(endpoint_directory, a_failed_probe_counts_until_the_next_sign_of_life)
+{
+    known_endpoint endpoint;
+    endpoint.last_progress_ = start;
+    endpoint.probe_failed_ = start + milliseconds(100);
+    EXPECT_TRUE(is_dead_since(endpoint, start));
+    EXPECT_FALSE(is_dead_since(endpoint, start + milliseconds(200)));
+    endpoint.last_progress_ = start + milliseconds(150);
+    EXPECT_FALSE(is_dead_since(endpoint, start));
+}
--- /dev/null
+++ b/test/coordination/path_choice_test.cpp
@@ -0,0 +1,179 @@
+// Tests of the choice of paths.
+#include <algorithm>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "auburnlb/coordination/path_choice.hpp"
+
+#include "split_model.hpp"
+
+using namespace auburnlb;
+using split_model::usual_demand;
+
+namespace
+{
+
+model_profile const model = split_model::profile();
+
+std::vector<path_engine> placed(std::string const& name = "dc-1")
+{
+    auto engines = split_model::data_centre(name);
+    split_model::carry_out(engines, plan_layers(engines, model));
+    return split_model::path_engines(engines);
+}
+
+path_engine& find_engine(std::vector<path_engine>& engines,
+                         std::string const& id)
+{
+    return *std::find_if(engines.begin(), engines.end(),
+                         [&](path_engine const& each)
+                         { return each.id_ == id; });
+}
+
+bool passes(path_choice const& choice, std::string const& id)
+{
+    auto const& parts = choice.path_.parts_;
+    return std::any_of(parts.begin(), parts.end(),
+                       [&](path_part const& part)
+                       { return part.endpoint_id_ == id; });
+}
+
+} // namespace
+
+TEST(path_choice, takes_the_quick_replica_while_it_has_room)
+{
+    auto const choice = choose_path(placed(), model, usual_demand());
+    ASSERT_TRUE(choice);
+    EXPECT_TRUE(is_whole_path(choice->path_, model.layers_));
+    EXPECT_EQ(choice->path_.parts_.size(), 4U);
+    EXPECT_TRUE(passes(*choice, "dc-1-large"));
+}
+
+TEST(path_choice, overflows_to_the_slow_replica)
+{
+    auto engines = placed();
+    for (path_engine& each : engines)
+    {
+        if (each.accelerator_.step_factor_ < 10)
+        {
+            each.kv_reserved_ = each.kv_capacity_;
+        }
+    }
+    auto const choice = choose_path(engines, model, usual_demand());
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->path_.parts_.size(), 8U);
+    EXPECT_FALSE(passes(*choice, "dc-1-large"));
+}
+
+TEST(path_choice, goes_around_a_lost_engine_through_the_other_replica)
+{
+    auto engines = placed();
+    find_engine(engines, "dc-1-middle-1").is_usable_ = false;
+    auto const choice = choose_path(engines, model, usual_demand());
+    ASSERT_TRUE(choice);
+    EXPECT_TRUE(is_whole_path(choice->path_, model.layers_));
+    EXPECT_TRUE(passes(*choice, "dc-1-large"));
+    EXPECT_FALSE(passes(*choice, "dc-1-middle-1"));
+}
+
+TEST(path_choice, gives_nothing_where_no_engine_has_room)
+{
+    auto engines = placed();
+    for (path_engine& each : engines)
+    {
+        each.kv_reserved_ = each.kv_capacity_;
+    }
+    EXPECT_FALSE(choose_path(engines, model, usual_demand()));
+}
+
+TEST(path_choice, stays_in_the_data_centre_of_the_router)
+{
+    auto engines = placed("dc-1");
+    auto const other = placed("dc-2");
+    engines.insert(engines.end(), other.begin(), other.end());
+    for (std::string const name : {"dc-1", "dc-2"})
+    {
+        auto const choice = choose_path(engines, model, usual_demand(name));
+        ASSERT_TRUE(choice);
+        for (path_part const& part : choice->path_.parts_)
+        {
+            EXPECT_TRUE(part.endpoint_id_.starts_with(name));
+        }
+    }
+}
+
+TEST(path_choice, crosses_between_data_centres_rather_than_refusing)
+{
+    auto engines = placed("dc-1");
+    auto const other = placed("dc-2");
+    engines.insert(engines.end(), other.begin(), other.end());
+    for (path_engine& each : engines)
+    {
+        each.is_usable_ = each.is_usable_ && (each.data_centre_ == "dc-1") ==
+                                                 (each.layers_.first_ < 29);
+    }
+    auto const choice = choose_path(engines, model, usual_demand());
+    ASSERT_TRUE(choice);
+    EXPECT_TRUE(is_whole_path(choice->path_, model.layers_));
+}
+
+TEST(path_choice, first_engine_is_one_of_the_allowed)
+{
+    path_demand demand = usual_demand();
+    demand.allowed_first_ids_ = {"dc-1-small-0"};
+    auto const choice = choose_path(placed(), model, demand);
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->path_.parts_.front().endpoint_id_, "dc-1-small-0");
+}
+
+TEST(path_choice, avoids_an_engine_that_works_slowly)
+{
+    auto engines = placed();
+    find_engine(engines, "dc-1-large").cost_factor_ = 12;
+    auto const choice = choose_path(engines, model, usual_demand());
+    ASSERT_TRUE(choice);
+    EXPECT_FALSE(passes(*choice, "dc-1-large"));
+}
+
+RC_GTEST_PROP(path_choice, is_whole_and_fits_whatever_is_lost, ())
+{
+    auto engines = placed("dc-1");
+    auto const other = placed("dc-2");
+    engines.insert(engines.end(), other.begin(), other.end());
+    for (path_engine& each : engines)
+    {
+        each.is_usable_ = *rc::gen::inRange(0, 4) != 0;
+        each.kv_reserved_ = each.kv_capacity_ * *rc::gen::inRange(0, 11) / 10.0;
+        each.cost_factor_ = *rc::gen::inRange(1, 9);
+    }
+    path_demand const demand = usual_demand();
+    auto const choice = choose_path(engines, model, demand);
+    if (!choice)
+    {
+        return;
+    }
+    RC_ASSERT(is_whole_path(choice->path_, model.layers_));
+    RC_ASSERT(choice->first_event_ms_ > 0);
+    RC_ASSERT(choice->event_gap_ms_ > 0);
+    for (path_part const& part : choice->path_.parts_)
+    {
+        path_engine const& engine = find_engine(engines, part.endpoint_id_);
+        RC_ASSERT(engine.is_usable_);
+        RC_ASSERT(engine.layers_.first_ <= part.layers_.first_);
+        RC_ASSERT(engine.layers_.end_ >= part.layers_.end_);
+        RC_ASSERT(engine.kv_reserved_ + kv_demand(demand, part.layers_) <=
+                  engine.kv_capacity_ + 1);
+    }
+}
+
+TEST(stream_path, rejects_gaps_overlaps_and_repeated_engines)
+{
+    path_part const first{"a", "1", {0, 4}};
+    EXPECT_TRUE(is_whole_path({{first, {"b", "2", {4, 8}}}}, 8));
+    EXPECT_FALSE(is_whole_path({{first, {"b", "2", {5, 8}}}}, 8));
+    EXPECT_FALSE(is_whole_path({{first, {"b", "2", {3, 8}}}}, 8));
+    EXPECT_FALSE(is_whole_path({{first, {"a", "1", {4, 8}}}}, 8));
+    EXPECT_FALSE(is_whole_path({{first}}, 8));
+    EXPECT_FALSE(is_whole_path({}, 8));
+}
--- /dev/null
+++ b/test/coordination/wait_queue_test.cpp
@@ -0,0 +1,129 @@
+// Tests of waiting requests: order, refusals, and an overload played through.
+#include <algorithm>
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include "auburnlb/coordination/wait_queue.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+time_point const start{};
+
+time_point at(int ms)
+{
+    return start + milliseconds(ms);
+}
+
+waiting_request request(std::uint64_t ticket, std::int32_t priority,
+                        int arrived_ms)
+{
+    return {ticket, priority, at(arrived_ms), at(arrived_ms + 333),
+            at(arrived_ms + 1'400)};
+}
+
+/// Plays requests that come faster than they can start, and gives when each
+/// started; those refused are absent.
+std::map<std::uint64_t, nanoseconds> play_overload(int arrival_ms, int start_ms,
+                                                   bool in_order_of_arrival)
+{
+    wait_queue queue;
+    std::map<std::uint64_t, nanoseconds> waits;
+    std::map<std::uint64_t, time_point> arrivals;
+    std::uint64_t ticket = 0;
+    for (int now = 0; now < 20'000; ++now)
+    {
+        if (now % arrival_ms == 0)
+        {
+            waiting_request const entry = request(++ticket, 1, now);
+            arrivals[ticket] = at(now);
+            if (!is_hopeless(queue, entry))
+            {
+                add_waiting(queue, entry);
+            }
+        }
+        take_hopeless(queue, at(now));
+        if (now % start_ms == 0 && !queue.waiting_.empty())
+        {
+            std::uint64_t const next =
+                in_order_of_arrival ? queue.waiting_.front().ticket_
+                                    : start_order(queue, at(now)).front();
+            note_start(queue, at(now));
+            remove_waiting(queue, next);
+            waits[next] = at(now) - arrivals[next];
+        }
+    }
+    return waits;
+}
+
+std::size_t count_on_time(std::map<std::uint64_t, nanoseconds> const& waits)
+{
+    return static_cast<std::size_t>(std::count_if(
+        waits.begin(), waits.end(),
+        [](auto const& entry) { return entry.second <= milliseconds(333); }));
+}
+
+} // namespace
+
+TEST(wait_queue, urgent_requests_go_first_then_older_ones)
+{
+    wait_queue queue;
+    add_waiting(queue, request(1, 2, 0));
+    add_waiting(queue, request(2, 1, 5));
+    add_waiting(queue, request(3, 1, 10));
+    EXPECT_EQ(start_order(queue, at(20)),
+              (std::vector<std::uint64_t>{2, 3, 1}));
+}
+
+TEST(wait_queue, late_requests_go_after_those_that_can_be_on_time)
+{
+    wait_queue queue;
+    add_waiting(queue, request(1, 0, 0));
+    add_waiting(queue, request(2, 2, 300));
+    EXPECT_EQ(start_order(queue, at(400)), (std::vector<std::uint64_t>{2, 1}));
+}
+
+TEST(wait_queue, hopeless_requests_are_taken_out)
+{
+    wait_queue queue;
+    add_waiting(queue, request(1, 1, 0));
+    add_waiting(queue, request(2, 1, 100));
+    EXPECT_EQ(take_hopeless(queue, at(1'400)), (std::vector<std::uint64_t>{1}));
+    EXPECT_EQ(queue.waiting_.size(), 1U);
+}
+
+TEST(wait_queue, a_request_that_would_wait_too_long_is_refused_at_once)
+{
+    wait_queue queue;
+    queue.start_interval_ = milliseconds(100);
+    for (std::uint64_t ticket = 1; ticket <= 15; ++ticket)
+    {
+        add_waiting(queue, request(ticket, 1, 0));
+    }
+    EXPECT_TRUE(is_hopeless(queue, request(20, 1, 0)));
+    EXPECT_FALSE(is_hopeless(queue, request(21, 0, 0)));
+}
+
+TEST(wait_queue, a_refused_caller_is_told_when_the_queue_will_be_empty)
+{
+    wait_queue queue;
+    queue.start_interval_ = milliseconds(100);
+    for (std::uint64_t ticket = 1; ticket <= 15; ++ticket)
+    {
+        add_waiting(queue, request(ticket, 1, 0));
+    }
+    EXPECT_EQ(retry_after(queue), milliseconds(1'500));
+    EXPECT_GE(retry_after(wait_queue{}), milliseconds(100));
+}
+
+TEST(wait_queue, an_overload_makes_some_late_instead_of_all)
+{
+    // Half more requests come than can start.
+    auto const ordered = play_overload(20, 30, false);
+    auto const by_arrival = play_overload(20, 30, true);
+    EXPECT_GT(count_on_time(ordered), 500U);
+    EXPECT_GT(count_on_time(ordered), 5 * count_on_time(by_arrival));
+}
--- /dev/null
+++ b/test/platform/requests_test.cpp
@@ -0,0 +1,178 @@
+// Tests of requests and answers on the wire.
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "protocol.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+http_head usual_head()
+{
+    http_head head;
+    head.method_ = "POST";
+    head.target_ = "/path/x";
+    head.fields_ = {{"Host", "host.example"},
+                    {"Auburnlb-Request-Id", "id-1"},
+                    {"Auburnlb-Model", "model-1"},
+                    {"Auburnlb-Token-Counts", "1460,80"},
+                    {"Auburnlb-Length-Hint", "60"},
+                    {"Auburnlb-Deadline-Ms", "20000"},
+                    {"Last-Event-Id", "12"},
+                    {"Authorization", "Token key-1"},
+                    {"X-Own", "kept"}};
+    return head;
+}
+
+void set_field(http_head& head, std::string const& name,
+               std::string const& value)
+{
+    for (http_field& field : head.fields_)
+    {
+        if (field.name_ == name)
+        {
+            field.value_ = value;
+        }
+    }
+}
+
+bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+endpoint_request usual_request()
+{
+    endpoint_request request;
+    request.endpoint_id_ = "i-1";
+    request.time_left_ = milliseconds(1'234);
+    request.workspace_ = "workspace-1";
+    request.last_event_id_ = 14;
+    request.path_ = {{"i-1", "10.0.0.1:80", {0, 20}},
+                     {"i-2", "10.0.0.2:80", {20, 80}}};
+    return request;
+}
+
+} // namespace
+
+TEST(platform_requests, reads_what_a_caller_says)
+{
+    caller_request const request = platform::read_request(usual_head()).value();
+    EXPECT_EQ(request.id_, "id-1");
+    EXPECT_EQ(request.api_key_, "key-1");
+    EXPECT_EQ(request.deadline_, milliseconds(20'000));
+    EXPECT_EQ(request.last_event_id_, 12U);
+    EXPECT_EQ(request.prompt_tokens_, 1'460U);
+    EXPECT_EQ(request.max_answer_tokens_, 80U);
+    EXPECT_EQ(request.estimated_answer_tokens_, 60U);
+}
+
+TEST(platform_requests, names_the_field_that_cannot_be_read)
+{
+    for (auto const& [name, value] :
+         {std::pair{"Auburnlb-Deadline-Ms", "soon"},
+          std::pair{"Auburnlb-Token-Counts", "12"},
+          std::pair{"Auburnlb-Token-Counts", "12,x"},
+          std::pair{"Last-Event-Id", "-1"}})
+    {
+        http_head head = usual_head();
+        set_field(head, name, value);
+        auto const request = platform::read_request(head);
+        ASSERT_FALSE(request) << name;
+        EXPECT_TRUE(contains(request.error().detail_, name));
+        EXPECT_TRUE(contains(request.error().detail_, value));
+    }
+}
+
+TEST(platform_requests, a_request_without_id_is_an_error)
+{
+    http_head head = usual_head();
+    set_field(head, "Auburnlb-Request-Id", "");
+    auto const request = platform::read_request(head);
+    ASSERT_FALSE(request);
+    EXPECT_TRUE(contains(request.error().detail_, "Auburnlb-Request-Id"));
+}
+
+TEST(platform_requests, another_scheme_is_no_key)
+{
+    http_head head = usual_head();
+    set_field(head, "Authorization", "Basic key-1");
+    EXPECT_EQ(platform::read_request(head).value().api_key_, std::nullopt);
+}
+
+TEST(platform_requests, an_engine_gets_the_path_and_never_the_key)
+{
+    std::string const text =
+        platform::write_request(usual_head(), "body", usual_request());
+    EXPECT_TRUE(text.starts_with("POST /path/x HTTP/1.1\r\n"));
+    EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
+    EXPECT_TRUE(contains(text, "\r\nAuburnlb-Request-Id: id-1\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nAuburnlb-Deadline-Ms: 1234\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nAuburnlb-Expect-Instance: i-1\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nAuburnlb-Tenant: workspace-1\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nLast-Event-Id: 14\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nAuburnlb-Hop-Count: "
+                               "10.0.0.1:80=0-20,10.0.0.2:80=20-80\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nContent-Length: 4\r\n"));
+    EXPECT_TRUE(contains(text, "\r\nX-Own: kept\r\n"));
+    EXPECT_FALSE(contains(text, "key-1"));
+    EXPECT_FALSE(contains(text, "20000"));
+}
+
+TEST(platform_requests, a_caller_cannot_set_the_fields_of_the_router)
+{
+    http_head head = usual_head();
+    for (char const* const name :
+         {"auburnlb-tenant", "Auburnlb-Expect-Instance", "AUBURNLB-HOP-COUNT",
+          "Auburnlb-Request-Urgency", "Auburnlb-Expect-Version",
+          "Content-Length"})
+    {
+        head.fields_.push_back({name, "forged"});
+    }
+    endpoint_request request = usual_request();
+    request.workspace_.reset();
+    EXPECT_FALSE(
+        contains(platform::write_request(head, "", request), "forged"));
+}
+
+TEST(platform_requests, fields_of_the_connection_are_not_passed_on)
+{
+    http_head head = usual_head();
+    head.fields_.push_back({"Connection", "keep-alive, X-Own, Auburnlb-Model"});
+    head.fields_.push_back({"Keep-Alive", "timeout=5"});
+    head.fields_.push_back({"Transfer-Encoding", "chunked"});
+    std::string const text = platform::write_request(head, "", usual_request());
+    EXPECT_FALSE(contains(text, "X-Own"));
+    EXPECT_FALSE(contains(text, "Keep-Alive"));
+    EXPECT_FALSE(contains(text, "chunked"));
+    // What identifies the work reaches the engine whatever the caller lists.
+    EXPECT_TRUE(contains(text, "Auburnlb-Model: model-1"));
+}
+
+TEST(platform_requests, reads_what_an_answer_says)
+{
+    http_head head;
+    head.status_ = 503;
+    head.fields_ = {{"Auburnlb-Not-Executed", "1"},
+                    {"At-Server", "10.0.0.2:80"},
+                    {"Auburnlb-Request-Id", "id-1"}};
+    endpoint_answer const refusal = platform::read_answer(head);
+    EXPECT_TRUE(refusal.is_not_run_);
+    EXPECT_FALSE(refusal.is_signed_);
+    EXPECT_EQ(refusal.faulty_address_, "10.0.0.2:80");
+    EXPECT_EQ(refusal.request_id_, "id-1");
+
+    head.status_ = 200;
+    head.fields_ = {{"auburnlb-response-stamp", "s"}};
+    EXPECT_TRUE(platform::read_answer(head).is_signed_);
+    EXPECT_FALSE(platform::read_answer(head).is_not_run_);
+
+    head.status_ = 503;
+    head.fields_.clear();
+    EXPECT_FALSE(platform::read_answer(head).is_not_run_);
+    head.status_ = 421;
+    EXPECT_TRUE(platform::read_answer(head).is_not_run_);
+}
--- /dev/null
+++ b/test/protocol/event_splitter_test.cpp
@@ -0,0 +1,92 @@
+// Tests of whole events out of bytes.
+#include <string>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "auburnlb/protocol/event_splitter.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+std::string event(std::uint64_t id, std::string const& data)
+{
+    return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+}
+
+} // namespace
+
+TEST(event_splitter, passes_whole_events_and_keeps_the_rest)
+{
+    event_splitter splitter;
+    std::string const bytes = event(1, "a") + "id: 2\nda";
+    auto batch = splitter.feed(bytes);
+    EXPECT_EQ(batch.bytes_, event(1, "a"));
+    EXPECT_EQ(batch.events_, 1U);
+    EXPECT_EQ(batch.last_id_, 1U);
+    EXPECT_TRUE(splitter.is_inside_event());
+    batch = splitter.feed("ta: b\n\n");
+    EXPECT_EQ(batch.bytes_, event(2, "b"));
+    EXPECT_FALSE(splitter.is_inside_event());
+}
+
+TEST(event_splitter, goes_on_after_a_restart_without_the_begun_event)
+{
+    event_splitter splitter;
+    splitter.feed(event(1, "a") + "id: 2\ndata: half");
+    splitter.restart();
+    EXPECT_EQ(splitter.last_id(), 1U);
+    std::string const second = event(2, "b");
+    EXPECT_EQ(splitter.feed(second).bytes_, second);
+}
+
+TEST(event_splitter, repeated_events_are_not_passed)
+{
+    event_splitter splitter;
+    splitter.set_last_id(5);
+    auto const batch = splitter.feed(event(5, "a"));
+    EXPECT_TRUE(batch.is_out_of_order_);
+    EXPECT_TRUE(batch.bytes_.empty());
+}
+
+TEST(event_splitter, reads_lines_that_end_with_carriage_returns)
+{
+    event_splitter splitter;
+    auto const batch = splitter.feed("id: 3\r\ndata: x\r\n\r\n");
+    EXPECT_EQ(batch.events_, 1U);
+    EXPECT_EQ(batch.last_id_, 3U);
+}
+
+TEST(event_splitter, an_identifier_that_is_no_number_is_out_of_order)
+{
+    event_splitter splitter;
+    EXPECT_TRUE(splitter.feed("id: x1\ndata: a\n\n").is_out_of_order_);
+}
+
+RC_GTEST_PROP(event_splitter, any_cuts_give_the_same_bytes, ())
+{
+    std::string whole;
+    auto const count = *rc::gen::inRange<std::uint64_t>(1, 20);
+    for (std::uint64_t id = 1; id <= count; ++id)
+    {
+        whole += event(id, std::string(*rc::gen::inRange(0, 40), 'x'));
+    }
+    event_splitter splitter;
+    std::string passed;
+    std::uint32_t events = 0;
+    std::string_view rest = whole;
+    while (!rest.empty())
+    {
+        auto const size = *rc::gen::inRange<std::size_t>(1, 50);
+        auto const batch = splitter.feed(rest.substr(0, size));
+        passed += batch.bytes_;
+        events += batch.events_;
+        RC_ASSERT(!batch.is_out_of_order_);
+        rest.remove_prefix(std::min(size, rest.size()));
+    }
+    RC_ASSERT(passed == whole);
+    RC_ASSERT(events == count);
+    RC_ASSERT(!splitter.is_inside_event());
+}
--- /dev/null
+++ b/test/router/http_message_test.cpp
@@ -0,0 +1,158 @@
+// Tests of the reader of messages.
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "auburnlb/router/http_message.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+/// Keeps what the reader gives.
+struct recorder final : http_message_sink
+{
+    void on_head(http_head head) override { heads_.push_back(std::move(head)); }
+    void on_body(std::string_view piece) override { body_ += piece; }
+    void on_message_end() override { ++ends_; }
+
+    std::vector<http_head> heads_;
+    std::string body_;
+    int ends_ = 0;
+};
+
+constexpr std::size_t max_head = 1'000;
+
+/// Reads all bytes, message after message, and gives the last status.
+http_read_status read_all(recorder& sink, http_reader::message_kind kind,
+                          std::string_view bytes)
+{
+    http_reader reader(kind, sink, max_head);
+    http_read_status status = http_read_status::need_more;
+    while (!bytes.empty())
+    {
+        http_read_result const read = reader.read(bytes);
+        status = read.status_;
+        if (status == http_read_status::malformed ||
+            status == http_read_status::head_too_large)
+        {
+            return status;
+        }
+        bytes.remove_prefix(read.consumed_);
+    }
+    return status;
+}
+
+constexpr auto request = http_reader::message_kind::request;
+constexpr auto response = http_reader::message_kind::response;
+
+} // namespace
+
+TEST(http_reader, reads_requests_one_after_the_other)
+{
+    recorder sink;
+    EXPECT_EQ(read_all(sink, request,
+                       "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+                       "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "2\r\nde\r\n0\r\n\r\nGET /c HTTP/1.1\r\n\r\n"),
+              http_read_status::message_end);
+    ASSERT_EQ(sink.heads_.size(), 3U);
+    EXPECT_EQ(sink.heads_[1].target_, "/b");
+    EXPECT_EQ(sink.body_, "abcde");
+    EXPECT_EQ(sink.ends_, 3);
+}
+
+TEST(http_reader, two_ways_to_end_a_body_are_malformed)
+{
+    for (char const* const bytes :
+         {"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\n",
+          "GET / HTTP/1.1\r\nNo colon\r\n\r\n", "nonsense\r\n\r\n"})
+    {
+        recorder sink;
+        EXPECT_EQ(read_all(sink, request, bytes), http_read_status::malformed)
+            << bytes;
+        EXPECT_EQ(sink.ends_, 0) << bytes;
+    }
+}
+
+TEST(http_reader, a_head_over_the_limit_is_refused)
+{
+    recorder sink;
+    EXPECT_EQ(read_all(sink, request,
+                       "GET / HTTP/1.1\r\nX: " + std::string(max_head, 'x')),
+              http_read_status::head_too_large);
+}
+
+TEST(http_reader, an_answer_without_length_ends_with_its_connection)
+{
+    recorder sink;
+    http_reader reader(response, sink, max_head);
+    reader.read("HTTP/1.1 200 OK\r\n\r\npart");
+    EXPECT_FALSE(sink.heads_.front().is_framed_);
+    EXPECT_EQ(sink.ends_, 0);
+    EXPECT_EQ(reader.read_end(), http_read_status::message_end);
+    EXPECT_EQ(sink.body_, "part");
+}
+
+TEST(http_reader, an_answer_cut_before_its_end_is_malformed)
+{
+    for (char const* const bytes :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Le"})
+    {
+        recorder sink;
+        http_reader reader(response, sink, max_head);
+        reader.read(bytes);
+        EXPECT_EQ(reader.read_end(), http_read_status::malformed) << bytes;
+        EXPECT_EQ(sink.ends_, 0) << bytes;
+    }
+}
+
+TEST(http_reader, answers_to_head_have_no_body)
+{
+    recorder sink;
+    http_reader reader(response, sink, max_head);
+    reader.set_without_body(true);
+    EXPECT_EQ(
+        reader.read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n").status_,
+        http_read_status::message_end);
+}
+
+TEST(http_reader, fields_of_a_connection_are_known)
+{
+    http_head head;
+    head.fields_ = {{"Connection", "close, X-Own"}};
+    EXPECT_TRUE(is_connection_field(head, "x-own"));
+    EXPECT_TRUE(is_connection_field(head, "TE"));
+    EXPECT_FALSE(is_connection_field(head, "X-Other"));
+}
+
+RC_GTEST_PROP(http_reader, any_cuts_give_the_same_message, ())
+{
+    std::string const whole = "POST /long HTTP/1.1\r\nHost: host.example\r\n"
+                              "X-Field: some value\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+    recorder sink;
+    http_reader reader(request, sink, max_head);
+    std::string_view rest = whole;
+    while (!rest.empty())
+    {
+        auto const size = *rc::gen::inRange<std::size_t>(1, 20);
+        auto const read = reader.read(rest.substr(0, size));
+        RC_ASSERT(read.status_ == http_read_status::need_more ||
+                  read.status_ == http_read_status::message_end);
+        rest.remove_prefix(read.consumed_);
+    }
+    RC_ASSERT(sink.ends_ == 1);
+    RC_ASSERT(sink.body_ == "hello world");
+    RC_ASSERT(*sink.heads_.front().find("x-field") == "some value");
+}
--- /dev/null
+++ b/test/state/route_table_test.cpp
@@ -0,0 +1,93 @@
+// Tests of routes, keys and the memory of engines.
+#include <gtest/gtest.h>
+
+#include "auburnlb/state/route_table.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+route make_route(std::string const& name, std::string const& prefix)
+{
+    route value;
+    value.name_ = name;
+    value.host_ = "host.example";
+    value.path_prefix_ = prefix;
+    value.services_ = {{"service", 1}};
+    return value;
+}
+
+route_index make_index()
+{
+    route_table table;
+    table.routes_ = {make_route("short", "/a/"), make_route("long", "/a/b/")};
+    table.workspaces_ = {{"one", {"key-1", "key-2"}, 1},
+                         {"two", {"key-3"}, std::nullopt}};
+    return route_index(std::move(table));
+}
+
+std::string found(route_index const& index, std::string const& path,
+                  std::string const& host = "host.example")
+{
+    route const* const route = index.find_route(host, path);
+    return route == nullptr ? "" : route->name_;
+}
+
+} // namespace
+
+TEST(route_table, the_longest_prefix_wins)
+{
+    route_index const index = make_index();
+    EXPECT_EQ(found(index, "/a/x"), "short");
+    EXPECT_EQ(found(index, "/a/b/x"), "long");
+    EXPECT_EQ(found(index, "/a/b/"), "long");
+    EXPECT_EQ(found(index, "/a/b"), "short");
+    EXPECT_EQ(found(index, "/a/x?path=/a/b/"), "short");
+}
+
+TEST(route_table, other_paths_and_hosts_have_no_route)
+{
+    route_index const index = make_index();
+    EXPECT_EQ(found(index, "/"), "");
+    EXPECT_EQ(found(index, "/ab/"), "");
+    EXPECT_EQ(found(index, ""), "");
+    EXPECT_EQ(found(index, "/a/x", "other.example"), "");
+}
+
+TEST(route_table, each_key_names_its_workspace)
+{
+    route_index const index = make_index();
+    ASSERT_NE(index.find_workspace("key-2"), nullptr);
+    EXPECT_EQ(index.find_workspace("key-2")->name_, "one");
+    EXPECT_EQ(index.find_workspace("key-3")->name_, "two");
+    EXPECT_EQ(index.find_workspace("key-4"), nullptr);
+    EXPECT_EQ(index.find_workspace(""), nullptr);
+}
+
+TEST(route_table, services_get_their_part_of_the_requests)
+{
+    route value = make_route("split", "/");
+    value.services_ = {{"most", 90}, {"few", 10}};
+    int few = 0;
+    for (std::uint64_t sample = 0; sample < 1'000; ++sample)
+    {
+        few += pick_service(value, sample) == "few" ? 1 : 0;
+    }
+    EXPECT_EQ(few, 100);
+    EXPECT_EQ(pick_service(value, 95), pick_service(value, 95));
+}
+
+TEST(model_profile, layers_and_kv_cache_share_the_memory)
+{
+    model_profile model;
+    model.layers_ = 80;
+    model.layer_mb_ = 1'750;
+    model.kv_bytes_per_token_ = 918'000;
+    accelerator_profile const large{72'000, 1, 1};
+    EXPECT_EQ(max_layers(model, large), 41U);
+    EXPECT_GT(kv_tokens_beside(model, large, 30),
+              kv_tokens_beside(model, large, 40));
+    EXPECT_EQ(kv_tokens_beside(model, large, 42), 0);
+    EXPECT_EQ(kv_tokens_beside(model, large, 0), 0);
+}
