Bound what streams move between data centres, and tell which engines are silent

Each of 22 routers found a lost engine by itself. Ruled out: KV accounts; engines answered probes and had room. Change: a token bucket of crossing bits for each router, crossings cost more, failed probes are told to the others.

--- a/include/auburnlb/coordination/path_choice.hpp
+++ b/include/auburnlb/coordination/path_choice.hpp
@@ -47,6 +47,8 @@
     std::string data_centre_;
     /// Part of an engine's KV cache that may be reserved, in (0, 1].
     double max_kv_share_ = 1;
+    /// Whether the path may cross between data centres.
+    bool may_cross_ = true;
     /// If not empty, only these engines may be the first of the path.
     std::vector<std::string> allowed_first_ids_;
 
@@ -61,6 +63,8 @@
     double first_event_ms_ = 0;
     /// Time between two events, in ms.
     double event_gap_ms_ = 0;
+    /// How often it crosses between data centres.
+    std::uint32_t crossings_ = 0;
 
     bool operator==(path_choice const&) const = default;
 };
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -76,7 +76,9 @@
     bool start_on_endpoint(time_point now);
     void send(endpoint_ptr const& first, std::vector<path_part> const& path,
               time_point now);
-    std::optional<path_choice> find_path(time_point now) const;
+    path_demand make_demand(time_point now) const;
+    std::optional<path_choice> find_path(path_demand const& demand,
+                                         time_point now) const;
     double expected_answer_tokens() const;
 
     void on_events(std::string_view piece);
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -1,7 +1,7 @@
 // What routers tell each other: the configuration, for those that the platform
 // turns away, the load that they put on endpoints, and crashes. A router asks
-// those of its own data centre and one of each other, so that the questions grow
-// with a data centre and not with the fleet.
+// those of its own data centre and one of each other, so that the questions
+// grow with a data centre and not with the fleet.
 #ifndef AUBURNLB_ROUTER_PEER_EXCHANGE_HPP
 #define AUBURNLB_ROUTER_PEER_EXCHANGE_HPP
 
@@ -86,6 +86,9 @@
     void on_reply(std::string const& address, result<http_reply> const& reply);
     void read_loads(peer& peer, nlohmann::json const& state);
     void read_crashes(std::string const& address, nlohmann::json const& state);
+    /// Endpoints that did not answer this router's last probe.
+    nlohmann::json avoided() const;
+    void read_avoided(nlohmann::json const& state, time_point now);
     void sum_loads(time_point now);
     std::string own_state(nlohmann::json const& question);
     /// Loads of this router, or of all of its data centre.
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -12,6 +12,7 @@
 
 #include "auburnlb/coordination/crash_counts.hpp"
 #include "auburnlb/coordination/endpoint_directory.hpp"
+#include "auburnlb/coordination/link_budget.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
 #include "auburnlb/router/endpoint_pool.hpp"
@@ -35,6 +36,7 @@
     /// The requests in the queue, by ticket.
     std::map<std::uint64_t, std::shared_ptr<forwarded_request>> waiting_;
     retry_window retries_;
+    link_budget links_;
 };
 
 struct router_core
--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -31,7 +31,7 @@
 /// The activations of a prompt that are moved between engines.
 constexpr double hop_penalty_ms = 60;
 /// A link that other streams need as well, and that may be slow or cut.
-constexpr double remote_hop_penalty_ms = 400;
+constexpr double remote_hop_penalty_ms = 1'500;
 /// An answer whose bytes cross between data centres.
 constexpr double remote_first_penalty_ms = 1'000;
 /// The longest path that engines accept.
@@ -174,6 +174,14 @@
     std::vector<way> ways_;
 };
 
+/// Whether the way into the engine crosses between data centres. The boundary
+/// is not the first.
+bool is_crossing(search const& state, std::size_t boundary, std::size_t engine)
+{
+    return state.engines_[state.ways_[boundary].engine_].data_centre_ !=
+           state.engines_[engine].data_centre_;
+}
+
 /// Time that the way into the engine adds to the first event.
 double entry_ms(search const& state, std::size_t boundary, std::size_t engine)
 {
@@ -199,8 +207,7 @@
     {
         return to == state.demand_.data_centre_ ? 0 : remote_first_penalty_ms;
     }
-    bool const is_local =
-        state.engines_[state.ways_[boundary].engine_].data_centre_ == to;
+    bool const is_local = !is_crossing(state, boundary, engine);
     double const frames_ms =
         events_of(state) * (is_local ? local_hop_ms : remote_hop_ms);
     return entry_ms(state, boundary, engine) + frames_ms +
@@ -219,6 +226,11 @@
     {
         return;
     }
+    if (begin != 0 && !state.demand_.may_cross_ &&
+        is_crossing(state, begin, engine))
+    {
+        return;
+    }
     engine_cost const& cost = state.costs_[engine];
     double const base = state.ways_[begin].cost_ +
                         entry_cost(state, begin, engine) +
@@ -264,8 +276,11 @@
         choice.first_event_ms_ +=
             count * cost.prefill_ms_per_layer_ * engine.cost_factor_ + hop +
             pass_ms;
+        bool const is_remote =
+            last.begin_ != 0 && is_crossing(state, last.begin_, last.engine_);
         choice.event_gap_ms_ +=
-            pass_ms + (last.begin_ == 0 ? 0 : remote_hop_ms);
+            pass_ms + (is_remote ? remote_hop_ms : local_hop_ms);
+        choice.crossings_ += is_remote ? 1 : 0;
         at = last.begin_;
     }
     std::reverse(choice.path_.parts_.begin(), choice.path_.parts_.end());
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -380,45 +380,54 @@
     return std::max(expected - delivered, usual / 4);
 }
 
-std::optional<path_choice> forwarded_request::find_path(time_point now) const
+path_demand forwarded_request::make_demand(time_point now) const
 {
     model_profile const& model = *service_entry_->model_;
-    std::vector<path_engine> engines;
-    for (endpoint_ptr const& each :
-         endpoints_of(core_.directory_, service_name_))
-    {
-        engines.push_back(to_path_engine(*each, model, now));
-    }
     path_demand demand;
     demand.prompt_tokens_ = static_cast<double>(facts_.prompt_tokens_) +
                             static_cast<double>(event_count_) *
                                 static_cast<double>(model.steps_per_event_);
     demand.answer_tokens_ = expected_answer_tokens();
     demand.data_centre_ = core_.options_.data_centre_;
+    demand.may_cross_ = may_cross(core_.services_[service_name_].links_, model,
+                                  core_.routers_, now);
     if (sent_to_.size() >= route_->max_attempts_)
     {
         demand.allowed_first_ids_ = sent_to_;
     }
+    return demand;
+}
+
+std::optional<path_choice>
+forwarded_request::find_path(path_demand const& demand, time_point now) const
+{
+    model_profile const& model = *service_entry_->model_;
+    std::vector<path_engine> engines;
+    for (endpoint_ptr const& each :
+         endpoints_of(core_.directory_, service_name_))
+    {
+        engines.push_back(to_path_engine(*each, model, now));
+    }
     return choose_path(engines, model, demand);
 }
 
 bool forwarded_request::start_on_path(time_point now)
 {
-    auto path = find_path(now);
+    path_demand const demand = make_demand(now);
+    auto path = find_path(demand, now);
     if (!path)
     {
         return false;
     }
     path_ = std::move(*path);
-    auto const prompt = static_cast<double>(
-        facts_.prompt_tokens_ +
-        event_count_ * service_entry_->model_->steps_per_event_);
-    double const tokens = prompt + expected_answer_tokens();
+    take_crossings(service().links_, *service_entry_->model_, demand,
+                   path_.crossings_);
     for (path_part const& part : path_.path_.parts_)
     {
         auto const layers =
             static_cast<double>(part.layers_.end_ - part.layers_.first_);
-        endpoint_load const load{1, tokens * layers, prompt * layers};
+        endpoint_load const load{1, kv_demand(demand, part.layers_),
+                                 demand.prompt_tokens_ * layers};
         endpoint_ptr const& endpoint =
             core_.directory_.endpoints_[part.endpoint_id_];
         add_load(*endpoint, load);
@@ -837,7 +846,7 @@
 {
     if (service_entry_ != nullptr && service_entry_->model_)
     {
-        return find_path(now).has_value();
+        return find_path(make_demand(now), now).has_value();
     }
     return choose_endpoint(endpoints_of(core_.directory_, service_name_),
                            core_.options_.data_centre_, sent_to_,
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -32,6 +32,12 @@
 /// What a router said of its load is believed for this long.
 constexpr milliseconds load_lifetime{2'500};
 
+/// A failed probe is told for this long, and outweighed by a sign of life that
+/// is younger.
+constexpr milliseconds own_sighting{600};
+/// How long an endpoint is avoided that another router found silent.
+constexpr milliseconds told_avoidance{600};
+
 /// A router that has not answered for this long is not asked any more.
 constexpr milliseconds forget_after{60'000};
 
@@ -145,6 +151,41 @@
     return value;
 }
 
+json peer_exchange::avoided() const
+{
+    time_point const now = core_.clock_.now();
+    json value = json::array();
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        // Only what this router saw itself, or it would go round for ever.
+        if (endpoint->probe_failed_ > endpoint->probe_answered_ &&
+            now - endpoint->probe_failed_ < own_sighting)
+        {
+            value.push_back(id);
+        }
+    }
+    return value;
+}
+
+void peer_exchange::read_avoided(json const& state, time_point now)
+{
+    for (json const& each : state.value("avoided", json::array()))
+    {
+        auto const found =
+            each.is_string()
+                ? core_.directory_.endpoints_.find(each.get<std::string>())
+                : core_.directory_.endpoints_.end();
+        if (found == core_.directory_.endpoints_.end() ||
+            is_alive_since(*found->second, now - own_sighting))
+        {
+            continue;
+        }
+        endpoint_health& health = found->second->health_;
+        health.avoid_until_ =
+            std::max(health.avoid_until_, now + told_avoidance);
+    }
+}
+
 std::string peer_exchange::own_state(json const& question)
 {
     bool const is_local_question =
@@ -164,6 +205,7 @@
     {
         state["crashes"].push_back({fingerprint, crashes});
     }
+    state["avoided"] = avoided();
     if (question.value("with_endpoints", false) &&
         handlers_.is_store_reachable_())
     {
@@ -221,13 +263,13 @@
 {
     peer.is_waiting_ = true;
     peer.next_call_ = now + interval;
-    json const question{
-        {"from", core_.options_.control_address_},
-        {"data_centre", core_.options_.data_centre_},
-        {"peers", peers_.size()},
-        {"version",
-         core_.routes_ == nullptr ? 0 : core_.routes_->table().version_},
-        {"with_endpoints", !handlers_.is_store_reachable_()}};
+    json const question{{"from", core_.options_.control_address_},
+                        {"data_centre", core_.options_.data_centre_},
+                        {"peers", peers_.size()},
+                        {"version", core_.routes_ == nullptr
+                                        ? 0
+                                        : core_.routes_->table().version_},
+                        {"with_endpoints", !handlers_.is_store_reachable_()}};
     caller_.call(address, {"POST", "/exchange", question.dump()}, ask_timeout,
                  [this, address](result<http_reply> const& reply)
                  { on_reply(address, reply); });
@@ -261,6 +303,7 @@
     peer.data_centre_ = state.value("data_centre", "");
     read_loads(peer, state);
     read_crashes(address, state);
+    read_avoided(state, now);
     if (auto const lease = state.find("lease");
         lease != state.end() && lease->is_object())
     {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -564,7 +564,7 @@
                 if (value.is_object())
                 {
                     peers_.add_peer(value.value("control", ""),
-                                            value.value("data_centre", ""));
+                                    value.value("data_centre", ""));
                 }
             }
         });
