--- /dev/null
+++ b/fakes/users_engine/main.cpp
@@ -0,0 +1,526 @@
+// A stand-in of the users' engines: a model engine that takes layers, orders
+// and paths and streams events, or a plain service that counts its runs. It
+// registers itself in the store.
+//
+// A test may post to /fake/fault: "none"; "shed" refuses without running;
+// "error" answers 500; "lose" runs and closes without an answer; "half" breaks
+// off within an event; "extra" sends a second answer; "foreign" answers with
+// another request's id first; "unframed" sends no length; "mute" never answers;
+// "early" answers before a body is read. GET /fake/runs gives the runs by id.
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <getopt.h>
+#include <nlohmann/json.hpp>
+
+#include "asio_server.hpp"
+#include "auburnlb/router/http_caller.hpp"
+#include "names.hpp"
+#include "program.hpp"
+#include "protocol.hpp"
+
+namespace
+{
+
+using namespace auburnlb;
+using nlohmann::json;
+namespace names = platform::names;
+
+constexpr milliseconds event_interval{20};
+constexpr milliseconds tick_interval{5};
+constexpr milliseconds call_timeout{300};
+/// How long work that depends on a lost engine stalls.
+constexpr milliseconds stall_limit{3'000};
+
+struct engine_options
+{
+    std::string id_;
+    std::string service_ = "model";
+    std::string zone_ = "dc1";
+    std::string kind_;
+    std::string store_;
+    std::uint32_t events_ = 40;
+    milliseconds load_{50};
+};
+
+struct engine_state
+{
+    std::optional<layer_range> layers_;
+    std::uint64_t orders_ = 0;
+    bool is_busy_ = false;
+    bool is_draining_ = false;
+    std::string fault_ = "none";
+    std::map<std::string, int> runs_;
+    std::map<std::string, int> cancelled_;
+    std::uint64_t born_ = 0;
+};
+
+std::string event_text(std::uint64_t id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece-" + std::to_string(id) +
+           "\n\n";
+}
+
+http_head answer_head(unsigned status, std::string const& request_id)
+{
+    http_head head;
+    head.status_ = status;
+    head.fields_ = {{std::string(names::request_id), request_id},
+                    {std::string(names::signature), "signed-" + request_id}};
+    return head;
+}
+
+/// Addresses of a path's other parts.
+std::vector<std::string> other_parts(http_head const& head)
+{
+    std::vector<std::string> addresses;
+    std::string const* const text = head.find(names::path);
+    std::size_t at = text == nullptr ? std::string::npos : text->find(',');
+    while (at != std::string::npos)
+    {
+        std::size_t const begin = at + 1;
+        at = text->find(',', begin);
+        std::string const part = text->substr(begin, at - begin);
+        addresses.push_back(part.substr(0, part.find('=')));
+    }
+    return addresses;
+}
+
+class engine;
+
+/// One stream that this engine writes.
+class running_stream final
+    : public std::enable_shared_from_this<running_stream>
+    , public request_owner
+{
+public:
+    running_stream(asio::io_context& io, engine& owner,
+                   std::shared_ptr<caller_connection> caller, std::string id,
+                   std::uint64_t next, std::vector<std::string> parts)
+        : owner_(owner)
+        , caller_(std::move(caller))
+        , id_(std::move(id))
+        , next_(next)
+        , parts_(std::move(parts))
+        , timer_(io)
+    {
+    }
+
+    void begin();
+    void on_caller_left() override;
+
+private:
+    void step();
+    void check_part(std::size_t index);
+    void write_event();
+    void wait(milliseconds pause);
+
+    engine& owner_;
+    std::shared_ptr<caller_connection> caller_;
+    std::string id_;
+    std::uint64_t next_;
+    std::vector<std::string> parts_;
+    asio::steady_timer timer_;
+    milliseconds stalled_{0};
+};
+
+class engine
+{
+public:
+    engine(asio::io_context& io, engine_options options)
+        : io_(io)
+        , options_(std::move(options))
+        , calls_(io, clock_)
+        , tick_(io)
+        , server_(io, 0,
+                  [this](std::shared_ptr<caller_connection> const& caller,
+                         http_head const& head, std::string const& body)
+                  { serve(caller, head, body); })
+    {
+        state_.born_ = static_cast<std::uint64_t>(
+            clock_.now().time_since_epoch() / milliseconds(1));
+        tick();
+        register_entry();
+    }
+
+    std::uint16_t port() const { return server_.port(); }
+    engine_state& state() { return state_; }
+    engine_options const& options() const { return options_; }
+    http_caller& calls() { return calls_; }
+
+private:
+    void tick()
+    {
+        tick_.expires_after(tick_interval);
+        tick_.async_wait(
+            [this](asio::error_code const& failure)
+            {
+                if (!failure)
+                {
+                    calls_.on_tick(clock_.now());
+                    tick();
+                }
+            });
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(server_.port());
+    }
+
+    /// Writes the entry; each change writes it again.
+    void register_entry()
+    {
+        json entry{{"service", options_.service_},
+                   {"address", address()},
+                   {"zone", options_.zone_},
+                   {"version", "v1"},
+                   {"batch-slots", 16},
+                   {"state", state_.is_draining_ ? "draining" : "ready"},
+                   {"sequence", ++beats_},
+                   {"born", state_.born_}};
+        if (!options_.kind_.empty())
+        {
+            entry["kind"] = options_.kind_;
+        }
+        if (state_.layers_)
+        {
+            entry["layers"] = {{"from", state_.layers_->first_},
+                               {"to", state_.layers_->end_},
+                               {"version", 1}};
+        }
+        store_object object;
+        object.name_ = options_.id_;
+        object.value_ = entry.dump();
+        http_call call = platform::write_put_call("servers", object);
+        call.method_ = "PUT";
+        call.target_ += "/" + options_.id_;
+        calls_.call(options_.store_, call, call_timeout,
+                    [](result<http_reply> const&) {});
+    }
+
+    void serve(std::shared_ptr<caller_connection> const& caller,
+               http_head const& head, std::string const& body)
+    {
+        if (head.target_.starts_with("/fake/"))
+        {
+            control(*caller, head, body);
+        }
+        else if (head.target_ == "/report")
+        {
+            fakes::answer_json(*caller, 200, report().dump());
+        }
+        else if (head.target_ == "/order")
+        {
+            order(*caller, json::parse(body));
+        }
+        else
+        {
+            run(caller, head);
+        }
+    }
+
+    void control(caller_connection& caller, http_head const& head,
+                 std::string const& body)
+    {
+        if (head.target_ == "/fake/fault")
+        {
+            state_.fault_ = body;
+        }
+        if (head.target_ == "/fake/drain")
+        {
+            state_.is_draining_ = true;
+            register_entry();
+        }
+        fakes::answer_json(caller, 200,
+                           json{{"runs", state_.runs_},
+                                {"cancelled", state_.cancelled_}}
+                               .dump());
+    }
+
+    json report() const
+    {
+        json value{{"busy", state_.is_busy_},
+                   {"sequence", state_.orders_},
+                   {"born", state_.born_},
+                   {"running", 0}};
+        if (state_.layers_)
+        {
+            value["layers"] = {{"from", state_.layers_->first_},
+                               {"to", state_.layers_->end_}};
+        }
+        return value;
+    }
+
+    void order(caller_connection& caller, json const& body)
+    {
+        if (state_.is_busy_ || body.value("expect", state_.orders_) !=
+                                   state_.orders_)
+        {
+            fakes::answer_json(caller, 409, "{}");
+            return;
+        }
+        layer_range const layers{body["from"], body["to"]};
+        ++state_.orders_;
+        state_.is_busy_ = true;
+        state_.layers_.reset();
+        auto timer = std::make_shared<asio::steady_timer>(io_, options_.load_);
+        timer->async_wait(
+            [this, timer, layers](asio::error_code const&)
+            {
+                state_.is_busy_ = false;
+                state_.layers_ = layers;
+                register_entry();
+            });
+        fakes::answer_json(caller, 202, "{}");
+    }
+
+    void refuse(caller_connection& caller, unsigned status)
+    {
+        http_head head;
+        head.status_ = status;
+        head.fields_ = {{std::string(names::not_run), "1"}};
+        caller.answer(head, "");
+    }
+
+    void run(std::shared_ptr<caller_connection> const& caller,
+             http_head const& head)
+    {
+        std::string const* const id = head.find(names::request_id);
+        std::string const* const instance = head.find(names::expect_instance);
+        constexpr unsigned misdirected = 421;
+        constexpr unsigned unavailable = 503;
+        if (id == nullptr ||
+            (instance != nullptr && *instance != options_.id_))
+        {
+            refuse(*caller, misdirected);
+            return;
+        }
+        if (state_.fault_ == "shed")
+        {
+            refuse(*caller, unavailable);
+            return;
+        }
+        ++state_.runs_[*id];
+        if (options_.kind_.empty())
+        {
+            run_plain(*caller, *id);
+            return;
+        }
+        if (state_.fault_ == "mute")
+        {
+            return;
+        }
+        if (state_.fault_ == "error")
+        {
+            caller->answer(answer_head(500, *id), "failed");
+            return;
+        }
+        std::string const* const last = head.find(names::last_event_id);
+        std::uint64_t const next =
+            last == nullptr ? 1 : std::stoull(*last) + 1;
+        std::make_shared<running_stream>(io_, *this, caller, *id, next,
+                                         other_parts(head))
+            ->begin();
+    }
+
+    void run_plain(caller_connection& caller, std::string const& id)
+    {
+        std::string const& fault = state_.fault_;
+        if (fault == "mute")
+        {
+            return;
+        }
+        if (fault == "lose")
+        {
+            caller.abort_answer();
+            return;
+        }
+        if (fault == "foreign")
+        {
+            // The late answer to a request that was given up before.
+            caller.send_raw("HTTP/1.1 200 OK\r\nAuburnlb-Request-Id: other\r\n"
+                            "Auburnlb-Response-Stamp: s\r\n"
+                            "Content-Length: 5\r\n\r\nwrong");
+        }
+        if (fault == "unframed")
+        {
+            caller.send_raw("HTTP/1.1 200 OK\r\nAuburnlb-Request-Id: " + id +
+                            "\r\nAuburnlb-Response-Stamp: s\r\n\r\nran " + id);
+            caller.abort_answer();
+            return;
+        }
+        caller.answer(answer_head(fault == "error" ? 500 : 200, id),
+                      "ran " + id);
+        if (fault == "extra")
+        {
+            caller.send_raw("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+        }
+    }
+
+    asio::io_context& io_;
+    boot_clock clock_;
+    engine_options options_;
+    engine_state state_;
+    std::uint64_t beats_ = 0;
+    http_caller calls_;
+    asio::steady_timer tick_;
+    fakes::asio_server server_;
+};
+
+void running_stream::begin()
+{
+    caller_->set_owner(this);
+    http_head head = answer_head(200, id_);
+    head.fields_.push_back({"Content-Type", "text/event-stream"});
+    caller_->begin_answer(head);
+    step();
+}
+
+void running_stream::on_caller_left()
+{
+    ++owner_.state().cancelled_[id_];
+    caller_ = nullptr;
+}
+
+void running_stream::wait(milliseconds pause)
+{
+    timer_.expires_after(pause);
+    timer_.async_wait([self = shared_from_this()](asio::error_code const&)
+                      { self->step(); });
+}
+
+void running_stream::step()
+{
+    if (caller_ != nullptr)
+    {
+        check_part(0);
+    }
+}
+
+/// Each token passes all parts, so it waits until all of them answer.
+void running_stream::check_part(std::size_t index)
+{
+    if (caller_ == nullptr)
+    {
+        return;
+    }
+    if (index == parts_.size())
+    {
+        stalled_ = milliseconds(0);
+        write_event();
+        return;
+    }
+    owner_.calls().call(
+        parts_[index], {"GET", "/report", ""}, call_timeout,
+        [self = shared_from_this(), index](result<http_reply> const& reply)
+        {
+            if (reply)
+            {
+                self->check_part(index + 1);
+                return;
+            }
+            self->stalled_ += event_interval;
+            if (self->stalled_ >= stall_limit && self->caller_ != nullptr)
+            {
+                self->caller_->set_owner(nullptr);
+                std::exchange(self->caller_, nullptr)->abort_answer();
+                return;
+            }
+            self->wait(event_interval);
+        });
+}
+
+void running_stream::write_event()
+{
+    std::string const text = event_text(next_);
+    bool const is_half =
+        owner_.state().fault_ == "half" && next_ == owner_.options().events_ / 2;
+    if (is_half)
+    {
+        caller_->add_body(text.substr(0, text.size() / 2));
+        caller_->set_owner(nullptr);
+        std::exchange(caller_, nullptr)->abort_answer();
+        return;
+    }
+    caller_->add_body(text);
+    if (next_++ >= owner_.options().events_)
+    {
+        caller_->set_owner(nullptr);
+        std::exchange(caller_, nullptr)->end_answer();
+        return;
+    }
+    wait(event_interval);
+}
+
+constexpr char const* usage =
+    "usage: fake-users_engine --id ID --store IP:PORT [--service NAME] "
+    "[--zone NAME] [--kind ACCELERATOR] [--events N]\n";
+
+engine_options read_options(int argc, char** argv)
+{
+    engine_options options;
+    option const names[] = {{"id", required_argument, nullptr, 'i'},
+                            {"store", required_argument, nullptr, 's'},
+                            {"service", required_argument, nullptr, 'n'},
+                            {"zone", required_argument, nullptr, 'z'},
+                            {"kind", required_argument, nullptr, 'k'},
+                            {"events", required_argument, nullptr, 'e'},
+                            {nullptr, 0, nullptr, 0}};
+    constexpr std::uint64_t max_events = 100'000;
+    for (int chosen = getopt_long(argc, argv, "", names, nullptr);
+         chosen != -1;
+         chosen = getopt_long(argc, argv, "", names, nullptr))
+    {
+        switch (chosen)
+        {
+        case 'i':
+            options.id_ = optarg;
+            break;
+        case 's':
+            options.store_ = optarg;
+            break;
+        case 'n':
+            options.service_ = optarg;
+            break;
+        case 'z':
+            options.zone_ = optarg;
+            break;
+        case 'k':
+            options.kind_ = optarg;
+            break;
+        case 'e':
+            options.events_ = static_cast<std::uint32_t>(
+                fakes::parse_number("--events", optarg, max_events));
+            break;
+        default:
+            fakes::exit_with_usage(usage, 2);
+        }
+    }
+    if (options.id_.empty() || options.store_.empty())
+    {
+        fakes::exit_with_usage(usage, 2);
+    }
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    asio::io_context io;
+    engine running(io, read_options(argc, argv));
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&io](asio::error_code const&, int) { io.stop(); });
+    fakes::announce("engine", running.port());
+    io.run();
+    // Streams hold each other through callbacks; the process ends at once.
+    std::_Exit(EXIT_SUCCESS);
+}
--- /dev/null
+++ b/fakes/users_store/main.cpp
@@ -0,0 +1,337 @@
+// A stand-in of the users' platform's store: objects with revisions, lists,
+// watches, conditional writes, and outages that a test asks for.
+//
+// A test may post to /fake/mode: "up"; "busy" answers 503; "many" answers 429;
+// "silent" answers nothing; "reset" closes the connection; "lose" does the
+// write and closes the connection. A post to /fake/compact drops the history.
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <string>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "asio_server.hpp"
+#include "program.hpp"
+
+namespace
+{
+
+using namespace auburnlb;
+using nlohmann::json;
+
+constexpr std::size_t page_size = 50;
+
+struct store
+{
+    std::uint64_t revision_ = 10;
+    /// Revisions before this one are not in the history any more.
+    std::uint64_t compacted_ = 0;
+    std::map<std::string, std::map<std::string, json>> kinds_;
+    /// Changes in their order: kind and event.
+    struct change
+    {
+        std::uint64_t revision_;
+        std::string kind_;
+        json event_;
+    };
+    std::deque<change> history_;
+    std::string mode_ = "up";
+    std::uint64_t calls_ = 0;
+};
+
+void note_change(store& state, std::string const& kind, json const& object,
+                 bool is_deleted)
+{
+    state.history_.push_back(
+        {state.revision_, kind, {{"object", object}, {"deleted", is_deleted}}});
+}
+
+json put(store& state, std::string const& kind, std::string const& name,
+         json const& spec)
+{
+    json& object = state.kinds_[kind][name];
+    bool const is_same = !object.is_null() && object["spec"] == spec;
+    if (is_same)
+    {
+        return object;
+    }
+    ++state.revision_;
+    std::uint64_t const created =
+        object.is_null()
+            ? state.revision_
+            : object["metadata"]["create-revision"].get<std::uint64_t>();
+    object = {{"metadata",
+               {{"name", name},
+                {"revision", state.revision_},
+                {"create-revision", created},
+                {"finalizers", json::array()},
+                {"deleting", false}}},
+              {"spec", spec},
+              {"status", nullptr}};
+    note_change(state, kind, object, false);
+    return object;
+}
+
+json list(store const& state, std::string const& kind, std::string const& after)
+{
+    json items = json::array();
+    bool has_more = false;
+    auto const found = state.kinds_.find(kind);
+    if (found != state.kinds_.end())
+    {
+        for (auto const& [name, object] : found->second)
+        {
+            if (name <= after)
+            {
+                continue;
+            }
+            if (items.size() == page_size)
+            {
+                has_more = true;
+                break;
+            }
+            items.push_back(object);
+        }
+    }
+    return {{"items", items},
+            {"has-more", has_more},
+            {"store-revision", state.revision_}};
+}
+
+json events_after(store const& state, std::string const& kind,
+                  std::uint64_t revision)
+{
+    json events = json::array();
+    for (store::change const& each : state.history_)
+    {
+        if (each.revision_ > revision && each.kind_ == kind)
+        {
+            events.push_back(each.event_);
+        }
+    }
+    return events;
+}
+
+/// Answers a watch once there is an event or its time is over.
+class waiting_watch : public std::enable_shared_from_this<waiting_watch>,
+                      public request_owner
+{
+public:
+    waiting_watch(asio::io_context& io, store& state,
+                  std::shared_ptr<caller_connection> caller, std::string kind,
+                  std::uint64_t revision, milliseconds wait)
+        : state_(state)
+        , caller_(std::move(caller))
+        , kind_(std::move(kind))
+        , revision_(revision)
+        , end_(std::chrono::steady_clock::now() + wait)
+        , timer_(io)
+    {
+    }
+
+    void look()
+    {
+        if (caller_ == nullptr)
+        {
+            return;
+        }
+        caller_->set_owner(this);
+        json const events = events_after(state_, kind_, revision_);
+        bool const is_over = std::chrono::steady_clock::now() >= end_;
+        if (state_.mode_ == "up" && (!events.empty() || is_over))
+        {
+            auto const caller = std::exchange(caller_, nullptr);
+            caller->set_owner(nullptr);
+            fakes::answer_json(*caller, 200,
+                               json{{"events", events},
+                                    {"store-revision", state_.revision_}}
+                                   .dump());
+            return;
+        }
+        timer_.expires_after(milliseconds(5));
+        timer_.async_wait([self = shared_from_this()](asio::error_code const&)
+                          { self->look(); });
+    }
+
+    void on_caller_left() override { caller_ = nullptr; }
+
+private:
+    store& state_;
+    std::shared_ptr<caller_connection> caller_;
+    std::string kind_;
+    std::uint64_t revision_;
+    std::chrono::steady_clock::time_point end_;
+    asio::steady_timer timer_;
+};
+
+class store_server
+{
+public:
+    store_server(asio::io_context& io, std::uint16_t port)
+        : io_(io)
+        , server_(io, port,
+                  [this](std::shared_ptr<caller_connection> const& caller,
+                         http_head const& head, std::string const& body)
+                  { serve(caller, head, body); })
+    {
+    }
+
+    std::uint16_t port() const { return server_.port(); }
+
+private:
+    void serve(std::shared_ptr<caller_connection> const& caller,
+               http_head const& head, std::string const& body)
+    {
+        if (head.target_.starts_with("/fake/"))
+        {
+            control(*caller, head, body);
+            return;
+        }
+        ++state_.calls_;
+        bool const is_write = head.method_ != "GET";
+        if (state_.mode_ == "silent")
+        {
+            return;
+        }
+        if (state_.mode_ == "reset" || (state_.mode_ == "lose" && is_write))
+        {
+            if (state_.mode_ == "lose")
+            {
+                write(head, body);
+            }
+            caller->abort_answer();
+            return;
+        }
+        if (state_.mode_ == "busy" || state_.mode_ == "many")
+        {
+            fakes::answer_json(*caller, state_.mode_ == "busy" ? 503 : 429,
+                               "{}");
+            return;
+        }
+        if (is_write)
+        {
+            auto const [status, answer] = write(head, body);
+            fakes::answer_json(*caller, status, answer.dump());
+            return;
+        }
+        read(caller, head);
+    }
+
+    void control(caller_connection& caller, http_head const& head,
+                 std::string const& body)
+    {
+        if (head.target_ == "/fake/mode")
+        {
+            state_.mode_ = body;
+        }
+        if (head.target_ == "/fake/compact")
+        {
+            state_.history_.clear();
+            state_.compacted_ = state_.revision_;
+        }
+        fakes::answer_json(caller, 200, json{{"calls", state_.calls_}}.dump());
+    }
+
+    static std::pair<std::string, std::string> split(std::string const& target)
+    {
+        std::string path = target.substr(0, target.find('?'));
+        path.erase(0, std::string("/objects/").size());
+        std::size_t const slash = path.find('/');
+        return {path.substr(0, slash),
+                slash == std::string::npos ? "" : path.substr(slash + 1)};
+    }
+
+    void read(std::shared_ptr<caller_connection> const& caller,
+              http_head const& head)
+    {
+        auto const [kind, name] = split(head.target_);
+        std::string const watch = fakes::query_value(head.target_, "watch");
+        if (!watch.empty())
+        {
+            std::uint64_t const revision = std::stoull(watch);
+            if (revision < state_.compacted_)
+            {
+                fakes::answer_json(*caller, 410, "{}");
+                return;
+            }
+            milliseconds const wait(
+                std::stoul(fakes::query_value(head.target_, "wait-ms")));
+            std::make_shared<waiting_watch>(io_, state_, caller, kind, revision,
+                                            wait)
+                ->look();
+            return;
+        }
+        if (name.empty())
+        {
+            std::string const after = fakes::query_value(head.target_, "after");
+            fakes::answer_json(*caller, 200, list(state_, kind, after).dump());
+            return;
+        }
+        auto const found = state_.kinds_[kind].find(name);
+        bool const is_known = found != state_.kinds_[kind].end();
+        fakes::answer_json(*caller, is_known ? 200 : 404,
+                           is_known ? found->second.dump() : "{}");
+    }
+
+    std::pair<unsigned, json> write(http_head const& head,
+                                    std::string const& body)
+    {
+        auto [kind, name] = split(head.target_);
+        if (head.method_ == "DELETE")
+        {
+            json const object = state_.kinds_[kind][name];
+            ++state_.revision_;
+            state_.kinds_[kind].erase(name);
+            note_change(state_, kind, object, true);
+            return {200, object};
+        }
+        json const document = json::parse(body);
+        if (head.method_ == "POST")
+        {
+            name = document["metadata"]["name"];
+            if (state_.kinds_[kind].contains(name))
+            {
+                return {409, state_.kinds_[kind][name]};
+            }
+            return {200, put(state_, kind, name, document["spec"])};
+        }
+        bool const is_known = state_.kinds_[kind].contains(name);
+        bool const is_stale =
+            is_known && document["metadata"].contains("revision") &&
+            document["metadata"]["revision"] !=
+                state_.kinds_[kind][name]["metadata"]["revision"];
+        if (is_stale)
+        {
+            return {409, state_.kinds_[kind][name]};
+        }
+        return {200, put(state_, kind, name, document["spec"])};
+    }
+
+    asio::io_context& io_;
+    store state_;
+    fakes::asio_server server_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    constexpr std::uint64_t max_port = 65'535;
+    std::uint16_t const port =
+        argc > 1 ? static_cast<std::uint16_t>(
+                       fakes::parse_number("PORT", argv[1], max_port))
+                 : std::uint16_t{0};
+    asio::io_context io;
+    store_server const server(io, port);
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&io](asio::error_code const&, int) { io.stop(); });
+    fakes::announce("store", server.port());
+    io.run();
+    return EXIT_SUCCESS;
+}
--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -71,6 +71,9 @@
     /// Closes without the end of the answer, so that it does not look complete.
     void abort_answer();
 
+    /// Sends bytes as they are; for stand-ins that break the protocol.
+    void send_raw(std::string_view bytes) { channel_->write(bytes); }
+
     /// Whether a part of an answer was sent.
     bool has_begun_answer() const { return has_begun_answer_; }
     bool is_idle() const
--- a/include/auburnlb/router/local_server.hpp
+++ b/include/auburnlb/router/local_server.hpp
@@ -2,6 +2,7 @@
 #ifndef AUBURNLB_ROUTER_LOCAL_SERVER_HPP
 #define AUBURNLB_ROUTER_LOCAL_SERVER_HPP
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -29,6 +30,8 @@
     /// @param address "IP:port"
     result<void> open(std::string const& address);
     void close();
+    /// The port that is listened on.
+    std::uint16_t port() const;
 
 private:
     void accept();
--- a/src/router/local_server.cpp
+++ b/src/router/local_server.cpp
@@ -81,6 +81,13 @@
     acceptor_.close(ignored);
 }
 
+std::uint16_t listener::port() const
+{
+    asio::error_code failure;
+    auto const local = acceptor_.local_endpoint(failure);
+    return failure ? std::uint16_t{0} : local.port();
+}
+
 void listener::accept()
 {
     acceptor_.async_accept(
--- a/test/process/cluster.py
+++ b/test/process/cluster.py
@@ -37,16 +37,19 @@
 
 
 class Process:
-    """One child process whose first line of output tells its ports."""
+    """One child process. The first line of output of most tells their ports;
+    the output of the others goes to the log."""
 
-    def __init__(self, name, command, log):
+    def __init__(self, name, command, log, is_announcing=True):
         self.name = name
         self.log_path = log
         self._log = open(log, "ab")
         self.child = subprocess.Popen(
-            command, stdout=subprocess.PIPE, stderr=self._log, stdin=subprocess.DEVNULL)
-        self.first_line = self.child.stdout.readline().decode().strip()
-        if not self.first_line:
+            command, stdout=subprocess.PIPE if is_announcing else self._log,
+            stderr=self._log, stdin=subprocess.DEVNULL)
+        self.first_line = self.child.stdout.readline().decode().strip() \
+            if is_announcing else ""
+        if is_announcing and not self.first_line:
             raise RuntimeError(f"{name} did not start: {self.log()}")
 
     def log(self):
@@ -74,7 +77,8 @@
             self.child.wait(3)
         except subprocess.TimeoutExpired:
             self.kill()
-        self.child.stdout.close()
+        if self.child.stdout:
+            self.child.stdout.close()
         self._log.close()
 
 
