Ask refusing engines less and less, and tell callers of stopping routers when to return

Ruled out: the split of files, which changes nothing; room at engines. Change: avoidance after refusals doubles up to 3.2 s until a success; a stopping router begins a stream if its longest answer can end, else names the time at which the first router is back; explain command, metrics of requests.

--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -66,8 +66,11 @@
     bool find_route();
     bool find_workspace();
     bool read_facts();
-    /// Whether the router stops before the request could end.
+    /// Whether the router stops before a call could end.
     bool is_too_late_to_begin() const;
+    /// Whether the longest answer over the chosen path ends before the stop.
+    bool fits_before_stop(time_point now) const;
+    void refuse_stopping();
     std::int32_t priority() const;
     waiting_request make_waiting(time_point now);
     void enqueue(time_point now);
@@ -105,6 +108,7 @@
 
     void reply(unsigned status, refusal_reason reason,
                std::optional<milliseconds> retry_after);
+    void note_metrics(char const* outcome, time_point now);
     void settle(char const* outcome, unsigned status);
     void release();
     bool is_stream() const { return route_->kind_ == route_kind::stream; }
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -74,6 +74,8 @@
         /// Set after its first answer.
         std::optional<time_point> answered_;
         time_point next_call_{};
+        /// Set while it is in a planned stop: when that ends at the latest.
+        std::optional<time_point> stop_end_;
         std::map<std::string, endpoint_load> loads_;
     };
 
@@ -81,6 +83,7 @@
     /// centre is not known, and one of each other.
     std::vector<std::string> asked_peers() const;
     bool is_local(peer const& peer) const;
+    void note_stops(time_point now);
     void ask(std::string const& address, peer& peer, milliseconds interval,
              time_point now);
     void on_reply(std::string const& address, result<http_reply> const& reply);
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -49,6 +49,7 @@
 private:
     void schedule_tick();
     void on_tick();
+    void update_gauges();
     void start_waiting(time_point now);
     void watch_clock(time_point now);
     void check_stop(time_point now);
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -72,6 +73,10 @@
     std::set<std::shared_ptr<forwarded_request>> active_;
     /// Routers that share the limits of the fleet, this one included.
     std::uint32_t routers_ = 1;
+    /// Whether another router was seen to take requests a moment ago.
+    bool is_other_accepting_ = false;
+    /// When the first router that is stopping will have stopped, if any is.
+    std::optional<time_point> first_stop_end_;
     std::uint64_t last_ticket_ = 0;
     bool is_stopping_ = false;
     /// When a planned stop began.
--- a/src/coordination/endpoint_health.cpp
+++ b/src/coordination/endpoint_health.cpp
@@ -23,8 +23,9 @@
 constexpr milliseconds first_avoidance{400};
 constexpr milliseconds longest_avoidance{3'200};
 
-/// A full endpoint has room again soon.
-constexpr milliseconds refusal_avoidance{150};
+/// The same after a refusal: a full endpoint has room again soon, while one
+/// that is leaving goes on refusing.
+constexpr milliseconds first_refusal_avoidance{150};
 
 /// How long a reported slowness is believed.
 constexpr milliseconds slowness_lifetime{4'000};
@@ -36,11 +37,13 @@
     return health.failures_ * std::exp2(-(age / failure_half_life));
 }
 
-void avoid(endpoint_health& health, time_point now)
+void avoid(endpoint_health& health, milliseconds first, time_point now)
 {
-    std::uint32_t const doublings = std::min(health.avoidances_, 3U);
+    constexpr std::uint32_t most_doublings = 5;
+    std::uint32_t const doublings =
+        std::min(health.avoidances_, most_doublings);
     milliseconds const length =
-        std::min(first_avoidance * (1U << doublings), longest_avoidance);
+        std::min(first * (1U << doublings), longest_avoidance);
     health.avoid_until_ = std::max(health.avoid_until_, now + length);
     ++health.avoidances_;
 }
@@ -50,7 +53,7 @@
     health.failures_ += 1;
     if (health.failures_ > max_failures && health.avoid_until_ <= now)
     {
-        avoid(health, now);
+        avoid(health, first_avoidance, now);
     }
 }
 
@@ -73,16 +76,16 @@
         return;
     case health_evidence::unreachable:
     case health_evidence::silence:
+    case health_evidence::refusal:
         // Requests that were sent together fail together; they are one sign.
         if (health.avoid_until_ <= now)
         {
-            avoid(health, now);
+            avoid(health,
+                  evidence == health_evidence::refusal ? first_refusal_avoidance
+                                                       : first_avoidance,
+                  now);
         }
         return;
-    case health_evidence::refusal:
-        health.avoid_until_ =
-            std::max(health.avoid_until_, now + refusal_avoidance);
-        return;
     }
 }
 
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -28,6 +28,8 @@
 
 /// A caller that returns reaches another router.
 constexpr milliseconds retry_at_other_router{100};
+/// A process that ended is started again and has a configuration after this.
+constexpr milliseconds restart_time{1'000};
 
 /// Part of a caller's patience after which a waiting request is given up: the
 /// rest is needed to make the first event.
@@ -101,8 +103,7 @@
     }
     if (is_too_late_to_begin())
     {
-        reply(status_unavailable, refusal_reason::entry_stopping,
-              retry_at_other_router);
+        refuse_stopping();
         return false;
     }
     fingerprint_ =
@@ -119,13 +120,9 @@
 
 bool forwarded_request::is_too_late_to_begin() const
 {
-    if (!core_.is_stopping_)
-    {
-        return false;
-    }
-    auto const left =
-        core_.stop_began_ + core_.options_.stop_limit_ - received_;
-    return left < (is_stream() ? time_for_stream : time_for_call);
+    auto const end = core_.stop_began_ + core_.options_.stop_limit_;
+    return core_.is_stopping_ && !is_stream() &&
+           end - received_ < time_for_call;
 }
 
 bool forwarded_request::find_route()
@@ -245,6 +242,24 @@
     reply(status_unavailable, refusal_reason::overloaded, return_time());
 }
 
+void forwarded_request::refuse_stopping()
+{
+    if (core_.is_other_accepting_)
+    {
+        reply(status_unavailable, refusal_reason::entry_stopping,
+              retry_at_other_router);
+        return;
+    }
+    // All routers are stopping; the first one is back soon after its end.
+    time_point const own_end = core_.stop_began_ + core_.options_.stop_limit_;
+    time_point const end =
+        std::min(core_.first_stop_end_.value_or(own_end), own_end);
+    auto const left = std::chrono::duration_cast<milliseconds>(
+        std::max(end - core_.clock_.now(), nanoseconds(0)));
+    reply(status_unavailable, refusal_reason::entry_stopping,
+          left + restart_time);
+}
+
 milliseconds forwarded_request::return_time()
 {
     // A short call meets another endpoint at once; a stream needs room.
@@ -329,6 +344,28 @@
     reservations_.clear();
 }
 
+void forwarded_request::note_metrics(char const* outcome, time_point now)
+{
+    metrics_registry& metrics = core_.metrics_;
+    metrics.add("auburnlb_router_requests_total",
+                "outcome=\"" + std::string(outcome) + "\"");
+    if (sends_ == 0)
+    {
+        return;
+    }
+    std::string const service = "service=\"" + service_name_ + "\"";
+    metrics.add("auburnlb_router_sends_total", service, sends_);
+    metrics.observe("auburnlb_router_request_seconds", service,
+                    now - received_);
+    if (first_event_at_)
+    {
+        metrics.observe("auburnlb_router_first_event_seconds", service,
+                        *first_event_at_ - received_);
+        metrics.observe("auburnlb_router_event_gap_seconds", service,
+                        longest_gap_);
+    }
+}
+
 void forwarded_request::settle(char const* outcome, unsigned status)
 {
     if (std::exchange(is_settled_, true))
@@ -340,6 +377,7 @@
     release();
     caller_->set_owner(nullptr);
     core_.active_.erase(keep_alive);
+    note_metrics(outcome, now);
     log(log_level::info, log_event::request_ended,
         {{"request", facts_.id_},
          {"route", route_ == nullptr ? "" : route_->name_},
@@ -350,6 +388,8 @@
          {"sends", std::to_string(sends_)},
          {"peer", sent_to_.empty() ? "" : sent_to_.back()},
          {"events", std::to_string(event_count_)},
+         {"prompt_tokens", std::to_string(facts_.prompt_tokens_)},
+         {"max_tokens", std::to_string(facts_.max_answer_tokens_)},
          {"first_ms",
           first_event_at_ ? ms_text(*first_event_at_ - received_) : ""},
          {"gap_ms", ms_text(longest_gap_)},
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -40,6 +40,9 @@
 /// How long an endpoint is avoided that another router found silent.
 constexpr milliseconds told_avoidance{600};
 
+/// A router that answered this long ago is taken to take requests still.
+constexpr milliseconds accepting_sighting{1'500};
+
 /// A router that has not answered for this long is not asked any more.
 constexpr milliseconds forget_after{60'000};
 
@@ -198,6 +201,13 @@
     {
         state["configuration"] = handlers_.configuration_text_();
     }
+    if (core_.is_stopping_)
+    {
+        auto const left =
+            core_.stop_began_ + core_.options_.stop_limit_ - core_.clock_.now();
+        state["stopping_ms"] =
+            std::chrono::duration_cast<milliseconds>(left).count();
+    }
     told_lease const lease = handlers_.known_lease_();
     state["lease"] = {{"holder", lease.holder_}, {"version", lease.version_}};
     for (auto const& [fingerprint, crashes] :
@@ -244,6 +254,7 @@
                       return entry.second.answered_ &&
                              now - *entry.second.answered_ > forget_after;
                   });
+    note_stops(now);
     core_.routers_ = static_cast<std::uint32_t>(peers_.size() + 1);
     std::vector<std::string> const asked = asked_peers();
     milliseconds const interval = std::max(
@@ -258,6 +269,27 @@
     }
 }
 
+void peer_exchange::note_stops(time_point now)
+{
+    core_.is_other_accepting_ = false;
+    core_.first_stop_end_.reset();
+    for (auto const& [address, peer] : peers_)
+    {
+        bool const is_seen =
+            peer.answered_ && now - *peer.answered_ < accepting_sighting;
+        if (is_seen && !peer.stop_end_)
+        {
+            core_.is_other_accepting_ = true;
+        }
+        if (peer.stop_end_)
+        {
+            core_.first_stop_end_ =
+                std::min(core_.first_stop_end_.value_or(*peer.stop_end_),
+                         *peer.stop_end_);
+        }
+    }
+}
+
 void peer_exchange::ask(std::string const& address, peer& peer,
                         milliseconds interval, time_point now)
 {
@@ -300,6 +332,12 @@
     }
     peer.answered_ = now;
     peer.silences_ = 0;
+    peer.stop_end_.reset();
+    if (auto const left = state.find("stopping_ms");
+        left != state.end() && left->is_number_integer())
+    {
+        peer.stop_end_ = now + milliseconds(left->get<std::int64_t>());
+    }
     peer.data_centre_ = state.value("data_centre", "");
     read_loads(peer, state);
     read_crashes(address, state);
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -15,6 +15,13 @@
 namespace
 {
 
+/// How long after the signal to stop callers may not know of it.
+constexpr milliseconds stop_notice_time{3'000};
+/// What the process keeps of its time to stop for its own end.
+constexpr milliseconds stop_margin{500};
+/// The longest answer is taken to need this many times what is expected.
+constexpr double late_stream_margin = 1.5;
+
 /// How old an idle connection may be for a request that must not be sent twice:
 /// on an older one it is more likely to meet the endpoint's close.
 constexpr milliseconds max_idle_at_most_once{1'000};
@@ -40,6 +47,9 @@
         is_model ? start_on_path(now) : start_on_endpoint(now);
     if (is_started)
     {
+        core_.metrics_.observe("auburnlb_router_wait_seconds",
+                               "service=\"" + service_name_ + "\"",
+                               now - received_);
         is_waiting_ = false;
         note_start(service().queue_, now);
     }
@@ -96,6 +106,25 @@
     return choose_path(engines, model, demand);
 }
 
+bool forwarded_request::fits_before_stop(time_point now) const
+{
+    // What comes this soon after the signal may be cut at the end: the balancer
+    // has not turned it away yet.
+    if (event_count_ > 0 || received_ - core_.stop_began_ < stop_notice_time)
+    {
+        return true;
+    }
+    double const events =
+        static_cast<double>(facts_.max_answer_tokens_) /
+        std::max(1U, service_entry_->model_->steps_per_event_);
+    double const longest_ms =
+        (path_.first_event_ms_ + events * path_.event_gap_ms_) *
+        late_stream_margin;
+    auto const left =
+        core_.stop_began_ + core_.options_.stop_limit_ - stop_margin - now;
+    return milliseconds(static_cast<std::int64_t>(longest_ms)) < left;
+}
+
 bool forwarded_request::start_on_path(time_point now)
 {
     path_demand const demand = make_demand(now);
@@ -105,6 +134,11 @@
         return false;
     }
     path_ = std::move(*path);
+    if (core_.is_stopping_ && !fits_before_stop(now))
+    {
+        refuse_stopping();
+        return true;
+    }
     take_crossings(service().links_, *service_entry_->model_, demand,
                    path_.crossings_);
     for (path_part const& part : path_.path_.parts_)
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -221,9 +221,23 @@
     ready_server_.on_tick(now);
     control_server_.on_tick(now);
     join_fleet(now);
+    update_gauges();
     check_stop(now);
 }
 
+void router::update_gauges()
+{
+    core_.metrics_.set_gauge("auburnlb_router_active_requests", "",
+                             static_cast<double>(core_.active_.size()));
+    core_.metrics_.set_gauge("auburnlb_router_routers", "", core_.routers_);
+    for (auto const& [name, service] : core_.services_)
+    {
+        core_.metrics_.set_gauge(
+            "auburnlb_router_waiting_requests", "service=\"" + name + "\"",
+            static_cast<double>(service.queue_.waiting_.size()));
+    }
+}
+
 void router::start_waiting(time_point now)
 {
     for (auto& [name, service] : core_.services_)
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -47,6 +47,9 @@
     core_.routes_ =
         std::make_shared<route_index const>(std::move(table).value());
     configuration_text_ = object.value_;
+    core_.metrics_.set_gauge(
+        "auburnlb_router_configuration_version", "",
+        static_cast<double>(core_.routes_->table().version_));
     log(log_level::info, log_event::configuration_in_force,
         {{"version", std::to_string(core_.routes_->table().version_)},
          {"peer", source}},
@@ -148,6 +151,9 @@
 void router::on_store_reachable(char const* kind, bool is_reachable,
                                 std::string const& reason)
 {
+    core_.metrics_.set_gauge("auburnlb_router_store_reachable",
+                             "kind=\"" + std::string(kind) + "\"",
+                             is_reachable ? 1 : 0);
     log(is_reachable ? log_level::info : log_level::warning,
         is_reachable ? log_event::platform_reachable
                      : log_event::platform_unreachable,
--- a/src/transport/cli/command_line.cpp
+++ b/src/transport/cli/command_line.cpp
@@ -68,6 +68,11 @@
      "  --comment, --expect, --change-id, --yes as with apply\n"
      "  --json              print JSON\n",
      cli::history},
+    {"explain", "REQUEST-ID [FILE...]", 1, any_number,
+     "show a request's way through log lines in JSON",
+     "Reads the files, or standard input, of one process or several.\n"
+     "  --json            print JSON\n",
+     cli::explain},
     {"version", "", 0, 0, "print the version of this program and of the host",
      "  --json            print JSON\n", cli::show_version},
     {"schema", "NAME", 1, 1, "print a JSON Schema or the settings' tables",
--- a/src/transport/cli/commands.hpp
+++ b/src/transport/cli/commands.hpp
@@ -17,6 +17,8 @@
 exit_status check(options const& given, command_environment const& environment);
 exit_status print_schema(options const& given,
                          command_environment const& environment);
+exit_status explain(options const& given,
+                    command_environment const& environment);
 
 // With the administration API.
 exit_status apply(options const& given, command_environment const& environment);
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -142,6 +142,32 @@
     EXPECT_EQ(health.avoid_until_ - later, first);
 }
 
+TEST(endpoint_directory, an_endpoint_that_only_refuses_is_asked_less_and_less)
+{
+    // One that drains while the platform cannot say so refuses everything.
+    endpoint_health health;
+    int asked = 0;
+    for (int ms = 0; ms < 6'000; ms += 10)
+    {
+        time_point const now = start + milliseconds(ms);
+        if (is_trusted(health, now))
+        {
+            ++asked;
+            note_evidence(health, health_evidence::refusal, now);
+        }
+    }
+    EXPECT_LE(asked, 7);
+    // A full one that serves between its refusals is asked again soon.
+    endpoint_health full;
+    for (int round = 0; round < 10; ++round)
+    {
+        time_point const now = start + seconds(round);
+        note_evidence(full, health_evidence::refusal, now);
+        EXPECT_TRUE(is_trusted(full, now + milliseconds(151)));
+        note_evidence(full, health_evidence::success, now + milliseconds(200));
+    }
+}
+
 TEST(endpoint_directory, slowness_is_believed_for_a_while)
 {
     endpoint_health health;
--- a/test/process/router_test.py
+++ b/test/process/router_test.py
@@ -1,12 +1,14 @@
 """The router against a stand-in of the users' platform, as separate processes."""
 
 import json
+import os
 import signal
 import socket
+import subprocess
 import time
 import unittest
 
-from cluster import request, wait_until
+from cluster import BUILD, request, wait_until
 from platform_cluster import (DESK, EVENTS, HOST, KEY, Caller, PlatformCluster, calm,
                               expected_events, in_background)
 
@@ -207,6 +209,26 @@
             self.assert_whole(stream.result())
             self.assertEqual(router.child.wait(20), 0)
 
+    def test_stopping_router_serves_late_streams_that_can_end(self):
+        with calm() as system:
+            router = system.routers[0]
+            models = [name for name in system.engines if name.startswith("engine")]
+            for name in models:
+                system.fault(name, "mute")
+            # A stream without an answer keeps the process until its limit.
+            held = in_background(system.stream, router, "held-1")
+            wait_until(lambda: system.runs()["runs"].get("held-1"), "the stream is held")
+            router.send(signal.SIGTERM)
+            late = time.monotonic() + 3.2
+            wait_until(lambda: time.monotonic() > late, "the balancer has turned away")
+            for name in models:
+                system.fault(name, "none")
+            self.assert_whole(system.stream(router, "late-1"))
+            long = system.stream(router, "late-2", {"Auburnlb-Token-Counts": "100,1000000"})
+            self.assert_not_run(system, long)
+            self.assertGreater(float(long.headers["retry-after"]), 0)
+            held.result()
+
     def test_all_routers_killed_find_the_placement_again(self):
         with calm(routers=2) as system:
             for router in system.routers:
@@ -296,5 +318,50 @@
             wait_until(lambda: '"E0106"' in router.log(), "the settings are reloaded")
 
 
+class ExplainTest(unittest.TestCase):
+    """From a failed request's id to its cause, by the command alone."""
+
+    def explain(self, system, request_id):
+        flush = time.monotonic() + 0.2
+        wait_until(lambda: time.monotonic() > flush, "the log is written")
+        done = subprocess.run(
+            [os.path.join(BUILD, "auburnlb"), "explain", request_id, "--json",
+             *[router.log_path for router in system.routers]],
+            capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        return json.loads(done.stdout)
+
+    def test_stream_that_went_on_elsewhere(self):
+        with calm() as system:
+            for name in ("engine-dc1-0", "engine-dc1-1"):
+                system.fault(name, "half")
+            system.stream(system.routers[0], "stream-1")
+            lines = self.explain(system, "stream-1")
+            self.assertEqual([line["name"] for line in lines],
+                             ["stream_resumed", "request_ended"])
+            self.assertEqual(lines[0]["reason"], "broken")
+            self.assertEqual(lines[1]["sends"], "2")
+
+    def test_booking_that_ended_unknown(self):
+        with calm() as system:
+            for name in ("desk-0", "desk-1"):
+                system.fault(name, "lose")
+            system.book(system.routers[0], "book-1")
+            lines = self.explain(system, "book-1")
+            self.assertEqual(lines[-1]["outcome"], "call_outcome_unknown")
+            self.assertEqual(lines[-1]["sends"], "1")
+            self.assertIn(lines[-1]["peer"], ("desk-0", "desk-1"))
+
+    def test_refusal_while_no_engine_holds_layers(self):
+        with PlatformCluster() as system:
+            system.add_engine("desk-0", service=DESK)
+            router = system.add_router()
+            system.wait_ready(router)
+            answer = system.stream(router, "stream-1")
+            self.assertEqual(answer.status, 503)
+            lines = self.explain(system, "stream-1")
+            self.assertEqual((lines[-1]["outcome"], lines[-1]["sends"]), ("overloaded", "0"))
+
+
 if __name__ == "__main__":
     unittest.main()
