Share the links between data centres over live routers

Ruled out: counting only live ones for the budget of repeats, which must hold for those that cannot be seen.

--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -73,6 +73,8 @@
     std::set<std::shared_ptr<forwarded_request>> active_;
     /// Routers that share the limits of the fleet, this one included.
     std::uint32_t routers_ = 1;
+    /// Those of them that are not known to be silent.
+    std::uint32_t live_routers_ = 1;
     /// Whether another router was seen to take requests a moment ago.
     bool is_other_accepting_ = false;
     /// When the first router that is stopping will have stopped, if any is.
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -256,6 +256,12 @@
                   });
     note_stops(now);
     core_.routers_ = static_cast<std::uint32_t>(peers_.size() + 1);
+    core_.live_routers_ =
+        core_.routers_ -
+        static_cast<std::uint32_t>(
+            std::count_if(peers_.begin(), peers_.end(),
+                          [](auto const& entry)
+                          { return entry.second.silences_ >= max_silences; }));
     std::vector<std::string> const asked = asked_peers();
     milliseconds const interval = std::max(
         ask_interval, interval_per_peer * static_cast<int>(asked.size()));
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -85,7 +85,7 @@
     demand.answer_tokens_ = expected_answer_tokens();
     demand.data_centre_ = core_.options_.data_centre_;
     demand.may_cross_ = may_cross(core_.services_[service_name_].links_, model,
-                                  core_.routers_, now);
+                                  core_.live_routers_, now);
     if (sent_to_.size() >= route_->max_attempts_)
     {
         demand.allowed_first_ids_ = sent_to_;
