--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -17,7 +17,6 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
-#include <getopt.h>
 #include <nlohmann/json.hpp>
 
 #include "asio_server.hpp"
@@ -25,6 +24,7 @@
 #include "names.hpp"
 #include "program.hpp"
 #include "protocol.hpp"
+#include "users_engine_options.hpp"
 
 namespace
 {
@@ -39,17 +39,6 @@
 /// How long work that depends on a lost engine stalls.
 constexpr milliseconds stall_limit{3'000};
 
-struct engine_options
-{
-    std::string id_;
-    std::string service_ = "model";
-    std::string zone_ = "dc1";
-    std::string kind_;
-    std::string store_;
-    std::uint32_t events_ = 40;
-    milliseconds load_{50};
-};
-
 struct engine_state
 {
     std::optional<layer_range> layers_;
@@ -134,7 +123,7 @@
 class engine
 {
 public:
-    engine(asio::io_context& io, engine_options options)
+    engine(asio::io_context& io, fakes::users_engine_options options)
         : io_(io)
         , options_(std::move(options))
         , calls_(io, clock_)
@@ -152,7 +141,7 @@
 
     std::uint16_t port() const { return server_.port(); }
     engine_state& state() { return state_; }
-    engine_options const& options() const { return options_; }
+    fakes::users_engine_options const& options() const { return options_; }
     http_caller& calls() { return calls_; }
 
 private:
@@ -366,7 +355,7 @@
 
     asio::io_context& io_;
     boot_clock clock_;
-    engine_options options_;
+    fakes::users_engine_options options_;
     engine_state state_;
     std::uint64_t beats_ = 0;
     http_caller calls_;
@@ -459,62 +448,12 @@
     wait(event_interval);
 }
 
-constexpr char const* usage =
-    "usage: fake-users_engine --id ID --store IP:PORT [--service NAME] "
-    "[--zone NAME] [--kind ACCELERATOR] [--events N]\n";
-
-engine_options read_options(int argc, char** argv)
-{
-    engine_options options;
-    option const names[] = {{"id", required_argument, nullptr, 'i'},
-                            {"store", required_argument, nullptr, 's'},
-                            {"service", required_argument, nullptr, 'n'},
-                            {"zone", required_argument, nullptr, 'z'},
-                            {"kind", required_argument, nullptr, 'k'},
-                            {"events", required_argument, nullptr, 'e'},
-                            {nullptr, 0, nullptr, 0}};
-    constexpr std::uint64_t max_events = 100'000;
-    for (int chosen = getopt_long(argc, argv, "", names, nullptr); chosen != -1;
-         chosen = getopt_long(argc, argv, "", names, nullptr))
-    {
-        switch (chosen)
-        {
-        case 'i':
-            options.id_ = optarg;
-            break;
-        case 's':
-            options.store_ = optarg;
-            break;
-        case 'n':
-            options.service_ = optarg;
-            break;
-        case 'z':
-            options.zone_ = optarg;
-            break;
-        case 'k':
-            options.kind_ = optarg;
-            break;
-        case 'e':
-            options.events_ = static_cast<std::uint32_t>(
-                fakes::parse_number("--events", optarg, max_events));
-            break;
-        default:
-            fakes::exit_with_usage(usage, 2);
-        }
-    }
-    if (options.id_.empty() || options.store_.empty())
-    {
-        fakes::exit_with_usage(usage, 2);
-    }
-    return options;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
 {
     asio::io_context io;
-    engine running(io, read_options(argc, argv));
+    engine running(io, fakes::read_users_engine_options(argc, argv));
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&io](asio::error_code const&, int) { io.stop(); });
     fakes::announce("engine", running.port());
--- /dev/null
+++ b/fakes/users_engine_options.cpp
@@ -0,0 +1,66 @@
+// Options of the stand-in of the users' engines.
+#include "users_engine_options.hpp"
+
+#include <getopt.h>
+
+#include "program.hpp"
+
+namespace auburnlb::fakes
+{
+
+namespace
+{
+
+constexpr char const* usage =
+    "usage: fake-users_engine --id ID --store IP:PORT [--service NAME] "
+    "[--zone NAME] [--kind ACCELERATOR] [--events N]\n";
+
+} // namespace
+
+users_engine_options read_users_engine_options(int argc, char** argv)
+{
+    users_engine_options options;
+    option const names[] = {{"id", required_argument, nullptr, 'i'},
+                            {"store", required_argument, nullptr, 's'},
+                            {"service", required_argument, nullptr, 'n'},
+                            {"zone", required_argument, nullptr, 'z'},
+                            {"kind", required_argument, nullptr, 'k'},
+                            {"events", required_argument, nullptr, 'e'},
+                            {nullptr, 0, nullptr, 0}};
+    constexpr std::uint64_t max_events = 100'000;
+    for (int chosen = getopt_long(argc, argv, "", names, nullptr); chosen != -1;
+         chosen = getopt_long(argc, argv, "", names, nullptr))
+    {
+        switch (chosen)
+        {
+        case 'i':
+            options.id_ = optarg;
+            break;
+        case 's':
+            options.store_ = optarg;
+            break;
+        case 'n':
+            options.service_ = optarg;
+            break;
+        case 'z':
+            options.zone_ = optarg;
+            break;
+        case 'k':
+            options.kind_ = optarg;
+            break;
+        case 'e':
+            options.events_ = static_cast<std::uint32_t>(
+                parse_number("--events", optarg, max_events));
+            break;
+        default:
+            exit_with_usage(usage, 2);
+        }
+    }
+    if (options.id_.empty() || options.store_.empty())
+    {
+        exit_with_usage(usage, 2);
+    }
+    return options;
+}
+
+} // namespace auburnlb::fakes
--- /dev/null
+++ b/fakes/users_engine_options.hpp
@@ -0,0 +1,29 @@
+// Options of the stand-in of the users' engines.
+#ifndef AUBURNLB_FAKES_USERS_ENGINE_OPTIONS_HPP
+#define AUBURNLB_FAKES_USERS_ENGINE_OPTIONS_HPP
+
+#include <cstdint>
+#include <string>
+
+#include "auburnlb/state/clock.hpp"
+
+namespace auburnlb::fakes
+{
+
+struct users_engine_options
+{
+    std::string id_;
+    std::string service_ = "model";
+    std::string zone_ = "dc1";
+    std::string kind_;
+    std::string store_;
+    std::uint32_t events_ = 40;
+    milliseconds load_{50};
+};
+
+/// Reads the command line; prints what is wrong and exits with status 2.
+users_engine_options read_users_engine_options(int argc, char** argv);
+
+} // namespace auburnlb::fakes
+
+#endif
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -16,6 +16,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "test", "process"))
 
+import platform_cluster  # noqa: E402
 from cluster import (BUILD, TOKEN, Cluster, expected_answer, key_of,  # noqa: E402
                      request, stream_chat, wait_until)
 
@@ -187,8 +188,27 @@
              all(code == 0 for code in codes), f"{len(codes)} processes")
 
 
+def calm_minute_on_the_users_platform():
+    """Streams and bookings through two routers, and the loss of an engine."""
+    with platform_cluster.calm(routers=2) as system:
+        answers = [system.stream(system.routers[index % 2], f"stream-{index}")
+                   for index in range(4)]
+        note("router: four streams through split engines are whole",
+             all(each.text == platform_cluster.expected_events() for each in answers))
+        booked = [system.book(router, f"book-{index}")
+                  for index, router in enumerate(system.routers)]
+        runs = system.runs()["runs"]
+        note("router: each booking ran once",
+             all(each.status == 200 and runs[each.request_id] == 1 for each in booked))
+        system.engines["engine-dc1-0"].kill()
+        answer = system.stream(system.routers[0], "stream-after-loss")
+        note("router: a stream after the loss of an engine is whole",
+             answer.text == platform_cluster.expected_events())
+
+
 def main():
     started = time.monotonic()
+    calm_minute_on_the_users_platform()
     for name in DEPLOYMENTS:
         with Cluster() as cluster:
             demo = Demo(cluster, name)
--- a/src/coordination/flow_bound.cpp
+++ b/src/coordination/flow_bound.cpp
@@ -25,8 +25,9 @@
     /// In thousandths of a token a second, so that sums are exact.
     std::int64_t capacity_ = 0;
     std::int64_t residual_ = 0;
-    /// Microseconds for each token.
-    std::int64_t cost_ = 0;
+    /// Microseconds for each token. The algorithm adds the largest value to
+    /// distances of vertices out of reach, which only floating point allows.
+    double cost_ = 0;
     edge reverse_;
 };
 
@@ -42,7 +43,7 @@
 struct utilisation_step
 {
     double up_to_ = 0;
-    std::int64_t cost_us_ = 0;
+    double cost_us_ = 0;
 };
 constexpr utilisation_step utilisation_steps[] = {
     {0.6, 1'000}, {0.8, 3'000}, {1.0, 10'000}};
@@ -75,7 +76,7 @@
 };
 
 edge connect(network& net, vertex from, vertex to, std::int64_t capacity,
-             std::int64_t cost)
+             double cost)
 {
     edge const forward = boost::add_edge(from, to, net.graph_).first;
     edge const backward = boost::add_edge(to, from, net.graph_).first;
@@ -164,9 +165,9 @@
                 found == links.between_.end() ? link_rate{} : found->second;
             bound.links_.push_back(
                 {from.first, from.second, to->first.second, 0});
-            net.link_edges_.push_back(connect(net, from_vertex, to->second,
-                                              to_units(rate.tokens_per_second_),
-                                              rate.delay_.count()));
+            net.link_edges_.push_back(connect(
+                net, from_vertex, to->second, to_units(rate.tokens_per_second_),
+                static_cast<double>(rate.delay_.count())));
         }
     }
 }
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -18,10 +18,10 @@
 constexpr milliseconds close_linger{1'000};
 
 /// Bytes of further requests that are kept while one is in progress.
-constexpr std::size_t max_pending_bytes = 256 * 1024;
+constexpr std::size_t max_pending_bytes = std::size_t{256} * 1024;
 
 /// Bytes of answers that a slow caller may leave untaken.
-constexpr std::size_t max_untaken_bytes = 16 * 1024 * 1024;
+constexpr std::size_t max_untaken_bytes = std::size_t{16} * 1024 * 1024;
 
 /// The size line of a chunk.
 void append_chunk_size(std::string& out, std::size_t size)
--- a/src/router/endpoint_pool.cpp
+++ b/src/router/endpoint_pool.cpp
@@ -26,7 +26,7 @@
 constexpr int idle_share_divisor = 2;
 
 /// Largest head of an answer.
-constexpr std::size_t max_answer_head_bytes = 64 * 1024;
+constexpr std::size_t max_answer_head_bytes = std::size_t{64} * 1024;
 
 /// The endpoint of "IP:port"; port 0 if it cannot be read.
 asio::ip::tcp::endpoint parse_address(std::string const& address)
@@ -245,7 +245,7 @@
     auto const idle = idle_.find(address);
     while (idle != idle_.end() && !idle->second.empty())
     {
-        connection_ptr const connection = std::move(idle->second.back());
+        connection_ptr connection = std::move(idle->second.back());
         idle->second.pop_back();
         milliseconds const limit = std::min(max_idle, connection->idle_limit_);
         if (now - connection->idle_since_ < limit)
--- a/src/router/http_caller.cpp
+++ b/src/router/http_caller.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds max_call_idle{3'000};
 
 /// Largest body of a reply: a page of the store is a megabyte at most.
-constexpr std::size_t max_reply_bytes = 16 * 1024 * 1024;
+constexpr std::size_t max_reply_bytes = std::size_t{16} * 1024 * 1024;
 
 std::string render_call(std::string const& address, http_call const& call)
 {
--- a/src/router/request_answer.cpp
+++ b/src/router/request_answer.cpp
@@ -17,7 +17,7 @@
 {
 
 /// Largest answer of a plain service, which is kept whole.
-constexpr std::size_t max_plain_answer_bytes = 32 * 1024 * 1024;
+constexpr std::size_t max_plain_answer_bytes = std::size_t{32} * 1024 * 1024;
 
 /// Weight of the newest gap in the moving mean.
 constexpr double gap_weight = 0.2;
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -16,7 +16,7 @@
 {
 
 /// Bytes read at a time.
-constexpr std::size_t read_buffer_bytes = 64 * 1024;
+constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
 
 /// How long sent bytes may stay unacknowledged before the connection is given
 /// up, so that a connection that some middlebox forgot does not hang.
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -93,7 +93,7 @@
 }
 
 /// Bytes of lines that wait for a slow target.
-constexpr std::size_t buffer_bytes = 256 * 1024;
+constexpr std::size_t buffer_bytes = std::size_t{256} * 1024;
 
 /// The sink of Boost.Log that keeps lines in a bounded buffer.
 class bounded_backend final
--- a/src/transport/cli/explain.cpp
+++ b/src/transport/cli/explain.cpp
@@ -82,6 +82,7 @@
 void print_way(std::ostream& out, std::vector<ordered_json> const& lines)
 {
     std::vector<table_row> rows;
+    rows.reserve(lines.size());
     for (ordered_json const& line : lines)
     {
         rows.push_back({field_text(line, "time"), field_text(line, "process"),
--- a/test/coordination/configuration_test.cpp
+++ b/test/coordination/configuration_test.cpp
@@ -191,11 +191,14 @@
         std::uint64_t const replaced =
             object.history_.empty() ? 0 : object.history_[0].version_;
         RC_ASSERT(replaced == previous);
-        RC_ASSERT(previous == 0 ||
-                  store.find(history_object_kind,
-                             history_name("kalai-writer", previous))
+        if (previous != 0)
+        {
+            RC_ASSERT(store
+                          .find(history_object_kind,
+                                history_name("kalai-writer", previous))
                           .value()
                           .version_ != 0);
+        }
         previous = write.version_;
         accepted[object.note_.change_id_].push_back(write.version_);
     }
@@ -237,11 +240,16 @@
     for (racing_operator const& who : operators)
     {
         auto const found = accepted.find(who.change_id_);
-        RC_ASSERT(found == accepted.end() || found->second.size() == 1U);
+        // RC_ASSERT evaluates both sides of ||, so that the iterator is only
+        // read where it names an element.
+        if (found != accepted.end())
+        {
+            RC_ASSERT(found->second.size() == 1U);
+        }
         RC_ASSERT(who.is_accepted_ <= (found != accepted.end()));
         if (who.is_accepted_)
         {
-            RC_ASSERT(found->second[0] == who.version_);
+            RC_ASSERT(found->second.at(0) == who.version_);
         }
         else if (!who.is_uncertain_)
         {
--- a/test/state/log_output_test.cpp
+++ b/test/state/log_output_test.cpp
@@ -35,7 +35,7 @@
     }
 };
 
-constexpr std::size_t capacity = 16 * 1024;
+constexpr std::size_t capacity = std::size_t{16} * 1024;
 
 } // namespace
 
