Forget an endpoint that was not reached only if the attempt had named it

Cause: read in the diff: after a failed connection the last endpoint of the list was dropped even where the attempt went to one named before, so that a request could later be sent to one endpoint more than its route allows. Change: the attempt remembers whether it added its endpoint.

--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -152,6 +152,8 @@
     std::uint32_t sends_ = 0;
     /// Endpoints that it was sent to, each once.
     std::vector<std::string> sent_to_;
+    /// Whether the attempt in progress added its endpoint to sent_to_.
+    bool is_first_send_there_ = false;
     bool may_have_run_ = false;
     event_splitter events_;
     std::uint32_t event_count_ = 0;
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -84,7 +84,10 @@
     if (end == attempt_end::not_sent)
     {
         --sends_;
-        sent_to_.pop_back();
+        if (is_first_send_there_)
+        {
+            sent_to_.pop_back();
+        }
     }
     else if (end != attempt_end::refused)
     {
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -198,8 +198,9 @@
             std::clamp(priority() + usual_urgency_offset, 0, last_urgency));
     }
     ++sends_;
-    if (std::find(sent_to_.begin(), sent_to_.end(), request.endpoint_id_) ==
-        sent_to_.end())
+    is_first_send_there_ = std::find(sent_to_.begin(), sent_to_.end(),
+                                     request.endpoint_id_) == sent_to_.end();
+    if (is_first_send_there_)
     {
         sent_to_.push_back(request.endpoint_id_);
     }
