Count the resumptions that explain must show instead of fixing one

Cause: the case expected one resumption, but both engines of the data centre break off at the same event and either may be tried first, so three were seen. Ruled out: a fault of the router; the answer was whole and each line true. Change: every line before the end is a resumption after a break, and the sends are one more than these.

--- a/test/process/router_test.py
+++ b/test/process/router_test.py
@@ -337,10 +337,14 @@
                 system.fault(name, "half")
             system.stream(system.routers[0], "stream-1")
             lines = self.explain(system, "stream-1")
-            self.assertEqual([line["name"] for line in lines],
-                             ["stream_resumed", "request_ended"])
-            self.assertEqual(lines[0]["reason"], "broken")
-            self.assertEqual(lines[1]["sends"], "2")
+            # Each engine of the data centre that is tried breaks off.
+            *resumed, ended = lines
+            self.assertTrue(resumed)
+            self.assertEqual({(line["name"], line["reason"]) for line in resumed},
+                             {("stream_resumed", "broken")})
+            self.assertEqual((ended["name"], ended["outcome"]),
+                             ("request_ended", "complete"))
+            self.assertEqual(int(ended["sends"]), len(resumed) + 1)
 
     def test_booking_that_ended_unknown(self):
         with calm() as system:
