--- a/src/transport/daemon_command.cpp
+++ b/src/transport/daemon_command.cpp
@@ -33,8 +33,9 @@
     auto loaded = settings::load(path);
     if (!loaded)
     {
-        // The settings that would choose the format of the log are not valid.
-        configure_log(log_level::info, log_format::text, program);
+        // The settings that would choose format and target are not valid.
+        configure_log(log_level::info, log_format::text, program,
+                      log_target::standard_error);
         log(log_level::error, log_event::settings_rejected, {},
             path + ": " + loaded.error().detail_);
         return {exit_code::usage, {}, path};
