Keep one parser of addresses and drop what the split left behind

Ruled out: joining the two margins of a planned stop, which answer different questions (when the process ends, what a stream may count on). Change: one parse_endpoint beside the channel, one lost_layers_lifetime. Conclusion: behaviour stays as it was.

--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -70,6 +70,10 @@
 /// How long after the platform's return its list may lack endpoints that live.
 inline constexpr milliseconds list_recovery{2'200};
 
+/// How long an engine that does not hold the layers of its record is left out,
+/// if the record does not change.
+inline constexpr milliseconds lost_layers_lifetime{1'500};
+
 /// What changed with a record.
 enum class endpoint_change
 {
--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -36,8 +36,6 @@
 
     void on_tick(time_point now);
     bool is_reachable() const { return is_reachable_; }
-    /// When the store last answered.
-    time_point answered_at() const { return answered_at_; }
 
 private:
     void list();
--- a/include/auburnlb/router/tcp_channel.hpp
+++ b/include/auburnlb/router/tcp_channel.hpp
@@ -12,10 +12,14 @@
 #include <asio/ip/tcp.hpp>
 
 #include "auburnlb/state/clock.hpp"
+#include "auburnlb/state/error.hpp"
 
 namespace auburnlb
 {
 
+/// Reads "IP:port".
+result<asio::ip::tcp::endpoint> parse_endpoint(std::string const& address);
+
 /// How a connection ended.
 enum class channel_end
 {
--- a/src/router/endpoint_pool.cpp
+++ b/src/router/endpoint_pool.cpp
@@ -28,23 +28,6 @@
 /// Largest head of an answer.
 constexpr std::size_t max_answer_head_bytes = std::size_t{64} * 1024;
 
-/// The endpoint of "IP:port"; port 0 if it cannot be read.
-asio::ip::tcp::endpoint parse_address(std::string const& address)
-{
-    std::size_t const colon = address.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return {};
-    }
-    asio::error_code failure;
-    auto const ip = asio::ip::make_address(address.substr(0, colon), failure);
-    std::uint16_t port = 0;
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
-                    port);
-    return failure ? asio::ip::tcp::endpoint()
-                   : asio::ip::tcp::endpoint(ip, port);
-}
-
 /// The "timeout" of a Keep-Alive field, in whole seconds.
 milliseconds announced_idle_limit(http_head const& head)
 {
@@ -84,7 +67,10 @@
 void endpoint_connection::connect(time_point now)
 {
     connecting_since_ = now;
-    channel_ = tcp_channel::connect(pool_.io_, parse_address(address_), *this);
+    // An address that cannot be read is one that nothing answers at.
+    auto const peer = parse_endpoint(address_);
+    channel_ = tcp_channel::connect(
+        pool_.io_, peer ? peer.value() : asio::ip::tcp::endpoint(), *this);
 }
 
 void endpoint_connection::begin(std::string_view request,
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -19,10 +19,6 @@
 /// Streams that stall together need one probe.
 constexpr milliseconds probe_interval{200};
 
-/// How long an engine that no longer holds its layers is left out, if its
-/// record does not change.
-constexpr milliseconds lost_layers_lifetime{1'500};
-
 } // namespace
 
 void endpoint_prober::probe(endpoint_ptr const& endpoint)
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -20,10 +20,7 @@
 /// another router soon.
 constexpr milliseconds retry_without_configuration{500};
 
-/// Time that a stopping router needs for a request that it begins: most
-/// streams end within it.
-constexpr milliseconds time_for_stream{5'000};
-
+/// Time that a stopping router needs for a call that it begins.
 constexpr milliseconds time_for_call{1'000};
 
 /// A caller that returns reaches another router.
--- a/src/router/local_server.cpp
+++ b/src/router/local_server.cpp
@@ -1,7 +1,6 @@
 // Accepting connections, and answers from a function.
 #include "auburnlb/router/local_server.hpp"
 
-#include <charconv>
 #include <utility>
 
 #include "auburnlb/state/log.hpp"
@@ -18,27 +17,6 @@
 /// Connections that wait to be accepted.
 constexpr int accept_backlog = 1'024;
 
-result<asio::ip::tcp::endpoint> parse_endpoint(std::string const& address)
-{
-    std::size_t const colon = address.rfind(':');
-    std::uint16_t port = 0;
-    asio::error_code failure;
-    auto const ip = asio::ip::make_address(address.substr(0, colon), failure);
-    bool is_valid = !failure && colon != std::string::npos;
-    if (is_valid)
-    {
-        auto const parsed = std::from_chars(
-            address.data() + colon + 1, address.data() + address.size(), port);
-        is_valid = parsed.ec == std::errc{};
-    }
-    if (!is_valid)
-    {
-        return error{error_code::invalid_input, "listen", address,
-                     "the address is not of the form IP:port"};
-    }
-    return asio::ip::tcp::endpoint(ip, port);
-}
-
 } // namespace
 
 listener::listener(asio::io_context& io, handler handler)
--- a/src/router/request_answer.cpp
+++ b/src/router/request_answer.cpp
@@ -4,12 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-#include <xxhash.h>
-
 #include "auburnlb/router/http_status.hpp"
-#include "auburnlb/state/log.hpp"
-
 namespace auburnlb
 {
 
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -4,9 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-#include <xxhash.h>
-
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/log.hpp"
 
@@ -41,10 +38,6 @@
 /// Silences after which an attempt is given up whose engines all answer.
 constexpr int slow_patience = 4;
 
-/// How long an engine that refused for want of layers is not asked again, if
-/// its record does not change.
-constexpr milliseconds lost_layers_lifetime{1'500};
-
 /// Sends of one request, the first included, however many are allowed
 /// otherwise.
 constexpr std::uint32_t max_sends = 5;
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -4,11 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-#include <xxhash.h>
-
-#include "auburnlb/state/log.hpp"
-
 namespace auburnlb
 {
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "auburnlb/router/forwarded_request.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/log.hpp"
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -2,6 +2,7 @@
 #include "auburnlb/router/tcp_channel.hpp"
 
 #include <array>
+#include <charconv>
 #include <utility>
 
 #include <netinet/in.h>
@@ -38,6 +39,27 @@
 
 } // namespace
 
+result<asio::ip::tcp::endpoint> parse_endpoint(std::string const& address)
+{
+    std::size_t const colon = address.rfind(':');
+    std::uint16_t port = 0;
+    asio::error_code failure;
+    auto const ip = asio::ip::make_address(address.substr(0, colon), failure);
+    bool is_valid = !failure && colon != std::string::npos;
+    if (is_valid)
+    {
+        auto const parsed = std::from_chars(
+            address.data() + colon + 1, address.data() + address.size(), port);
+        is_valid = parsed.ec == std::errc{};
+    }
+    if (!is_valid)
+    {
+        return error{error_code::invalid_input, "read address", address,
+                     "the address is not of the form IP:port"};
+    }
+    return asio::ip::tcp::endpoint(ip, port);
+}
+
 tcp_channel::tcp_channel(asio::ip::tcp::socket socket)
     : socket_(std::move(socket))
 {
