Let the test wait for the router's port instead of failing on it

Ruled out: the router, which had just been started. Change: no answer counts as not yet; the status that is waited for is the same.

--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -190,11 +190,15 @@
         self.routers.append(router)
         return router
 
-    def is_ready(self, router):
+    def ready_status(self, router):
+        """Status of the readiness probe; None while nothing listens."""
         try:
-            return request(router.ready, "GET", "/ready")[0] == 200
+            return request(router.ready, "GET", "/ready")[0]
         except OSError:
-            return False
+            return None
+
+    def is_ready(self, router):
+        return self.ready_status(router) == 200
 
     def wait_ready(self, router):
         wait_until(lambda: self.is_ready(router), "the router is ready")
--- a/test/process/router_test.py
+++ b/test/process/router_test.py
@@ -194,8 +194,7 @@
         with PlatformCluster() as system:
             system.store_mode("busy")
             router = system.add_router()
-            wait_until(lambda: request(router.ready, "GET", "/ready")[0] == 503,
-                       "the router answers")
+            wait_until(lambda: system.ready_status(router) == 503, "the router answers")
             self.assertEqual(system.book(router, "book-1").status, 503)
 
     def test_planned_stop_finishes_what_was_begun(self):
