--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -16,9 +16,10 @@
 
 #include <malloc.h>
 
+#include "auburnlb/companion/call_gate.hpp"
 #include "auburnlb/protocol/claim_shards.hpp"
 #include "auburnlb/state/log.hpp"
-#include "auburnlb/transport/call_gate.hpp"
+#include "auburnlb/transport/steady_clock.hpp"
 #include "fake_plain_service.hpp"
 #include "fake_platform.hpp"
 
@@ -286,7 +287,8 @@
 
 int main()
 {
-    configure_log(log_level::error, log_format::text, "bench");
+    steady_clock_source const clock;
+    configure_log(log_level::error, log_format::text, "bench", clock);
     for (std::size_t const rate : {100U, 1'000U, 2'500U})
     {
         run_case(rate, false);
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,8 +1,10 @@
 // The entry host's daemon.
 #include <cstdio>
 
+#include "auburnlb/entry/entry_options.hpp"
 #include "auburnlb/state/log.hpp"
-#include "auburnlb/transport/daemon.hpp"
+#include "auburnlb/transport/daemon_command.hpp"
+#include "auburnlb/transport/stop_signals.hpp"
 
 int main(int argc, char** argv)
 {
--- a/fakes/fake_relay.cpp
+++ b/fakes/fake_relay.cpp
@@ -31,6 +31,7 @@
     milliseconds delay_{0};
     std::uint64_t bytes_per_second_ = 0;
     bool is_isolated_ = false;
+    bool loses_answers_ = false;
 };
 
 struct delayed_chunk
@@ -55,6 +56,7 @@
     void start(tcp::endpoint const& target)
     {
         is_silent_ = condition_.is_isolated_;
+        loses_answers_ = condition_.loses_answers_;
         if (is_silent_)
         {
             return;
@@ -68,6 +70,17 @@
     bool is_silent() const { return is_silent_; }
 
     void silence() { is_silent_ = true; }
+    void lose_answers() { loses_answers_ = true; }
+
+    /// Closes with a reset instead of an orderly end.
+    void reset()
+    {
+        asio::error_code ignored;
+        asio::socket_base::linger const at_once(true, 0);
+        client_.set_option(at_once, ignored);
+        server_.set_option(at_once, ignored);
+        close();
+    }
 
     void close()
     {
@@ -137,6 +150,13 @@
         {
             return;
         }
+        if (loses_answers_ && &way == &downstream_)
+        {
+            // The end of the connection gets lost like its bytes.
+            way.is_ended_ = static_cast<bool>(error);
+            read(way);
+            return;
+        }
         if (error)
         {
             way.is_ended_ = true;
@@ -227,6 +247,7 @@
     direction upstream_;
     direction downstream_;
     bool is_silent_ = false;
+    bool loses_answers_ = false;
 };
 
 tcp::endpoint parse_target(std::string const& target)
@@ -361,7 +382,38 @@
 
 void fake_relay::heal()
 {
-    impl_->run([this] { impl_->condition_.is_isolated_ = false; });
+    impl_->run(
+        [this]
+        {
+            impl_->condition_.is_isolated_ = false;
+            impl_->condition_.loses_answers_ = false;
+        });
+}
+
+void fake_relay::lose_answers()
+{
+    impl_->run(
+        [this]
+        {
+            impl_->condition_.loses_answers_ = true;
+            for (auto const& open : impl_->sessions_)
+            {
+                open->lose_answers();
+            }
+        });
+}
+
+void fake_relay::reset()
+{
+    impl_->run(
+        [this]
+        {
+            for (auto const& open : impl_->sessions_)
+            {
+                open->reset();
+            }
+            impl_->sessions_.clear();
+        });
 }
 
 void fake_relay::cut()
@@ -441,10 +493,18 @@
     {
         heal();
     }
+    else if (verb == "lose")
+    {
+        lose_answers();
+    }
     else if (verb == "cut")
     {
         cut();
     }
+    else if (verb == "reset")
+    {
+        reset();
+    }
     else
     {
         return false;
--- a/fakes/fake_relay.hpp
+++ b/fakes/fake_relay.hpp
@@ -36,8 +36,14 @@
     void isolate();
     /// Lets new connections work again; silent ones stay silent.
     void heal();
+    /// Answers on open and on new connections get lost until heal(); what is
+    /// sent to the target still arrives. Connections that lost an answer stay
+    /// as they are.
+    void lose_answers();
     /// Closes all open connections; new ones work.
     void cut();
+    /// Like cut(), by a reset.
+    void reset();
     /// Delays every byte in each direction.
     void set_delay(milliseconds delay);
     /// Limits each direction of each connection; zero for no limit.
@@ -47,8 +53,9 @@
     /// Relays new connections to another target.
     void set_target(std::string const& target);
 
-    /// Runs a command: "silence", "isolate", "heal", "cut", "delay MS",
-    /// "rate BYTES_PER_S" or "to HOST:PORT". False when it is none of them.
+    /// Runs a command: "silence", "isolate", "lose", "heal", "cut",
+    /// "reset", "delay MS", "rate BYTES_PER_S" or "to HOST:PORT". False when it
+    /// is none of them.
     bool run_command(std::string const& line);
 
 private:
--- a/fakes/relay/main.cpp
+++ b/fakes/relay/main.cpp
@@ -24,8 +24,9 @@
     "  --help            this text\n"
     "Prints \"listening 127.0.0.1:PORT\" and \"control 127.0.0.1:PORT\".\n"
     "Runs until SIGTERM or SIGINT. POST / on the control side takes a\n"
-    "command as its body: silence, isolate, heal, cut, delay MS,\n"
-    "rate BYTES_PER_S, to HOST:PORT. GET / counts the connections.\n";
+    "command as its body: silence, isolate, lose, heal, cut, reset,\n"
+    "delay MS, rate BYTES_PER_S, to HOST:PORT. GET / counts the\n"
+    "connections.\n";
 
 constexpr option long_options[] = {
     {"to", required_argument, nullptr, 't'},
--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -9,6 +9,7 @@
 // "early" answers before a body is read. GET /fake/runs gives the runs by id.
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <string>
@@ -49,6 +50,8 @@
     std::map<std::string, int> runs_;
     std::map<std::string, int> cancelled_;
     std::uint64_t born_ = 0;
+    /// Streams whose caller is there.
+    std::uint32_t streams_ = 0;
 };
 
 std::string event_text(std::uint64_t id)
@@ -110,6 +113,8 @@
     void check_part(std::size_t index);
     void write_event();
     void wait(milliseconds pause);
+    /// Ends the stream; gives the caller whose answer is to be ended.
+    std::shared_ptr<caller_connection> release_caller();
 
     engine& owner_;
     std::shared_ptr<caller_connection> caller_;
@@ -128,6 +133,7 @@
         , options_(std::move(options))
         , calls_(io, clock_)
         , tick_(io)
+        , record_(options_.record_, std::ios::app)
         , server_(io, 0,
                   [this](std::shared_ptr<caller_connection> const& caller,
                          http_head const& head, std::string const& body)
@@ -161,7 +167,9 @@
 
     std::string address() const
     {
-        return "127.0.0.1:" + std::to_string(server_.port());
+        return options_.advertised_.empty()
+                   ? "127.0.0.1:" + std::to_string(server_.port())
+                   : options_.advertised_;
     }
 
     /// Writes the entry; each change writes it again.
@@ -228,10 +236,11 @@
             state_.is_draining_ = true;
             register_entry();
         }
-        fakes::answer_json(
-            caller, 200,
-            json{{"runs", state_.runs_}, {"cancelled", state_.cancelled_}}
-                .dump());
+        fakes::answer_json(caller, 200,
+                           json{{"runs", state_.runs_},
+                                {"cancelled", state_.cancelled_},
+                                {"streams", state_.streams_}}
+                               .dump());
     }
 
     json report() const
@@ -297,6 +306,7 @@
             return;
         }
         ++state_.runs_[*id];
+        record_ << options_.id_ << ' ' << *id << '\n' << std::flush;
         if (options_.kind_.empty())
         {
             run_plain(*caller, *id);
@@ -360,12 +370,14 @@
     std::uint64_t beats_ = 0;
     http_caller calls_;
     asio::steady_timer tick_;
+    std::ofstream record_;
     fakes::asio_server server_;
 };
 
 void running_stream::begin()
 {
     caller_->set_owner(this);
+    ++owner_.state().streams_;
     http_head head = answer_head(200, id_);
     head.fields_.push_back({"Content-Type", "text/event-stream"});
     caller_->begin_answer(head);
@@ -375,7 +387,14 @@
 void running_stream::on_caller_left()
 {
     ++owner_.state().cancelled_[id_];
-    caller_ = nullptr;
+    release_caller();
+}
+
+std::shared_ptr<caller_connection> running_stream::release_caller()
+{
+    --owner_.state().streams_;
+    caller_->set_owner(nullptr);
+    return std::exchange(caller_, nullptr);
 }
 
 void running_stream::wait(milliseconds pause)
@@ -418,8 +437,7 @@
             self->stalled_ += event_interval;
             if (self->stalled_ >= stall_limit && self->caller_ != nullptr)
             {
-                self->caller_->set_owner(nullptr);
-                std::exchange(self->caller_, nullptr)->abort_answer();
+                self->release_caller()->abort_answer();
                 return;
             }
             self->wait(event_interval);
@@ -434,15 +452,13 @@
     if (is_half)
     {
         caller_->add_body(text.substr(0, text.size() / 2));
-        caller_->set_owner(nullptr);
-        std::exchange(caller_, nullptr)->abort_answer();
+        release_caller()->abort_answer();
         return;
     }
     caller_->add_body(text);
     if (next_++ >= owner_.options().events_)
     {
-        caller_->set_owner(nullptr);
-        std::exchange(caller_, nullptr)->end_answer();
+        release_caller()->end_answer();
         return;
     }
     wait(event_interval);
--- a/fakes/users_engine_options.cpp
+++ b/fakes/users_engine_options.cpp
@@ -13,7 +13,8 @@
 
 constexpr char const* usage =
     "usage: fake-users_engine --id ID --store IP:PORT [--service NAME] "
-    "[--zone NAME] [--kind ACCELERATOR] [--events N]\n";
+    "[--zone NAME] [--kind ACCELERATOR] [--events N] "
+    "[--advertise IP:PORT] [--record FILE]\n";
 
 } // namespace
 
@@ -26,6 +27,8 @@
                             {"zone", required_argument, nullptr, 'z'},
                             {"kind", required_argument, nullptr, 'k'},
                             {"events", required_argument, nullptr, 'e'},
+                            {"advertise", required_argument, nullptr, 'a'},
+                            {"record", required_argument, nullptr, 'r'},
                             {nullptr, 0, nullptr, 0}};
     constexpr std::uint64_t max_events = 100'000;
     for (int chosen = getopt_long(argc, argv, "", names, nullptr); chosen != -1;
@@ -52,6 +55,12 @@
             options.events_ = static_cast<std::uint32_t>(
                 parse_number("--events", optarg, max_events));
             break;
+        case 'a':
+            options.advertised_ = optarg;
+            break;
+        case 'r':
+            options.record_ = optarg;
+            break;
         default:
             exit_with_usage(usage, 2);
         }
--- a/fakes/users_engine_options.hpp
+++ b/fakes/users_engine_options.hpp
@@ -19,6 +19,11 @@
     std::string store_;
     std::uint32_t events_ = 40;
     milliseconds load_{50};
+    /// Address that its entry names; empty for its own.
+    std::string advertised_;
+    /// File to which each run is appended, so that it outlives the process;
+    /// empty for none.
+    std::string record_;
 };
 
 /// Reads the command line; prints what is wrong and exits with status 2.
--- a/include/auburnlb/transport/command_line.hpp
+++ b/include/auburnlb/command_line/command_line.hpp
@@ -1,6 +1,6 @@
 // The operators' command line, apart from the process that it runs in.
-#ifndef AUBURNLB_TRANSPORT_COMMAND_LINE_HPP
-#define AUBURNLB_TRANSPORT_COMMAND_LINE_HPP
+#ifndef AUBURNLB_COMMAND_LINE_COMMAND_LINE_HPP
+#define AUBURNLB_COMMAND_LINE_COMMAND_LINE_HPP
 
 #include <functional>
 #include <iosfwd>
--- a/include/auburnlb/transport/call_gate.hpp
+++ b/include/auburnlb/companion/call_gate.hpp
@@ -1,6 +1,6 @@
 // The companion's gate before a plain endpoint: the only way to it.
-#ifndef AUBURNLB_TRANSPORT_CALL_GATE_HPP
-#define AUBURNLB_TRANSPORT_CALL_GATE_HPP
+#ifndef AUBURNLB_COMPANION_CALL_GATE_HPP
+#define AUBURNLB_COMPANION_CALL_GATE_HPP
 
 #include <cstddef>
 #include <functional>
--- a/include/auburnlb/transport/companion.hpp
+++ b/include/auburnlb/companion/companion.hpp
@@ -1,6 +1,6 @@
 // The process beside one endpoint: the only way to it.
-#ifndef AUBURNLB_TRANSPORT_COMPANION_HPP
-#define AUBURNLB_TRANSPORT_COMPANION_HPP
+#ifndef AUBURNLB_COMPANION_COMPANION_HPP
+#define AUBURNLB_COMPANION_COMPANION_HPP
 
 #include <cstdint>
 #include <memory>
@@ -61,9 +61,6 @@
     virtual std::string render_metrics() const = 0;
 };
 
-/// A new incarnation from the operating system's random source; never zero.
-incarnation_id make_incarnation();
-
 } // namespace auburnlb
 
 #endif
--- /dev/null
+++ b/include/auburnlb/companion/companion_options.hpp
@@ -0,0 +1,16 @@
+// A companion's options from its settings.
+#ifndef AUBURNLB_COMPANION_COMPANION_OPTIONS_HPP
+#define AUBURNLB_COMPANION_COMPANION_OPTIONS_HPP
+
+#include "auburnlb/companion/companion.hpp"
+#include "auburnlb/state/settings.hpp"
+
+namespace auburnlb
+{
+
+/// An error names the field that is missing.
+result<companion_options> read_companion_options(settings const& values);
+
+} // namespace auburnlb
+
+#endif
--- a/include/auburnlb/transport/engine_runner.hpp
+++ b/include/auburnlb/companion/engine_runner.hpp
@@ -1,7 +1,7 @@
 // Sends steps to the engine in batches, and frees its memory in the right
 // order.
-#ifndef AUBURNLB_TRANSPORT_ENGINE_RUNNER_HPP
-#define AUBURNLB_TRANSPORT_ENGINE_RUNNER_HPP
+#ifndef AUBURNLB_COMPANION_ENGINE_RUNNER_HPP
+#define AUBURNLB_COMPANION_ENGINE_RUNNER_HPP
 
 #include <cstddef>
 #include <cstdint>
--- a/include/auburnlb/transport/admin_front.hpp
+++ b/include/auburnlb/entry/admin_front.hpp
@@ -1,6 +1,6 @@
 // The operators' HTTP port of an entry: administration API and metrics.
-#ifndef AUBURNLB_TRANSPORT_ADMIN_FRONT_HPP
-#define AUBURNLB_TRANSPORT_ADMIN_FRONT_HPP
+#ifndef AUBURNLB_ENTRY_ADMIN_FRONT_HPP
+#define AUBURNLB_ENTRY_ADMIN_FRONT_HPP
 
 #include <memory>
 #include <string>
--- a/include/auburnlb/transport/call_service.hpp
+++ b/include/auburnlb/entry/call_service.hpp
@@ -1,6 +1,6 @@
 // Calls of plain services at an entry.
-#ifndef AUBURNLB_TRANSPORT_CALL_SERVICE_HPP
-#define AUBURNLB_TRANSPORT_CALL_SERVICE_HPP
+#ifndef AUBURNLB_ENTRY_CALL_SERVICE_HPP
+#define AUBURNLB_ENTRY_CALL_SERVICE_HPP
 
 #include <cstddef>
 #include <cstdint>
@@ -13,6 +13,7 @@
 
 #include "auburnlb/coordination/chain_choice.hpp"
 #include "auburnlb/coordination/retry_budget.hpp"
+#include "auburnlb/entry/routing_view.hpp"
 #include "auburnlb/protocol/call.hpp"
 #include "auburnlb/protocol/claim_shards.hpp"
 #include "auburnlb/state/metrics.hpp"
@@ -20,7 +21,6 @@
 #include "auburnlb/transport/caller_api.hpp"
 #include "auburnlb/transport/http_server.hpp"
 #include "auburnlb/transport/message_bus.hpp"
-#include "auburnlb/transport/routing_view.hpp"
 
 namespace auburnlb
 {
--- a/include/auburnlb/transport/caller_front.hpp
+++ b/include/auburnlb/entry/caller_front.hpp
@@ -1,7 +1,7 @@
 // What an entry does with a caller's HTTP request before its core thread takes
 // it: routes it, checks key and body, and refuses what is wrong.
-#ifndef AUBURNLB_TRANSPORT_CALLER_FRONT_HPP
-#define AUBURNLB_TRANSPORT_CALLER_FRONT_HPP
+#ifndef AUBURNLB_ENTRY_CALLER_FRONT_HPP
+#define AUBURNLB_ENTRY_CALLER_FRONT_HPP
 
 #include <atomic>
 #include <cstddef>
@@ -10,12 +10,12 @@
 #include <optional>
 #include <string>
 
+#include "auburnlb/entry/call_service.hpp"
+#include "auburnlb/entry/routing_view.hpp"
+#include "auburnlb/entry/stream_service.hpp"
 #include "auburnlb/state/metrics.hpp"
 #include "auburnlb/state/snapshot_cell.hpp"
-#include "auburnlb/transport/call_service.hpp"
 #include "auburnlb/transport/http_server.hpp"
-#include "auburnlb/transport/routing_view.hpp"
-#include "auburnlb/transport/stream_service.hpp"
 
 namespace auburnlb
 {
--- a/include/auburnlb/transport/entry.hpp
+++ b/include/auburnlb/entry/entry.hpp
@@ -1,6 +1,6 @@
 // The entry host's process: takes callers' requests and sees them through.
-#ifndef AUBURNLB_TRANSPORT_ENTRY_HPP
-#define AUBURNLB_TRANSPORT_ENTRY_HPP
+#ifndef AUBURNLB_ENTRY_ENTRY_HPP
+#define AUBURNLB_ENTRY_ENTRY_HPP
 
 #include <cstdint>
 #include <memory>
--- a/include/auburnlb/transport/routing_view.hpp
+++ b/include/auburnlb/entry/routing_view.hpp
@@ -1,6 +1,6 @@
 // What an entry's request path reads under RCU.
-#ifndef AUBURNLB_TRANSPORT_ROUTING_VIEW_HPP
-#define AUBURNLB_TRANSPORT_ROUTING_VIEW_HPP
+#ifndef AUBURNLB_ENTRY_ROUTING_VIEW_HPP
+#define AUBURNLB_ENTRY_ROUTING_VIEW_HPP
 
 #include <map>
 #include <memory>
--- a/include/auburnlb/transport/status_report.hpp
+++ b/include/auburnlb/entry/status_report.hpp
@@ -1,10 +1,10 @@
 // What an entry tells operators of its services and endpoints.
-#ifndef AUBURNLB_TRANSPORT_STATUS_REPORT_HPP
-#define AUBURNLB_TRANSPORT_STATUS_REPORT_HPP
+#ifndef AUBURNLB_ENTRY_STATUS_REPORT_HPP
+#define AUBURNLB_ENTRY_STATUS_REPORT_HPP
 
 #include <string>
 
-#include "auburnlb/transport/routing_view.hpp"
+#include "auburnlb/entry/routing_view.hpp"
 
 namespace auburnlb
 {
--- a/include/auburnlb/transport/stream_service.hpp
+++ b/include/auburnlb/entry/stream_service.hpp
@@ -1,6 +1,6 @@
 // Model requests at an entry, from admission to the last token.
-#ifndef AUBURNLB_TRANSPORT_STREAM_SERVICE_HPP
-#define AUBURNLB_TRANSPORT_STREAM_SERVICE_HPP
+#ifndef AUBURNLB_ENTRY_STREAM_SERVICE_HPP
+#define AUBURNLB_ENTRY_STREAM_SERVICE_HPP
 
 #include <cstddef>
 #include <functional>
@@ -15,13 +15,13 @@
 #include "auburnlb/coordination/chain_choice.hpp"
 #include "auburnlb/coordination/crash_suspicion.hpp"
 #include "auburnlb/coordination/retry_budget.hpp"
+#include "auburnlb/entry/routing_view.hpp"
 #include "auburnlb/protocol/stream.hpp"
 #include "auburnlb/state/metrics.hpp"
 #include "auburnlb/state/snapshot_cell.hpp"
 #include "auburnlb/transport/caller_api.hpp"
 #include "auburnlb/transport/http_server.hpp"
 #include "auburnlb/transport/message_bus.hpp"
-#include "auburnlb/transport/routing_view.hpp"
 
 namespace auburnlb
 {
--- a/include/auburnlb/transport/view_planner.hpp
+++ b/include/auburnlb/entry/view_planner.hpp
@@ -1,6 +1,6 @@
 // Builds the view of the request path on a thread of its own and publishes it.
-#ifndef AUBURNLB_TRANSPORT_VIEW_PLANNER_HPP
-#define AUBURNLB_TRANSPORT_VIEW_PLANNER_HPP
+#ifndef AUBURNLB_ENTRY_VIEW_PLANNER_HPP
+#define AUBURNLB_ENTRY_VIEW_PLANNER_HPP
 
 #include <cstdint>
 #include <functional>
@@ -8,8 +8,8 @@
 #include <asio/io_context.hpp>
 #include <asio/thread_pool.hpp>
 
+#include "auburnlb/entry/routing_view.hpp"
 #include "auburnlb/state/snapshot_cell.hpp"
-#include "auburnlb/transport/routing_view.hpp"
 
 namespace auburnlb
 {
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -1,5 +1,6 @@
 // What routers tell each other: the configuration, for those that the platform
-// turns away, the load that they put on endpoints, and crashes. A router asks
+// do not watch it, the list of endpoints, the load that they put on them, and
+// crashes. A router asks
 // those of its own data centre and one of each other, so that the questions
 // grow with a data centre and not with the fleet.
 #ifndef AUBURNLB_ROUTER_PEER_EXCHANGE_HPP
@@ -14,6 +15,8 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "auburnlb/coordination/store_watchers.hpp"
+#include "auburnlb/coordination/versioned_entries.hpp"
 #include "auburnlb/router/http_caller.hpp"
 #include "auburnlb/router/local_server.hpp"
 #include "auburnlb/router/router_core.hpp"
@@ -38,15 +41,13 @@
     std::function<std::string const&()> configuration_text_;
     std::function<void(std::string const& value, std::string const& peer)>
         on_configuration_;
-    /// All endpoints as the platform's entries, by identifier.
-    std::function<std::map<std::string, std::string> const&()> endpoint_texts_;
-    std::function<void(std::map<std::string, std::string> const& entries)>
-        on_endpoints_;
+    /// The platform's entries of endpoints, by identifier.
+    std::function<versioned_entries const&()> endpoint_entries_;
+    std::function<void(entries_delta const&)> on_endpoints_;
     /// The newest lease that this router knows.
     std::function<told_lease()> known_lease_;
     std::function<void(told_lease const&)> on_lease_;
-    /// Whether the store answers this router.
-    std::function<bool()> is_store_reachable_;
+    std::function<store_contact()> store_contact_;
 };
 
 /// Asks the other routers in turn and answers their questions.
@@ -61,6 +62,8 @@
     /// A router that may be asked, by its control address.
     void add_peer(std::string const& address, std::string const& data_centre);
     void on_tick(time_point now);
+    /// Routers of the own data centre that answered a moment ago.
+    std::vector<watch_candidate> candidates(time_point now) const;
 
 private:
     struct peer
@@ -77,12 +80,20 @@
         /// Set while it is in a planned stop: when that ends at the latest.
         std::optional<time_point> stop_end_;
         std::map<std::string, endpoint_load> loads_;
+        store_contact contact_ = store_contact::none;
     };
 
     /// The routers to ask: all of the own data centre and those whose data
     /// centre is not known, and one of each other.
     std::vector<std::string> asked_peers() const;
     bool is_local(peer const& peer) const;
+    milliseconds interval_of(peer const& peer, std::size_t asked) const;
+    /// Whether the peer is to tell what has changed in the list of endpoints.
+    bool wants_endpoints(peer const& peer, time_point now) const;
+    nlohmann::json endpoints_since(nlohmann::json const& question) const;
+    void read_endpoints(std::string const& address, nlohmann::json const& state,
+                        time_point now);
+    void read_peers(nlohmann::json const& state);
     void note_stops(time_point now);
     void ask(std::string const& address, peer& peer, milliseconds interval,
              time_point now);
@@ -101,6 +112,10 @@
     http_caller& caller_;
     peer_exchange_handlers handlers_;
     std::map<std::string, peer> peers_;
+    /// Newest revision of the list that another router knows.
+    std::uint64_t newest_revision_ = 0;
+    /// Since when that is newer than this router's.
+    std::optional<time_point> behind_since_;
 };
 
 } // namespace auburnlb
--- a/include/auburnlb/router/placement_duty.hpp
+++ b/include/auburnlb/router/placement_duty.hpp
@@ -28,6 +28,7 @@
 
     /// The newest version of the lease that this router has seen.
     told_lease known_lease() const;
+    bool is_held(time_point now) const;
 
     /// Another router has seen a version of the lease. While newer ones come,
     /// the store need not be asked.
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "auburnlb/coordination/versioned_entries.hpp"
 #include "auburnlb/router/caller_connection.hpp"
 #include "auburnlb/router/http_caller.hpp"
 #include "auburnlb/router/local_server.hpp"
@@ -60,7 +61,11 @@
     void on_endpoint(std::string const& id, std::string const& value);
     void on_endpoint_dead(known_endpoint const& endpoint);
     void on_endpoint_removed(std::string const& id);
-    void on_endpoint_list(std::map<std::string, std::string> const& entries);
+    void on_endpoint_delta(entries_delta const& delta);
+    /// Begins or ceases to watch the store.
+    void choose_watchers(time_point now);
+    void show_watch_role();
+    store_contact known_store_contact() const;
     void on_store_reachable(char const* kind, bool is_reachable,
                             std::string const& reason);
     store_feed_handlers configuration_handlers();
@@ -70,9 +75,9 @@
     void join_fleet(time_point now);
 
     router_core core_;
-    /// The platform's entries as written, for routers that it turns away.
+    /// What the platform wrote, for routers that do not watch it.
     std::string configuration_text_;
-    std::map<std::string, std::string> endpoint_texts_;
+    versioned_entries endpoint_entries_;
     store_feed configuration_feed_;
     store_feed endpoint_feed_;
     peer_exchange peers_;
@@ -87,6 +92,7 @@
     time_point next_slow_tick_{};
     time_point next_join_{};
     bool has_endpoints_ = false;
+    bool is_watching_ = true;
     bool is_registered_ = false;
 };
 
--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "auburnlb/coordination/store_watchers.hpp"
 #include "auburnlb/router/http_caller.hpp"
 #include "auburnlb/router/platform_protocol.hpp"
 #include "auburnlb/state/clock.hpp"
@@ -17,10 +18,14 @@
 /// What a feed tells.
 struct store_feed_handlers
 {
-    /// All objects of the kind.
-    std::function<void(std::vector<store_object> const&)> on_list_;
-    /// An object has changed or is gone.
-    std::function<void(store_object const&)> on_change_;
+    /// All objects of the kind, as of a revision of the store.
+    std::function<void(std::vector<store_object> const&,
+                       std::uint64_t revision)>
+        on_list_;
+    /// Objects that have changed or are gone, up to a revision of the store.
+    std::function<void(std::vector<store_object> const&,
+                       std::uint64_t revision)>
+        on_changes_;
     /// The store began or ceased to answer.
     std::function<void(bool is_reachable, std::string const& reason)>
         on_reachable_;
@@ -30,12 +35,16 @@
 class store_feed
 {
 public:
+    /// The silence is how long a connection that died may go unnoticed.
     store_feed(http_caller& caller, platform_protocol const& protocol,
                clock_source const& clock, std::string address, std::string kind,
-               store_feed_handlers handlers);
+               milliseconds silence, store_feed_handlers handlers);
 
     void on_tick(time_point now);
-    bool is_reachable() const { return is_reachable_; }
+
+    /// Begins, with a list, or ceases to follow the kind.
+    void set_active(bool is_active);
+    store_contact contact() const;
 
 private:
     void list();
@@ -50,7 +59,13 @@
     clock_source const& clock_;
     std::string address_;
     std::string kind_;
+    milliseconds watch_wait_;
     store_feed_handlers handlers_;
+    bool is_active_ = true;
+    /// Replies to calls of an earlier activation are ignored.
+    std::uint64_t activation_ = 0;
+    /// Whether a call was answered, or failed, since it became active.
+    bool has_outcome_ = false;
     /// Zero until a list was read; the next call lists again.
     std::uint64_t revision_ = 0;
     /// Pages of a list that is being read.
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "auburnlb/state/clock.hpp"
+
 namespace auburnlb
 {
 
@@ -40,6 +42,7 @@
     platform_unreachable = 202,
     platform_reachable = 203,
     configuration_rejected = 204,
+    store_watch_changed = 205,
     peer_joined = 300,
     peer_leaving = 301,
     peer_lost = 302,
@@ -75,8 +78,10 @@
 /// Sets level, format and target of all events. Call it before other threads
 /// log. Lines are written without waiting: a target that is blocked, closed or
 /// slow loses lines, which are counted and told, and nothing else. Each event
-/// has a limit of lines a second; errors and warnings have room of their own.
+/// has a limit of lines a second by the clock, which must outlive all logging;
+/// errors and warnings have room of their own.
 void configure_log(log_level lowest, log_format format, std::string process,
+                   clock_source const& clock,
                    log_target target = log_target::standard_output);
 
 /// Keeps lines until flush_log(), for a process that calls it often; otherwise
--- a/include/auburnlb/state/settings.hpp
+++ b/include/auburnlb/state/settings.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <span>
@@ -68,6 +69,10 @@
     /// An error that names the field if it has no value.
     std::optional<error> require(setting<std::string> const& which) const;
 
+    /// An error that names the first of the fields that has no value.
+    std::optional<error> require_all(
+        std::initializer_list<setting<std::string> const*> required) const;
+
     bool operator==(settings const&) const = default;
 
 private:
@@ -338,6 +343,14 @@
 inline constexpr setting<seconds> router_retry_window{
     "router",   "retry_window_s", seconds(10),
     seconds(1), seconds(600),     "Length of the retry window, in seconds."};
+inline constexpr setting<milliseconds> router_store_silence{
+    "router",
+    "store_silence_ms",
+    milliseconds(2'500),
+    milliseconds(1'300),
+    milliseconds(25'000),
+    "How long a connection to the store that died may go unnoticed, in "
+    "milliseconds."};
 inline constexpr setting<milliseconds> router_stop_limit{
     "router",
     "stop_limit_ms",
--- a/src/transport/admin_client.cpp
+++ b/src/command_line/admin_client.cpp
@@ -1,5 +1,5 @@
 // Carries administration requests over HTTP.
-#include "auburnlb/transport/admin_client.hpp"
+#include "auburnlb/command_line/admin_client.hpp"
 
 #include <utility>
 
--- a/src/transport/cli/command_line.cpp
+++ b/src/command_line/command_line.cpp
@@ -1,5 +1,5 @@
 // The list of commands, their help and their choice.
-#include "auburnlb/transport/command_line.hpp"
+#include "auburnlb/command_line/command_line.hpp"
 
 #include <ostream>
 #include <utility>
--- a/src/transport/cli/commands.hpp
+++ b/src/command_line/commands.hpp
@@ -1,6 +1,6 @@
 // The commands of the command line.
-#ifndef AUBURNLB_TRANSPORT_CLI_COMMANDS_HPP
-#define AUBURNLB_TRANSPORT_CLI_COMMANDS_HPP
+#ifndef AUBURNLB_COMMAND_LINE_COMMANDS_HPP
+#define AUBURNLB_COMMAND_LINE_COMMANDS_HPP
 
 #include <string>
 
--- a/src/transport/cli/options.hpp
+++ b/src/command_line/options.hpp
@@ -1,14 +1,14 @@
 // Options of the command line.
-#ifndef AUBURNLB_TRANSPORT_CLI_OPTIONS_HPP
-#define AUBURNLB_TRANSPORT_CLI_OPTIONS_HPP
+#ifndef AUBURNLB_COMMAND_LINE_OPTIONS_HPP
+#define AUBURNLB_COMMAND_LINE_OPTIONS_HPP
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "auburnlb/command_line/command_line.hpp"
 #include "auburnlb/state/error.hpp"
-#include "auburnlb/transport/command_line.hpp"
 
 namespace auburnlb::cli
 {
--- a/src/transport/cli/tables.hpp
+++ b/src/command_line/tables.hpp
@@ -1,6 +1,6 @@
 // Plain-text tables for operators.
-#ifndef AUBURNLB_TRANSPORT_CLI_TABLES_HPP
-#define AUBURNLB_TRANSPORT_CLI_TABLES_HPP
+#ifndef AUBURNLB_COMMAND_LINE_TABLES_HPP
+#define AUBURNLB_COMMAND_LINE_TABLES_HPP
 
 #include <iosfwd>
 #include <string>
--- a/src/transport/call_gate_impl.hpp
+++ b/src/companion/call_gate_impl.hpp
@@ -1,6 +1,6 @@
 // State of the gate and the functions that its two source files share.
-#ifndef AUBURNLB_TRANSPORT_CALL_GATE_IMPL_HPP
-#define AUBURNLB_TRANSPORT_CALL_GATE_IMPL_HPP
+#ifndef AUBURNLB_COMPANION_CALL_GATE_IMPL_HPP
+#define AUBURNLB_COMPANION_CALL_GATE_IMPL_HPP
 
 #include <condition_variable>
 #include <map>
@@ -10,8 +10,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "auburnlb/companion/call_gate.hpp"
 #include "auburnlb/protocol/claim_shards.hpp"
-#include "auburnlb/transport/call_gate.hpp"
 
 namespace auburnlb
 {
--- a/src/transport/companion.cpp
+++ b/src/companion/companion.cpp
@@ -1,26 +1,26 @@
 // Runtime of the companion. One thread owns all of its state; the bus, the
 // engine client and the timer post to it.
-#include "auburnlb/transport/companion.hpp"
+#include "auburnlb/companion/companion.hpp"
 
 #include <atomic>
 #include <map>
-#include <random>
 #include <set>
 #include <thread>
 #include <utility>
 
 #include <asio.hpp>
 
+#include "auburnlb/companion/call_gate.hpp"
+#include "auburnlb/companion/engine_runner.hpp"
 #include "auburnlb/coordination/link_monitor.hpp"
 #include "auburnlb/protocol/stage.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/metrics.hpp"
 #include "auburnlb/state/snapshot_cell.hpp"
-#include "auburnlb/transport/call_gate.hpp"
 #include "auburnlb/transport/config_keeper.hpp"
 #include "auburnlb/transport/engine_client.hpp"
-#include "auburnlb/transport/engine_runner.hpp"
 #include "auburnlb/transport/http_client.hpp"
+#include "auburnlb/transport/incarnation.hpp"
 #include "auburnlb/transport/message_bus.hpp"
 #include "auburnlb/transport/platform_client.hpp"
 #include "auburnlb/transport/steady_clock.hpp"
@@ -696,13 +696,6 @@
 
 } // namespace
 
-incarnation_id make_incarnation()
-{
-    std::random_device device;
-    std::uniform_int_distribution<incarnation_id> range(1);
-    return range(device);
-}
-
 result<std::unique_ptr<companion>> companion::start(companion_options options)
 {
     if (options.incarnation_ == 0)
--- a/src/transport/engine_runner.cpp
+++ b/src/companion/engine_runner.cpp
@@ -1,5 +1,5 @@
 // Batching of steps and the order of releases.
-#include "auburnlb/transport/engine_runner.hpp"
+#include "auburnlb/companion/engine_runner.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -53,16 +53,23 @@
     std::uint32_t max_layers_ = 0;
 };
 
-/// The cheapest way to one layer boundary.
+/// The cheapest way to one layer boundary whose last engine is in one data
+/// centre. Ways of different data centres are kept apart: the cheapest may end
+/// where no engine goes on.
 struct way
 {
     double cost_ = no_way;
     std::size_t engine_ = 0;
-    /// Index of the boundary at which the last engine begins.
-    std::size_t begin_ = 0;
+    /// Index of the way that the last engine goes on from.
+    std::size_t before_ = 0;
+    /// Index of the boundary that it ends at.
+    std::size_t boundary_ = 0;
     std::size_t parts_ = 0;
 };
 
+/// Index of the way that has no engine yet.
+constexpr std::size_t start = 0;
+
 double tokens_of(path_demand const& demand)
 {
     return demand.prompt_tokens_ + demand.answer_tokens_;
@@ -142,21 +149,34 @@
     return boundaries;
 }
 
-/// Whether the engine is on the cheapest way to this boundary already.
-bool is_on_way(std::vector<way> const& ways, std::size_t boundary,
-               std::size_t engine)
+/// Whether the engine is on this way already.
+bool is_on_way(std::vector<way> const& ways, std::size_t at, std::size_t engine)
 {
-    while (boundary != 0)
+    while (at != start)
     {
-        if (ways[boundary].engine_ == engine)
+        if (ways[at].engine_ == engine)
         {
             return true;
         }
-        boundary = ways[boundary].begin_;
+        at = ways[at].before_;
     }
     return false;
 }
 
+std::vector<std::string>
+data_centres_of(std::vector<path_engine> const& engines)
+{
+    std::vector<std::string> names;
+    names.reserve(engines.size());
+    for (path_engine const& engine : engines)
+    {
+        names.push_back(engine.data_centre_);
+    }
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    return names;
+}
+
 bool may_be_first(path_demand const& demand, path_engine const& engine)
 {
     auto const& allowed = demand.allowed_first_ids_;
@@ -170,26 +190,40 @@
     model_profile const& model_;
     path_demand const& demand_;
     std::vector<engine_cost> costs_;
+    std::vector<std::string> data_centres_;
     std::vector<std::uint32_t> boundaries_;
+    /// The start, then for each boundary but the first one way for each data
+    /// centre.
     std::vector<way> ways_;
 };
 
-/// Whether the way into the engine crosses between data centres. The boundary
-/// is not the first.
-bool is_crossing(search const& state, std::size_t boundary, std::size_t engine)
+/// Index of the way that ends at a boundary with this engine.
+std::size_t way_index(search const& state, std::size_t boundary,
+                      std::size_t engine)
+{
+    auto const place =
+        std::lower_bound(state.data_centres_.begin(), state.data_centres_.end(),
+                         state.engines_[engine].data_centre_);
+    return 1 + (boundary - 1) * state.data_centres_.size() +
+           static_cast<std::size_t>(place - state.data_centres_.begin());
+}
+
+/// Whether the step from a way to the engine crosses between data centres.
+bool is_crossing(search const& state, std::size_t at, std::size_t engine)
 {
-    return state.engines_[state.ways_[boundary].engine_].data_centre_ !=
-           state.engines_[engine].data_centre_;
+    return at != start &&
+           state.engines_[state.ways_[at].engine_].data_centre_ !=
+               state.engines_[engine].data_centre_;
 }
 
-/// Time that the way into the engine adds to the first event.
-double entry_ms(search const& state, std::size_t boundary, std::size_t engine)
+/// Time that the step from a way to the engine adds to the first event.
+double entry_ms(search const& state, std::size_t at, std::size_t engine)
 {
-    if (boundary == 0)
+    if (at == start)
     {
         return 0;
     }
-    return hop_ms(state.engines_[state.ways_[boundary].engine_],
+    return hop_ms(state.engines_[state.ways_[at].engine_],
                   state.engines_[engine], state.model_, state.demand_);
 }
 
@@ -199,41 +233,50 @@
            std::max(1U, state.model_.steps_per_event_);
 }
 
-/// What the way into the engine costs over the whole stream.
-double entry_cost(search const& state, std::size_t boundary, std::size_t engine)
+/// What the step from a way to the engine costs over the whole stream.
+double entry_cost(search const& state, std::size_t at, std::size_t engine)
 {
     std::string const& to = state.engines_[engine].data_centre_;
-    if (boundary == 0)
+    if (at == start)
     {
         return to == state.demand_.data_centre_ ? 0 : remote_first_penalty_ms;
     }
-    bool const is_local = !is_crossing(state, boundary, engine);
+    bool const is_local = !is_crossing(state, at, engine);
     double const frames_ms =
         events_of(state) * (is_local ? local_hop_ms : remote_hop_ms);
-    return entry_ms(state, boundary, engine) + frames_ms +
+    return entry_ms(state, at, engine) + frames_ms +
            (is_local ? hop_penalty_ms : remote_hop_penalty_ms);
 }
 
-/// Extends the way to a boundary by one engine, up to each later boundary that
-/// the engine reaches.
-void extend(search& state, std::size_t begin, std::size_t engine)
+bool may_extend(search const& state, std::size_t at, std::size_t engine)
 {
     path_engine const& next = state.engines_[engine];
-    std::uint32_t const first = state.boundaries_[begin];
+    std::uint32_t const first = state.boundaries_[state.ways_[at].boundary_];
     if (!next.is_usable_ || next.layers_.first_ > first ||
-        next.layers_.end_ <= first || is_on_way(state.ways_, begin, engine) ||
-        (begin == 0 && !may_be_first(state.demand_, next)))
+        next.layers_.end_ <= first || is_on_way(state.ways_, at, engine))
     {
-        return;
+        return false;
     }
-    if (begin != 0 && !state.demand_.may_cross_ &&
-        is_crossing(state, begin, engine))
+    if (at == start)
+    {
+        return may_be_first(state.demand_, next);
+    }
+    return state.demand_.may_cross_ || !is_crossing(state, at, engine);
+}
+
+/// Extends a way by one engine, up to each later boundary that the engine
+/// reaches.
+void extend(search& state, std::size_t at, std::size_t engine)
+{
+    if (!may_extend(state, at, engine))
     {
         return;
     }
+    path_engine const& next = state.engines_[engine];
+    std::size_t const begin = state.ways_[at].boundary_;
+    std::uint32_t const first = state.boundaries_[begin];
     engine_cost const& cost = state.costs_[engine];
-    double const base = state.ways_[begin].cost_ +
-                        entry_cost(state, begin, engine) +
+    double const base = state.ways_[at].cost_ + entry_cost(state, at, engine) +
                         events_of(state) * cost.wait_ms_;
     for (std::size_t end = begin + 1;
          end < state.boundaries_.size() &&
@@ -247,28 +290,28 @@
         }
         double const total =
             base + cost.cost_per_layer_ * static_cast<double>(layers);
-        if (total < state.ways_[end].cost_)
+        way& known = state.ways_[way_index(state, end, engine)];
+        if (total < known.cost_)
         {
-            state.ways_[end] = {total, engine, begin,
-                                state.ways_[begin].parts_ + 1};
+            known = {total, engine, at, end, state.ways_[at].parts_ + 1};
         }
     }
 }
 
-path_choice collect(search const& state)
+path_choice collect(search const& state, std::size_t at)
 {
     path_choice choice;
-    std::size_t at = state.boundaries_.size() - 1;
-    while (at != 0)
+    while (at != start)
     {
         way const& last = state.ways_[at];
         path_engine const& engine = state.engines_[last.engine_];
         engine_cost const& cost = state.costs_[last.engine_];
-        layer_range const layers{state.boundaries_[last.begin_],
-                                 state.boundaries_[at]};
+        layer_range const layers{
+            state.boundaries_[state.ways_[last.before_].boundary_],
+            state.boundaries_[last.boundary_]};
         choice.path_.parts_.push_back({engine.id_, engine.address_, layers});
         auto const count = static_cast<double>(layers.end_ - layers.first_);
-        double const hop = entry_ms(state, last.begin_, last.engine_);
+        double const hop = entry_ms(state, last.before_, last.engine_);
         double const pass_ms =
             cost.wait_ms_ + count * cost.token_ms_per_layer_ *
                                 engine.cost_factor_ *
@@ -276,12 +319,11 @@
         choice.first_event_ms_ +=
             count * cost.prefill_ms_per_layer_ * engine.cost_factor_ + hop +
             pass_ms;
-        bool const is_remote =
-            last.begin_ != 0 && is_crossing(state, last.begin_, last.engine_);
+        bool const is_remote = is_crossing(state, last.before_, last.engine_);
         choice.event_gap_ms_ +=
             pass_ms + (is_remote ? remote_hop_ms : local_hop_ms);
         choice.crossings_ += is_remote ? 1 : 0;
-        at = last.begin_;
+        at = last.before_;
     }
     std::reverse(choice.path_.parts_.begin(), choice.path_.parts_.end());
     return choice;
@@ -298,32 +340,39 @@
                                        model_profile const& model,
                                        path_demand const& demand)
 {
-    search state{engines, model, demand, {}, {}, {}};
+    search state{engines, model, demand, {}, data_centres_of(engines), {}, {}};
     state.costs_.reserve(engines.size());
     for (path_engine const& engine : engines)
     {
         state.costs_.push_back(cost_of(engine, model, demand));
     }
     state.boundaries_ = boundaries_of(engines, model.layers_);
-    state.ways_.resize(state.boundaries_.size());
+    std::size_t const centres = state.data_centres_.size();
+    state.ways_.resize(1 + (state.boundaries_.size() - 1) * centres);
     state.ways_.front().cost_ = 0;
-    for (std::size_t begin = 0; begin + 1 < state.ways_.size(); ++begin)
+    std::size_t const first_last = state.ways_.size() - centres;
+    for (std::size_t at = start; at < first_last; ++at)
     {
-        if (state.ways_[begin].cost_ == no_way ||
-            state.ways_[begin].parts_ >= max_parts)
+        if (state.ways_[at].cost_ == no_way ||
+            state.ways_[at].parts_ >= max_parts)
         {
             continue;
         }
         for (std::size_t engine = 0; engine < engines.size(); ++engine)
         {
-            extend(state, begin, engine);
+            extend(state, at, engine);
         }
     }
-    if (state.ways_.back().cost_ == no_way)
+    auto const best = std::min_element(
+        state.ways_.begin() + static_cast<std::ptrdiff_t>(first_last),
+        state.ways_.end(),
+        [](way const& left, way const& right)
+        { return left.cost_ < right.cost_; });
+    if (best == state.ways_.end() || best->cost_ == no_way)
     {
         return std::nullopt;
     }
-    return collect(state);
+    return collect(state, static_cast<std::size_t>(best - state.ways_.begin()));
 }
 
 } // namespace auburnlb
--- a/src/transport/active_stream.hpp
+++ b/src/entry/active_stream.hpp
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-#include "auburnlb/transport/stream_service.hpp"
+#include "auburnlb/entry/stream_service.hpp"
 
 namespace auburnlb
 {
--- a/src/transport/admin_front.cpp
+++ b/src/entry/admin_front.cpp
@@ -1,5 +1,5 @@
 // Turns HTTP requests of operators into requests of the administration API.
-#include "auburnlb/transport/admin_front.hpp"
+#include "auburnlb/entry/admin_front.hpp"
 
 #include <string_view>
 #include <utility>
--- a/src/transport/call_service.cpp
+++ b/src/entry/call_service.cpp
@@ -1,5 +1,5 @@
 // Runtime of calls of plain services at an entry.
-#include "auburnlb/transport/call_service.hpp"
+#include "auburnlb/entry/call_service.hpp"
 
 #include <algorithm>
 #include <cctype>
--- a/src/transport/caller_front.cpp
+++ b/src/entry/caller_front.cpp
@@ -1,5 +1,5 @@
 // Routing and checks of callers' requests.
-#include "auburnlb/transport/caller_front.hpp"
+#include "auburnlb/entry/caller_front.hpp"
 
 #include <string_view>
 #include <utility>
--- a/src/transport/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,7 +1,7 @@
 // Runtime of the entry: wires sockets, timers and the platform to the services
 // that decide. One core thread owns their state; HTTP threads only parse,
 // check keys against the published view and post.
-#include "auburnlb/transport/entry.hpp"
+#include "auburnlb/entry/entry.hpp"
 
 #include <atomic>
 #include <set>
@@ -12,22 +12,22 @@
 #include <nlohmann/json.hpp>
 
 #include "auburnlb/coordination/configuration.hpp"
+#include "auburnlb/entry/admin_front.hpp"
+#include "auburnlb/entry/call_service.hpp"
+#include "auburnlb/entry/caller_front.hpp"
+#include "auburnlb/entry/status_report.hpp"
+#include "auburnlb/entry/stream_service.hpp"
+#include "auburnlb/entry/view_planner.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/service_object.hpp"
-#include "auburnlb/transport/admin_front.hpp"
-#include "auburnlb/transport/call_service.hpp"
-#include "auburnlb/transport/caller_front.hpp"
-#include "auburnlb/transport/companion.hpp"
 #include "auburnlb/transport/config_keeper.hpp"
+#include "auburnlb/transport/incarnation.hpp"
 #include "auburnlb/transport/object_watch.hpp"
 #include "auburnlb/transport/peer_log.hpp"
 #include "auburnlb/transport/platform_client.hpp"
 #include "auburnlb/transport/platform_store.hpp"
-#include "auburnlb/transport/status_report.hpp"
 #include "auburnlb/transport/steady_clock.hpp"
-#include "auburnlb/transport/stream_service.hpp"
 #include "auburnlb/transport/tcp_probe.hpp"
-#include "auburnlb/transport/view_planner.hpp"
 
 namespace auburnlb
 {
--- a/src/transport/routing_view.cpp
+++ b/src/entry/routing_view.cpp
@@ -1,5 +1,5 @@
 // Lookups in the view of the request path, and its construction.
-#include "auburnlb/transport/routing_view.hpp"
+#include "auburnlb/entry/routing_view.hpp"
 
 #include <utility>
 
--- a/src/transport/status_report.cpp
+++ b/src/entry/status_report.cpp
@@ -1,5 +1,5 @@
 // Renders the status of an entry.
-#include "auburnlb/transport/status_report.hpp"
+#include "auburnlb/entry/status_report.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/transport/stream_adoption.cpp
+++ b/src/entry/stream_adoption.cpp
@@ -1,6 +1,6 @@
 // Answers whose caller comes back: through this entry, or through this one
 // after the entry that began them is gone.
-#include "auburnlb/transport/stream_service.hpp"
+#include "auburnlb/entry/stream_service.hpp"
 
 #include <utility>
 
--- a/src/transport/stream_service.cpp
+++ b/src/entry/stream_service.cpp
@@ -1,6 +1,6 @@
 // Runtime of model requests at an entry: carries out what the decisions on
 // admission, choice, suspicion and streams say.
-#include "auburnlb/transport/stream_service.hpp"
+#include "auburnlb/entry/stream_service.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/transport/view_planner.cpp
+++ b/src/entry/view_planner.cpp
@@ -1,5 +1,5 @@
 // One view at a time, off the core thread.
-#include "auburnlb/transport/view_planner.hpp"
+#include "auburnlb/entry/view_planner.hpp"
 
 #include <utility>
 
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/log.hpp"
 
 namespace auburnlb
 {
@@ -40,6 +41,14 @@
 /// How long an endpoint is avoided that another router found silent.
 constexpr milliseconds told_avoidance{600};
 
+/// A router that answered this long ago is relied on to watch the store: two
+/// questions at its interval, and the time of an answer.
+constexpr milliseconds watcher_sighting{1'000};
+
+/// Routers of other data centres are asked for changes of the list that those
+/// of the own one did not tell within this time.
+constexpr milliseconds local_lead{600};
+
 /// A router that answered this long ago is taken to take requests still.
 constexpr milliseconds accepting_sighting{1'500};
 
@@ -95,6 +104,40 @@
     return peer.data_centre_ == core_.options_.data_centre_;
 }
 
+std::vector<watch_candidate> peer_exchange::candidates(time_point now) const
+{
+    std::vector<watch_candidate> found;
+    for (auto const& [address, peer] : peers_)
+    {
+        bool const is_seen =
+            peer.answered_ && now - *peer.answered_ < watcher_sighting;
+        if (is_seen && is_local(peer) && !peer.stop_end_)
+        {
+            found.push_back({address, peer.contact_});
+        }
+    }
+    return found;
+}
+
+milliseconds peer_exchange::interval_of(peer const& peer,
+                                        std::size_t asked) const
+{
+    // What the platform writes must not wait for the turn of all others.
+    bool const is_watcher =
+        is_local(peer) && peer.contact_ == store_contact::reachable;
+    return is_watcher ? ask_interval
+                      : std::max(ask_interval,
+                                 interval_per_peer * static_cast<int>(asked));
+}
+
+bool peer_exchange::wants_endpoints(peer const& peer, time_point now) const
+{
+    store_contact const own = handlers_.store_contact_();
+    bool const is_behind = behind_since_ && now - *behind_since_ > local_lead;
+    return is_behind || own == store_contact::unreachable ||
+           (own == store_contact::none && is_local(peer));
+}
+
 std::vector<std::string> peer_exchange::asked_peers() const
 {
     std::vector<std::string> asked;
@@ -189,6 +232,28 @@
     }
 }
 
+json peer_exchange::endpoints_since(json const& question) const
+{
+    auto const known = question.find("endpoint_revision");
+    if (known == question.end() || !known->is_number_unsigned())
+    {
+        return nullptr;
+    }
+    auto const delta = changes_since(handlers_.endpoint_entries_(),
+                                     known->get<std::uint64_t>());
+    if (!delta)
+    {
+        return nullptr;
+    }
+    auto const settling = std::chrono::duration_cast<milliseconds>(
+        core_.directory_.settled_at_ - core_.clock_.now());
+    return {{"revision", delta->revision_},
+            {"whole", delta->is_whole_},
+            {"changed", delta->changed_},
+            {"removed", delta->removed_},
+            {"settling_ms", std::max<std::int64_t>(0, settling.count())}};
+}
+
 std::string peer_exchange::own_state(json const& question)
 {
     bool const is_local_question =
@@ -216,10 +281,11 @@
         state["crashes"].push_back({fingerprint, crashes});
     }
     state["avoided"] = avoided();
-    if (question.value("with_endpoints", false) &&
-        handlers_.is_store_reachable_())
+    state["store"] = to_string(handlers_.store_contact_());
+    state["endpoint_revision"] = handlers_.endpoint_entries_().revision_;
+    if (json endpoints = endpoints_since(question); !endpoints.is_null())
     {
-        state["endpoints"] = handlers_.endpoint_texts_();
+        state["endpoints"] = std::move(endpoints);
     }
     if (question.value("peers", std::size_t{0}) < peers_.size())
     {
@@ -263,14 +329,12 @@
                           [](auto const& entry)
                           { return entry.second.silences_ >= max_silences; }));
     std::vector<std::string> const asked = asked_peers();
-    milliseconds const interval = std::max(
-        ask_interval, interval_per_peer * static_cast<int>(asked.size()));
     for (std::string const& address : asked)
     {
         peer& peer = peers_[address];
         if (!peer.is_waiting_ && now >= peer.next_call_)
         {
-            ask(address, peer, interval, now);
+            ask(address, peer, interval_of(peer, asked.size()), now);
         }
     }
 }
@@ -301,13 +365,16 @@
 {
     peer.is_waiting_ = true;
     peer.next_call_ = now + interval;
-    json const question{{"from", core_.options_.control_address_},
-                        {"data_centre", core_.options_.data_centre_},
-                        {"peers", peers_.size()},
-                        {"version", core_.routes_ == nullptr
-                                        ? 0
-                                        : core_.routes_->table().version_},
-                        {"with_endpoints", !handlers_.is_store_reachable_()}};
+    json question{{"from", core_.options_.control_address_},
+                  {"data_centre", core_.options_.data_centre_},
+                  {"peers", peers_.size()},
+                  {"version", core_.routes_ == nullptr
+                                  ? 0
+                                  : core_.routes_->table().version_}};
+    if (wants_endpoints(peer, now))
+    {
+        question["endpoint_revision"] = handlers_.endpoint_entries_().revision_;
+    }
     caller_.call(address, {"POST", "/exchange", question.dump()}, ask_timeout,
                  [this, address](result<http_reply> const& reply)
                  { on_reply(address, reply); });
@@ -360,12 +427,49 @@
     {
         handlers_.on_configuration_(text->get<std::string>(), address);
     }
-    if (auto const entries = state.find("endpoints");
-        entries != state.end() && entries->is_object())
+    peer.contact_ = parse_store_contact(state.value("store", ""));
+    read_endpoints(address, state, now);
+    read_peers(state);
+}
+
+void peer_exchange::read_endpoints(std::string const& address,
+                                   json const& state, time_point now)
+try
+{
+    if (auto const told = state.find("endpoints"); told != state.end())
     {
-        handlers_.on_endpoints_(
-            entries->get<std::map<std::string, std::string>>());
+        // Entries may have lapsed while the store was away; they are held until
+        // it has had time to get them back.
+        core_.directory_.settled_at_ = std::max(
+            core_.directory_.settled_at_,
+            now + milliseconds(told->at("settling_ms").get<std::int64_t>()));
+        entries_delta delta;
+        delta.revision_ = told->at("revision").get<std::uint64_t>();
+        delta.is_whole_ = told->at("whole").get<bool>();
+        delta.changed_ =
+            told->at("changed").get<std::map<std::string, std::string>>();
+        delta.removed_ = told->at("removed").get<std::vector<std::string>>();
+        handlers_.on_endpoints_(delta);
     }
+    newest_revision_ = std::max(
+        newest_revision_, state.value("endpoint_revision", std::uint64_t{0}));
+    if (newest_revision_ <= handlers_.endpoint_entries_().revision_)
+    {
+        behind_since_.reset();
+    }
+    else if (!behind_since_)
+    {
+        behind_since_ = now;
+    }
+}
+catch (json::exception const& failure)
+{
+    log(log_level::warning, log_event::frame_rejected, {{"peer", address}},
+        failure.what());
+}
+
+void peer_exchange::read_peers(json const& state)
+{
     for (json const& each : state.value("peers", json::array()))
     {
         constexpr std::size_t figures = 2;
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -80,20 +80,20 @@
 void placement_duty::on_tick(time_point now)
 {
     run(on_lease_tick(lease_, now));
-    bool const is_held = held_number(lease_, now).has_value();
-    if (is_held != std::exchange(was_held_, is_held))
+    bool const holds = is_held(now);
+    if (holds != std::exchange(was_held_, holds))
     {
         log(log_level::info,
-            is_held ? log_event::duty_taken : log_event::duty_lost,
+            holds ? log_event::duty_taken : log_event::duty_lost,
             {{"duty", lease_name},
              {"fence", std::to_string(lease_.fencing_number_)},
              {"holder", lease_.seen_holder_}},
-            is_held ? "this router places layers now"
-                    : "this router places layers no more");
+            holds ? "this router places layers now"
+                  : "this router places layers no more");
         orders_.clear();
     }
     expire_orders(now);
-    if (!is_held || now < next_plan_ || core_.routes_ == nullptr)
+    if (!holds || now < next_plan_ || core_.routes_ == nullptr)
     {
         return;
     }
@@ -107,6 +107,11 @@
     }
 }
 
+bool placement_duty::is_held(time_point now) const
+{
+    return held_number(lease_, now).has_value();
+}
+
 told_lease placement_duty::known_lease() const
 {
     return {lease_.seen_holder_, lease_.seen_version_};
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -39,13 +39,14 @@
 router::router(asio::io_context& io, clock_source const& clock,
                platform_protocol const& protocol, router_options options)
     : core_(io, clock, protocol, std::move(options))
-    , configuration_feed_(core_.calls_, protocol, clock,
-                          core_.options_.store_address_,
-                          protocol.kind_name_(platform_kind::configuration),
-                          configuration_handlers())
-    , endpoint_feed_(
+    , configuration_feed_(
           core_.calls_, protocol, clock, core_.options_.store_address_,
-          protocol.kind_name_(platform_kind::endpoints), endpoint_handlers())
+          protocol.kind_name_(platform_kind::configuration),
+          core_.options_.store_silence_, configuration_handlers())
+    , endpoint_feed_(core_.calls_, protocol, clock,
+                     core_.options_.store_address_,
+                     protocol.kind_name_(platform_kind::endpoints),
+                     core_.options_.store_silence_, endpoint_handlers())
     , peers_(core_, core_.calls_, exchange_handlers())
     , duty_(core_, core_.calls_)
     , callers_(io,
@@ -95,6 +96,7 @@
                               { on_endpoint_dead(endpoint); });
     last_tick_ = core_.clock_.now();
     last_steady_ = std::chrono::steady_clock::now();
+    show_watch_role();
     schedule_tick();
     on_tick();
     return boost::outcome_v2::success();
@@ -189,6 +191,7 @@
     watch_clock(now);
     core_.pool_.on_tick(now);
     core_.calls_.on_tick(now);
+    choose_watchers(now);
     configuration_feed_.on_tick(now);
     endpoint_feed_.on_tick(now);
     peers_.on_tick(now);
--- a/src/router/router_options.cpp
+++ b/src/router/router_options.cpp
@@ -28,14 +28,11 @@
 result<router_options> read_router_options(settings const& values)
 {
     using namespace settings_catalogue;
-    for (setting<std::string> const* const each :
-         {&node_name, &node_data_centre, &router_callers, &router_ready,
-          &router_control, &router_store})
+    if (auto missing =
+            values.require_all({&node_name, &node_data_centre, &router_callers,
+                                &router_ready, &router_control, &router_store}))
     {
-        if (auto missing = values.require(*each))
-        {
-            return *missing;
-        }
+        return *missing;
     }
     router_options options;
     options.name_ = values.get(node_name);
@@ -44,6 +41,7 @@
     options.ready_address_ = values.get(router_ready);
     options.control_address_ = values.get(router_control);
     options.store_address_ = values.get(router_store);
+    options.store_silence_ = values.get(router_store_silence);
     options.seeds_ = split_list(values.get(router_seeds));
     options.retries_.ratio_ = values.get(router_retry_ratio);
     options.retries_.slack_ = values.get(router_retry_slack);
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -25,6 +25,26 @@
 
 constexpr char router_object_kind[] = "routers";
 
+entries_delta to_delta(std::vector<store_object> const& objects,
+                       std::uint64_t revision, bool is_whole)
+{
+    entries_delta delta;
+    delta.revision_ = revision;
+    delta.is_whole_ = is_whole;
+    for (store_object const& each : objects)
+    {
+        if (each.is_deleted_)
+        {
+            delta.changed_.erase(each.name_);
+            delta.removed_.push_back(each.name_);
+            continue;
+        }
+        std::erase(delta.removed_, each.name_);
+        delta.changed_[each.name_] = each.value_;
+    }
+    return delta;
+}
+
 } // namespace
 
 void router::on_configuration(store_object const& object,
@@ -58,7 +78,6 @@
 
 void router::on_endpoint(std::string const& id, std::string const& value)
 {
-    endpoint_texts_[id] = value;
     auto const record = core_.protocol_.read_endpoint_(id, value);
     if (!record)
     {
@@ -95,7 +114,6 @@
 
 void router::on_endpoint_removed(std::string const& id)
 {
-    endpoint_texts_.erase(id);
     auto const found = core_.directory_.endpoints_.find(id);
     std::string const address = found == core_.directory_.endpoints_.end()
                                     ? ""
@@ -128,12 +146,16 @@
     }
 }
 
-void router::on_endpoint_list(std::map<std::string, std::string> const& entries)
+void router::on_endpoint_delta(entries_delta const& delta)
 {
-    std::vector<std::string> gone;
+    if (!apply_delta(endpoint_entries_, delta))
+    {
+        return;
+    }
+    std::vector<std::string> gone = delta.removed_;
     for (auto const& [id, endpoint] : core_.directory_.endpoints_)
     {
-        if (!entries.contains(id))
+        if (delta.is_whole_ && !delta.changed_.contains(id))
         {
             gone.push_back(id);
         }
@@ -142,12 +164,52 @@
     {
         on_endpoint_removed(id);
     }
-    for (auto const& [id, value] : entries)
+    for (auto const& [id, value] : delta.changed_)
     {
         on_endpoint(id, value);
     }
 }
 
+void router::choose_watchers(time_point now)
+{
+    bool const is_watching =
+        duty_.is_held(now) ||
+        is_watcher(core_.options_.control_address_, peers_.candidates(now));
+    if (is_watching == is_watching_)
+    {
+        return;
+    }
+    is_watching_ = is_watching;
+    show_watch_role();
+    configuration_feed_.set_active(is_watching);
+    endpoint_feed_.set_active(is_watching);
+    log(log_level::info, log_event::store_watch_changed,
+        {{"watches", is_watching ? "true" : "false"},
+         {"routers", std::to_string(core_.live_routers_)}},
+        is_watching ? "this router watches the store"
+                    : "other routers watch the store for this one");
+}
+
+void router::show_watch_role()
+{
+    core_.metrics_.set_gauge("auburnlb_router_watches_store", "",
+                             is_watching_ ? 1 : 0);
+}
+
+store_contact router::known_store_contact() const
+{
+    store_contact const configuration = configuration_feed_.contact();
+    store_contact const endpoints = endpoint_feed_.contact();
+    if (configuration == store_contact::unreachable ||
+        endpoints == store_contact::unreachable)
+    {
+        return store_contact::unreachable;
+    }
+    bool const is_reachable = configuration == store_contact::reachable &&
+                              endpoints == store_contact::reachable;
+    return is_reachable ? store_contact::reachable : store_contact::none;
+}
+
 void router::on_store_reachable(char const* kind, bool is_reachable,
                                 std::string const& reason)
 {
@@ -166,20 +228,18 @@
 
 store_feed_handlers router::configuration_handlers()
 {
-    return {[this](std::vector<store_object> const& objects)
-            {
-                for (store_object const& each : objects)
-                {
-                    on_configuration(each, "store");
-                }
-            },
-            [this](store_object const& object)
+    auto const take =
+        [this](std::vector<store_object> const& objects, std::uint64_t)
+    {
+        for (store_object const& each : objects)
+        {
+            if (!each.is_deleted_)
             {
-                if (!object.is_deleted_)
-                {
-                    on_configuration(object, "store");
-                }
-            },
+                on_configuration(each, "store");
+            }
+        }
+    };
+    return {take, take,
             [this](bool is_reachable, std::string const& reason)
             {
                 on_store_reachable("configuration", is_reachable, reason);
@@ -188,32 +248,19 @@
 
 store_feed_handlers router::endpoint_handlers()
 {
-    return {[this](std::vector<store_object> const& objects)
-            {
-                std::map<std::string, std::string> entries;
-                for (store_object const& each : objects)
-                {
-                    entries[each.name_] = each.value_;
-                }
-                on_endpoint_list(entries);
-            },
-            [this](store_object const& object)
-            {
-                if (object.is_deleted_)
-                {
-                    on_endpoint_removed(object.name_);
-                    return;
-                }
-                on_endpoint(object.name_, object.value_);
-            },
-            [this](bool is_reachable, std::string const& reason)
+    return {
+        [this](std::vector<store_object> const& objects, std::uint64_t revision)
+        { on_endpoint_delta(to_delta(objects, revision, true)); },
+        [this](std::vector<store_object> const& objects, std::uint64_t revision)
+        { on_endpoint_delta(to_delta(objects, revision, false)); },
+        [this](bool is_reachable, std::string const& reason)
+        {
+            if (is_reachable && has_endpoints_)
             {
-                if (is_reachable && has_endpoints_)
-                {
-                    on_platform_back(core_.directory_, core_.clock_.now());
-                }
-                on_store_reachable("endpoints", is_reachable, reason);
-            }};
+                on_platform_back(core_.directory_, core_.clock_.now());
+            }
+            on_store_reachable("endpoints", is_reachable, reason);
+        }};
 }
 
 peer_exchange_handlers router::exchange_handlers()
@@ -225,22 +272,14 @@
                 object.value_ = value;
                 on_configuration(object, peer);
             },
-            [this]() -> std::map<std::string, std::string> const&
-            { return endpoint_texts_; },
-            [this](std::map<std::string, std::string> const& entries)
-            {
-                if (!endpoint_feed_.is_reachable())
-                {
-                    on_endpoint_list(entries);
-                }
-            },
+            [this]() -> versioned_entries const& { return endpoint_entries_; },
+            [this](entries_delta const& delta) { on_endpoint_delta(delta); },
             [this] { return duty_.known_lease(); },
             [this](told_lease const& lease)
             { duty_.on_told_lease(lease, core_.clock_.now()); },
             [this]
             {
-                return endpoint_feed_.is_reachable() &&
-                       configuration_feed_.is_reachable();
+                return known_store_contact();
             }};
 }
 
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -12,11 +12,11 @@
 namespace
 {
 
-/// How long a watch waits at the store. It also bounds how long a connection
-/// that silently died hides a change.
-constexpr milliseconds watch_wait{1'700};
-/// What the store's answer may take beyond that.
+/// What the store's answer to a watch may take beyond its wait.
 constexpr milliseconds watch_margin{500};
+/// What is left of the silence for the call that follows a lost watch.
+constexpr milliseconds next_call_time{300};
+constexpr milliseconds least_watch_wait{500};
 constexpr milliseconds list_timeout{1'000};
 
 /// Pause after a change, so that changes that come together cost one call.
@@ -30,19 +30,22 @@
 
 store_feed::store_feed(http_caller& caller, platform_protocol const& protocol,
                        clock_source const& clock, std::string address,
-                       std::string kind, store_feed_handlers handlers)
+                       std::string kind, milliseconds silence,
+                       store_feed_handlers handlers)
     : caller_(caller)
     , protocol_(protocol)
     , clock_(clock)
     , address_(std::move(address))
     , kind_(std::move(kind))
+    , watch_wait_(
+          std::max(least_watch_wait, silence - watch_margin - next_call_time))
     , handlers_(std::move(handlers))
 {
 }
 
 void store_feed::on_tick(time_point now)
 {
-    if (is_waiting_ || now < next_call_)
+    if (!is_active_ || is_waiting_ || now < next_call_)
     {
         return;
     }
@@ -55,20 +58,58 @@
     watch();
 }
 
+void store_feed::set_active(bool is_active)
+{
+    if (is_active && !is_active_)
+    {
+        // A list is answered at once and shows whether the store is there.
+        revision_ = 0;
+        listed_.clear();
+        has_outcome_ = false;
+        // A watch from before may hang on a connection that died.
+        ++activation_;
+        is_waiting_ = false;
+        next_call_ = time_point{};
+    }
+    is_active_ = is_active;
+}
+
+store_contact store_feed::contact() const
+{
+    if (!is_active_ || !has_outcome_)
+    {
+        return store_contact::none;
+    }
+    return is_reachable_ ? store_contact::reachable
+                         : store_contact::unreachable;
+}
+
 void store_feed::list()
 {
     std::string const after = listed_.empty() ? "" : listed_.back().name_;
-    caller_.call(
-        address_, protocol_.write_list_call_(kind_, after), list_timeout,
-        [this](result<http_reply> const& reply) { on_list_reply(reply); });
+    caller_.call(address_, protocol_.write_list_call_(kind_, after),
+                 list_timeout,
+                 [this, activation = activation_](auto const& reply)
+                 {
+                     if (activation == activation_)
+                     {
+                         on_list_reply(reply);
+                     }
+                 });
 }
 
 void store_feed::watch()
 {
-    caller_.call(
-        address_, protocol_.write_watch_call_(kind_, revision_, watch_wait),
-        watch_wait + watch_margin,
-        [this](result<http_reply> const& reply) { on_watch_reply(reply); });
+    caller_.call(address_,
+                 protocol_.write_watch_call_(kind_, revision_, watch_wait_),
+                 watch_wait_ + watch_margin,
+                 [this, activation = activation_](auto const& reply)
+                 {
+                     if (activation == activation_)
+                     {
+                         on_watch_reply(reply);
+                     }
+                 });
 }
 
 void store_feed::on_list_reply(result<http_reply> const& reply)
@@ -102,7 +143,7 @@
         return;
     }
     revision_ = listed_revision_;
-    handlers_.on_list_(std::exchange(listed_, {}));
+    handlers_.on_list_(std::exchange(listed_, {}), revision_);
 }
 
 void store_feed::on_watch_reply(result<http_reply> const& reply)
@@ -132,16 +173,14 @@
     if (!page.value().objects_.empty())
     {
         next_call_ = answered_at_ + batch_pause;
-    }
-    for (store_object const& each : page.value().objects_)
-    {
-        handlers_.on_change_(each);
+        handlers_.on_changes_(page.value().objects_, revision_);
     }
 }
 
 void store_feed::note_answer()
 {
     failures_ = 0;
+    has_outcome_ = true;
     next_call_ = time_point{};
     answered_at_ = clock_.now();
     was_asked_ = true;
@@ -156,6 +195,7 @@
     milliseconds const pause =
         std::min(first_pause * (1U << std::min(failures_, 4U)), longest_pause);
     ++failures_;
+    has_outcome_ = true;
     next_call_ = clock_.now() + pause;
     bool const was_reachable = std::exchange(is_reachable_, false);
     if (was_reachable || !std::exchange(was_asked_, true))
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -48,6 +48,7 @@
     {log_event::platform_unreachable, "platform_unreachable"},
     {log_event::platform_reachable, "platform_reachable"},
     {log_event::configuration_rejected, "configuration_rejected"},
+    {log_event::store_watch_changed, "store_watch_changed"},
     {log_event::peer_joined, "peer_joined"},
     {log_event::peer_leaving, "peer_leaving"},
     {log_event::peer_lost, "peer_lost"},
@@ -84,6 +85,8 @@
     std::atomic<log_level> lowest_{log_level::info};
     log_format format_ = log_format::text;
     std::string process_;
+    /// Without a clock, before configure_log, no event has a limit.
+    clock_source const* clock_ = nullptr;
 };
 
 log_settings& settings()
@@ -175,9 +178,15 @@
     return instance;
 }
 
-time_point steady_now()
+bool is_within_limit(log_event event)
 {
-    return std::chrono::steady_clock::now();
+    if (settings().clock_ == nullptr)
+    {
+        return true;
+    }
+    std::lock_guard const lock(limit().mutex_);
+    return admit_line(limit().limit_, static_cast<int>(event),
+                      settings().clock_->now());
 }
 
 std::string time_stamp()
@@ -287,9 +296,10 @@
 void report_dropped()
 {
     std::map<int, std::uint64_t> dropped;
+    if (settings().clock_ != nullptr)
     {
         std::lock_guard const lock(limit().mutex_);
-        dropped = take_dropped(limit().limit_, steady_now());
+        dropped = take_dropped(limit().limit_, settings().clock_->now());
     }
     std::uint64_t const unwritten = sink()->locked_backend()->take_dropped();
     if (unwritten > 0)
@@ -311,13 +321,14 @@
 } // namespace
 
 void configure_log(log_level lowest, log_format format, std::string process,
-                   log_target target)
+                   clock_source const& clock, log_target target)
 {
     make_sink(target == log_target::standard_output ? STDOUT_FILENO
                                                     : STDERR_FILENO);
     settings().lowest_ = lowest;
     settings().format_ = format;
     settings().process_ = std::move(process);
+    settings().clock_ = &clock;
 }
 
 void set_log_batched(bool is_batched)
@@ -341,14 +352,12 @@
         return;
     }
     ensure_sink();
+    // Also begins the next window of an event that is over its limit.
+    report_dropped();
+    if (!is_within_limit(event))
     {
-        std::lock_guard const lock(limit().mutex_);
-        if (!admit_line(limit().limit_, static_cast<int>(event), steady_now()))
-        {
-            return;
-        }
+        return;
     }
-    report_dropped();
     write_line(level,
                render_event(settings().format_, settings().process_,
                             time_stamp(), level, event, fields, message));
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -115,6 +115,7 @@
         describe(router_retry_ratio),
         describe(router_retry_slack),
         describe(router_retry_window),
+        describe(router_store_silence),
         describe(router_stop_limit),
     };
 }
@@ -414,4 +415,17 @@
         "\"\"", "a non-empty string");
 }
 
+std::optional<error> settings::require_all(
+    std::initializer_list<setting<std::string> const*> required) const
+{
+    for (setting<std::string> const* const each : required)
+    {
+        if (auto missing = require(*each))
+        {
+            return missing;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace auburnlb
--- a/src/transport/daemon_command.cpp
+++ b/src/transport/daemon_command.cpp
@@ -7,6 +7,7 @@
 #include <getopt.h>
 
 #include "auburnlb/state/log.hpp"
+#include "auburnlb/transport/steady_clock.hpp"
 
 namespace auburnlb
 {
@@ -27,6 +28,13 @@
                 program.c_str());
 }
 
+/// Lives as long as the process, as the log needs it to.
+clock_source const& log_clock()
+{
+    static steady_clock_source const clock;
+    return clock;
+}
+
 daemon_command load_settings(std::string const& path, bool is_check,
                              std::string const& program)
 {
@@ -34,7 +42,7 @@
     if (!loaded)
     {
         // The settings that would choose format and target are not valid.
-        configure_log(log_level::info, log_format::text, program,
+        configure_log(log_level::info, log_format::text, program, log_clock(),
                       log_target::standard_error);
         log(log_level::error, log_event::settings_rejected, {},
             path + ": " + loaded.error().detail_);
@@ -101,7 +109,7 @@
         configure_log(parse_level(values.get(log_lowest_level)),
                       values.get(log_line_format) == "json" ? log_format::json
                                                             : log_format::text,
-                      program,
+                      program, log_clock(),
                       values.get(log_output) == "stderr"
                           ? log_target::standard_error
                           : log_target::standard_output);
--- a/test/transport/command_line_test.cpp
+++ b/test/command_line/command_line_test.cpp
@@ -7,8 +7,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include "auburnlb/command_line/command_line.hpp"
 #include "auburnlb/coordination/admin_api.hpp"
-#include "auburnlb/transport/command_line.hpp"
 #include "coordination/memory_store.hpp"
 
 using namespace auburnlb;
--- a/test/transport/call_gate_test.cpp
+++ b/test/companion/call_gate_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the gate with the fake platform and fake plain services.
-#include "auburnlb/transport/call_gate.hpp"
+#include "auburnlb/companion/call_gate.hpp"
 
 #include <chrono>
 #include <condition_variable>
--- a/test/coordination/path_choice_test.cpp
+++ b/test/coordination/path_choice_test.cpp
@@ -77,6 +77,30 @@
     EXPECT_FALSE(passes(*choice, "dc-1-middle-1"));
 }
 
+TEST(path_choice, a_data_centre_that_lacks_layers_does_not_hide_another)
+{
+    auto engines = placed("dc-1");
+    auto const others = placed("dc-2");
+    engines.insert(engines.end(), others.begin(), others.end());
+    for (path_engine& each : engines)
+    {
+        // The nearer data centre has lost all that hold the last layers.
+        bool const holds_last = each.layers_.end_ == model.layers_;
+        each.is_usable_ = !(each.data_centre_ == "dc-1" && holds_last);
+    }
+    path_demand demand = usual_demand();
+    demand.data_centre_ = "dc-1";
+    demand.may_cross_ = false;
+    auto const choice = choose_path(engines, model, demand);
+    ASSERT_TRUE(choice);
+    EXPECT_TRUE(is_whole_path(choice->path_, model.layers_));
+    EXPECT_EQ(choice->crossings_, 0U);
+    for (path_part const& part : choice->path_.parts_)
+    {
+        EXPECT_EQ(part.endpoint_id_.rfind("dc-2", 0), 0U);
+    }
+}
+
 TEST(path_choice, gives_nothing_where_no_engine_has_room)
 {
     auto engines = placed();
--- /dev/null
+++ b/test/coordination/store_watchers_test.cpp
@@ -0,0 +1,96 @@
+// Tests of the choice of the routers that watch the store.
+#include "auburnlb/coordination/store_watchers.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace auburnlb
+{
+
+TEST(store_watchers, the_first_two_watch_for_the_others)
+{
+    std::vector<watch_candidate> const others{{"a", store_contact::reachable},
+                                              {"b", store_contact::reachable}};
+    EXPECT_FALSE(is_watcher("c", others));
+    EXPECT_TRUE(is_watcher("aa", others));
+}
+
+TEST(store_watchers, a_router_alone_watches)
+{
+    EXPECT_TRUE(is_watcher("z", {}));
+}
+
+TEST(store_watchers, who_cannot_reach_the_store_is_replaced)
+{
+    EXPECT_TRUE(is_watcher("c", {{"a", store_contact::unreachable},
+                                 {"b", store_contact::reachable},
+                                 {"d", store_contact::none}}));
+}
+
+TEST(store_watchers, nobody_relies_on_routers_that_have_not_reached_it)
+{
+    EXPECT_TRUE(is_watcher(
+        "c", {{"a", store_contact::none}, {"b", store_contact::unreachable}}));
+}
+
+/// Routers that all know of each other: some watch, and no more than wanted
+/// once these reach the store.
+RC_GTEST_PROP(store_watchers, the_store_is_watched_by_as_many_as_wanted, ())
+{
+    auto const count = *rc::gen::inRange(1, 12);
+    std::vector<watch_candidate> routers;
+    for (int index = 0; index < count; ++index)
+    {
+        routers.push_back({std::string(1, static_cast<char>('a' + index)),
+                           *rc::gen::arbitrary<bool>()
+                               ? store_contact::none
+                               : store_contact::unreachable});
+    }
+    std::size_t able = 0;
+    for (watch_candidate const& each : routers)
+    {
+        able += each.contact_ == store_contact::unreachable ? 0 : 1;
+    }
+    auto const others_of = [&](watch_candidate const& self)
+    {
+        std::vector<watch_candidate> others;
+        for (watch_candidate const& each : routers)
+        {
+            if (each.address_ != self.address_)
+            {
+                others.push_back(each);
+            }
+        }
+        return others;
+    };
+    // Whoever watches and is able to learns that it reaches the store.
+    for (watch_candidate& each : routers)
+    {
+        if (each.contact_ == store_contact::none &&
+            is_watcher(each.address_, others_of(each)))
+        {
+            each.contact_ = store_contact::reachable;
+        }
+    }
+    std::size_t watching = 0;
+    for (watch_candidate const& each : routers)
+    {
+        bool const watches = each.contact_ != store_contact::unreachable &&
+                             is_watcher(each.address_, others_of(each));
+        watching += watches ? 1 : 0;
+    }
+    RC_ASSERT(watching == std::min(able, wanted_watchers));
+}
+
+TEST(store_watchers, contacts_have_names)
+{
+    for (store_contact const each :
+         {store_contact::none, store_contact::reachable,
+          store_contact::unreachable})
+    {
+        EXPECT_EQ(parse_store_contact(to_string(each)), each);
+    }
+    EXPECT_EQ(parse_store_contact("other"), store_contact::none);
+}
+
+} // namespace auburnlb
--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -143,12 +143,13 @@
     def store_mode(self, mode):
         assert request(self.store.port, "POST", "/fake/mode", mode)[0] == 200
 
-    def add_engine(self, name, service=MODEL, zone="dc1"):
+    def add_engine(self, name, service=MODEL, zone="dc1", extra=()):
         command = [os.path.join(BUILD, "fake-users_engine"), "--id", name, "--store",
                    f"127.0.0.1:{self.store.port}", "--service", service, "--zone", zone,
                    "--events", str(EVENTS)]
         if service == MODEL:
             command += ["--kind", "card"]
+        command += extra
         engine = self.start(name, command)
         engine.port = int(engine.first_line.rsplit(":", 1)[1])
         self.engines[name] = engine
@@ -169,13 +170,14 @@
                     total[request_id] = total.get(request_id, 0) + count
         return totals
 
-    def add_router(self, name="router", zone="dc1"):
-        callers, ready, control = free_ports(3)
+    def add_router(self, name="router", zone="dc1", store_port=None, ports=None):
+        callers, ready, control = ports or free_ports(3)
         address = f"127.0.0.1:{control}"
         values = {"node": {"name": name, "data_centre": zone, "region": "one"},
                   "log": {"format": "json"},
                   "router": {"callers": f"127.0.0.1:{callers}", "ready": f"127.0.0.1:{ready}",
-                             "control": address, "store": f"127.0.0.1:{self.store.port}",
+                             "control": address,
+                             "store": f"127.0.0.1:{store_port or self.store.port}",
                              "seeds": ",".join(self.seeds + [address]), "retry_slack": 200.0,
                              "stop_limit_ms": 8000}}
         path = os.path.join(self.folder.name, f"{name}.json")
--- a/test/process/router_test.py
+++ b/test/process/router_test.py
@@ -172,6 +172,37 @@
             system.wait_served(newcomer)
             system.store_mode("up")
 
+    def watches_store(self, router):
+        """Whether the router follows the store itself."""
+        text = request(router.control, "GET", "/metrics")[2]
+        return "auburnlb_router_watches_store 1" in text
+
+    def test_few_routers_watch_the_store_for_the_others(self):
+        with calm(routers=5, zones=("dc1",)) as system:
+            # The one that places layers may watch besides the two.
+            wait_until(lambda: sum(map(self.watches_store, system.routers)) in (2, 3),
+                       "few routers watch")
+            extra = {"name": "more", "host": HOST, "path-prefix": "/more/", "kind": "safe",
+                     "timeout-ms": 1000, "service": DESK, "max-attempts": 1, "public": True}
+            system.configure(routes=[extra])
+            system.add_engine("desk-new", service=DESK, zone="dc1")
+            for name in ("desk-0", "desk-1"):
+                request(system.store.port, "DELETE", f"/objects/servers/{name}")
+                system.engines[name].kill()
+            for router in system.routers:
+                wait_until(lambda router=router:
+                           Caller(router, "GET", "/more/x", "more-1").status == 200,
+                           "the new route is served by the new endpoint")
+            watching = [each for each in system.routers if self.watches_store(each)]
+            left = [each for each in system.routers if each not in watching]
+            for router in watching:
+                router.kill()
+            system.configure(keys=("another-key",))
+            for router in left:
+                wait_until(lambda router=router: system.look(router, "look-1").status == 401,
+                           "the change reaches those that are left")
+            self.assertTrue(any(map(self.watches_store, left)))
+
     def test_outage_of_the_store_stops_nothing(self):
         for mode in ("busy", "many", "silent", "reset"):
             with self.subTest(mode=mode), calm() as system:
--- /dev/null
+++ b/test/soak/faults.py
@@ -0,0 +1,173 @@
+"""Faults that the soak injects from outside, drawn by a seed. They overlap freely; each
+is undone when its time is over."""
+
+import random
+import signal
+import time
+
+from cluster import request
+from platform_cluster import MODEL
+
+STORE_MODES = ("busy", "many", "silent", "reset", "lose")
+MODEL_FAULTS = ("shed", "error", "half", "mute")
+DESK_FAULTS = ("shed", "error", "lose", "extra", "foreign", "unframed", "mute")
+LINK_FAULTS = ("silence", "isolate", "lose", "cut", "reset", "delay 80", "rate 20000")
+DRAIN_S = 3.0
+
+
+class Fault:
+    """One entry of the schedule: when, what, and how long."""
+
+    def __init__(self, at_s, kind, for_s, choice):
+        self.at_s = at_s
+        self.kind = kind
+        self.for_s = for_s
+        # Between 0 and 1; picks the target and the variant.
+        self.choice = choice
+
+    def __str__(self):
+        return f"{self.at_s:.1f}s {self.kind} for {self.for_s:.1f}s ({self.choice:.3f})"
+
+
+def pick(items, choice):
+    """An item, and what is left of the choice for the next pick."""
+    items = list(items)
+    scaled = choice * len(items)
+    return items[int(scaled)], scaled - int(scaled)
+
+
+def kill_router(world, fault):
+    member, _ = pick(world.routers_by_name.values(), fault.choice)
+    member.kill(fault.for_s)
+
+
+def kill_all_routers(world, fault):
+    for member in world.routers_by_name.values():
+        member.kill(fault.for_s)
+
+
+def stop_router(world, fault):
+    member, _ = pick(world.routers_by_name.values(), fault.choice)
+    if member.is_running():
+        member.stop(fault.for_s)
+
+
+def hang_up(world, fault):
+    for member in world.routers_by_name.values():
+        member.process.send(signal.SIGHUP)
+
+
+def pause(members, fault):
+    member, _ = pick(members.values(), fault.choice)
+    member.pause()
+    return member.resume
+
+
+def pause_router(world, fault):
+    return pause(world.routers_by_name, fault)
+
+
+def pause_engine(world, fault):
+    return pause(world.engines_by_name, fault)
+
+
+def kill_engine(world, fault):
+    member, rest = pick(world.engines_by_name.values(), fault.choice)
+    member.kill(fault.for_s)
+    if rest < 0.5:
+        world.remove_entry(member.name)
+
+
+def drain_engine(world, fault):
+    member, _ = pick(world.engines_by_name.values(), fault.choice)
+    if not member.is_running() or member.is_paused:
+        return None
+    request(member.process.port, "POST", "/fake/drain", "")
+    return lambda: end_drained(world, member)
+
+
+def end_drained(world, member):
+    """Nothing may run any more at an engine whose drain was told long ago."""
+    if member.is_running() and not member.is_paused and not member.is_end_expected:
+        counts = request(member.process.port, "GET", "/fake/runs")[2]
+        world.note_drained(member.name, counts)
+        member.kill(0.5)
+        world.remove_entry(member.name)
+
+
+def spoil_engine(world, fault):
+    member, rest = pick(world.engines_by_name.values(), fault.choice)
+    variant, _ = pick(MODEL_FAULTS if member.service == MODEL else DESK_FAULTS, rest)
+    if not member.is_running() or member.is_paused:
+        return None
+    port = member.process.port
+    request(port, "POST", "/fake/fault", variant)
+
+    def undo():
+        if member.is_running() and not member.is_paused and member.process.port == port:
+            request(port, "POST", "/fake/fault", "none")
+    return undo
+
+
+def harm_link(members, fault):
+    member, rest = pick(members.values(), fault.choice)
+    variant, _ = pick(LINK_FAULTS, rest)
+    member.relay.command(variant)
+    member.touched = time.monotonic()
+
+    def undo():
+        member.touched = time.monotonic()
+        heal_link(member.relay)
+    return undo
+
+
+def heal_link(relay):
+    for command in ("heal", "delay 0", "rate 0"):
+        relay.command(command)
+
+
+def harm_engine_link(world, fault):
+    return harm_link(world.engines_by_name, fault)
+
+
+def harm_store_link(world, fault):
+    return harm_link(world.routers_by_name, fault)
+
+
+def harm_store(world, fault):
+    mode, _ = pick(STORE_MODES, fault.choice)
+    world.store_mode(mode)
+    return lambda: world.store_mode("up")
+
+
+def forget_history(world, _fault):
+    request(world.store.port, "POST", "/fake/compact", "")
+
+
+def change_configuration(world, _fault):
+    world.note_route(world.add_route())
+
+
+KINDS = {each.__name__: each for each in (
+    kill_router, kill_all_routers, stop_router, hang_up, pause_router, pause_engine,
+    kill_engine, drain_engine, spoil_engine, harm_engine_link, harm_store_link, harm_store,
+    forget_history, change_configuration)}
+PLANNED = ("stop_router", "hang_up", "drain_engine", "change_configuration")
+# All engines of one zone and the routers of a fleet are not lost so often that nothing is
+# ever served.
+RARE = ("kill_all_routers",)
+
+
+def draw_schedule(seed, seconds, is_planned):
+    """Faults in order of time. Planned work comes one after the other."""
+    rng = random.Random(seed)
+    schedule = []
+    at_s = 0.5
+    while at_s < seconds:
+        kind = rng.choice(PLANNED if is_planned else list(KINDS))
+        if kind in RARE and rng.random() < 0.6:
+            kind = "kill_router"
+        for_s = DRAIN_S + 0.3 if kind == "drain_engine" else rng.uniform(0.2, 3.0)
+        schedule.append(Fault(at_s, kind, for_s, rng.random()))
+        at_s += rng.uniform(1.5, 3.0) if is_planned else rng.uniform(0.1, 1.6)
+    return schedule
--- /dev/null
+++ b/test/soak/world.py
@@ -0,0 +1,177 @@
+"""The soak's deployment: the users' platform of the process tests with a relay before
+each engine and between each router and the store, whose processes end and start again."""
+
+import os
+import random
+import signal
+import socket
+import time
+
+from cluster import BUILD, request
+from platform_cluster import DESK, HOST, MODEL, PlatformCluster
+
+ZONES = ("dc1", "dc2")
+ENGINES_PER_ZONE = 3
+DESKS = 3
+ROUTERS = 3
+# Below the range from which the system takes ports of outgoing connections, so that a
+# process that starts again finds its ports free.
+PORTS = range(20_000, 32_000)
+
+
+def unused_ports(count):
+    """Ports on which nothing listens."""
+    found = []
+    while len(found) < count:
+        port = random.SystemRandom().choice(PORTS)
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        found.append(port)
+    return found
+
+
+class Relay:
+    """A relay process and its commands."""
+
+    def __init__(self, system, name, target_port):
+        self.process = system.start(name, [os.path.join(BUILD, "fake-relay"), "--to",
+                                           f"127.0.0.1:{target_port}"])
+        self.port = int(self.process.first_line.rsplit(":", 1)[1])
+        line = self.process.child.stdout.readline().decode().strip()
+        self.control = int(line.rsplit(":", 1)[1])
+
+    def command(self, text):
+        assert request(self.control, "POST", "/", text)[0] == 200, text
+
+
+class Member:
+    """A router or an engine that may end and start again; `process` is the newest."""
+
+    def __init__(self, name, relay, starter):
+        self.name = name
+        self.relay = relay
+        self.starter = starter
+        self.process = None
+        self.incarnation = 0
+        # When it was last killed, stopped, paused or let go on, by the monotonic clock.
+        self.touched = 0.0
+        self.is_end_expected = False
+        self.is_planned_end = False
+        self.is_paused = False
+        self.stop_began = None
+        self.restart_at = None
+
+    def start(self):
+        self.process = self.starter()
+        self.incarnation += 1
+        self.is_end_expected = self.is_planned_end = self.is_paused = False
+        self.stop_began = self.restart_at = None
+        self.touched = time.monotonic()
+
+    def is_running(self):
+        return self.process.child.poll() is None
+
+    def kill(self, restart_after_s):
+        self.note_end(restart_after_s, is_planned=False)
+        self.process.kill()
+
+    def stop(self, restart_after_s):
+        """Planned stop; the process ends when it has finished its work."""
+        self.note_end(restart_after_s, is_planned=not self.is_end_expected)
+        self.stop_began = time.monotonic()
+        self.process.send(signal.SIGTERM)
+
+    def note_end(self, restart_after_s, is_planned):
+        self.touched = time.monotonic()
+        self.is_end_expected = True
+        self.is_planned_end = is_planned
+        self.restart_at = self.touched + restart_after_s
+
+    def pause(self):
+        self.touched = time.monotonic()
+        self.is_paused = True
+        self.process.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.touched = time.monotonic()
+        self.is_paused = False
+        self.process.send(signal.SIGCONT)
+
+
+class World(PlatformCluster):
+    """All members by name, and what the operators wrote."""
+
+    def __init__(self):
+        super().__init__()
+        self.record = os.path.join(self.folder.name, "runs")
+        self.engines_by_name = {}
+        self.routers_by_name = {}
+        self.extra_routes = []
+        for zone in ZONES:
+            for index in range(ENGINES_PER_ZONE):
+                self.add_member_engine(f"engine-{zone}-{index}", MODEL, zone)
+        for index in range(DESKS):
+            self.add_member_engine(f"desk-{index}", DESK, ZONES[index % len(ZONES)])
+        for index in range(ROUTERS):
+            self.add_member_router(f"router-{index}", ZONES[index % len(ZONES)])
+
+    def add_member_engine(self, name, service, zone):
+        relay = Relay(self, f"relay-{name}", self.store.port)
+
+        def start():
+            engine = self.add_engine(name, service, zone,
+                                     ["--advertise", f"127.0.0.1:{relay.port}",
+                                      "--record", self.record])
+            relay.command(f"to 127.0.0.1:{engine.port}")
+            return engine
+        member = Member(name, relay, start)
+        member.service = service
+        member.zone = zone
+        member.start()
+        self.engines_by_name[name] = member
+        return member
+
+    def add_member_router(self, name, zone):
+        relay = Relay(self, f"relay-{name}", self.store.port)
+        ports = unused_ports(3)
+
+        def start():
+            return self.add_router(name, zone, relay.port, ports)
+        member = Member(name, relay, start)
+        member.callers, member.ready, member.control = ports
+        member.start()
+        self.routers_by_name[name] = member
+        return member
+
+    def remove_entry(self, name):
+        """What the platform does when an engine's lease runs out."""
+        request(self.store.port, "DELETE", f"/objects/servers/{name}")
+
+    def add_route(self):
+        """A new public route; gives its number."""
+        number = len(self.extra_routes) + 1
+        self.extra_routes.append(
+            {"name": f"added-{number}", "host": HOST, "path-prefix": f"/added-{number}/",
+             "kind": "safe", "timeout-ms": 1000, "service": DESK, "max-attempts": 2,
+             "public": True})
+        self.configure(routes=self.extra_routes)
+        return number
+
+    def recorded_runs(self):
+        """How often each request ran, over all engines that ever lived."""
+        counts = {}
+        try:
+            with open(self.record, encoding="utf-8") as lines:
+                for line in lines:
+                    request_id = line.split()[-1]
+                    counts[request_id] = counts.get(request_id, 0) + 1
+        except FileNotFoundError:
+            pass
+        return counts
+
+    def logs(self):
+        """Output of each process by name."""
+        return {f"{index:02}-{each.name}": each.log()
+                for index, each in enumerate(self.processes)}
--- a/test/state/log_test.cpp
+++ b/test/state/log_test.cpp
@@ -96,7 +96,8 @@
 
 TEST(log, events_below_the_lowest_level_are_not_written)
 {
-    configure_log(log_level::warning, log_format::text, "test",
+    static manual_clock const clock;
+    configure_log(log_level::warning, log_format::text, "test", clock,
                   log_target::standard_error);
     testing::internal::CaptureStderr();
     log(log_level::info, log_event::peer_joined, {}, "left out");
@@ -107,3 +108,22 @@
               std::string::npos);
     EXPECT_EQ(std::count(written.begin(), written.end(), '\n'), 1);
 }
+
+TEST(log, lines_over_an_events_limit_are_counted_and_told_a_second_later)
+{
+    static manual_clock clock;
+    configure_log(log_level::info, log_format::text, "test", clock,
+                  log_target::standard_error);
+    testing::internal::CaptureStderr();
+    constexpr int more_than_the_limit = 250;
+    for (int line = 0; line < more_than_the_limit; ++line)
+    {
+        log(log_level::info, log_event::request_refused, {}, "too many");
+    }
+    clock.advance(seconds(1));
+    log(log_level::info, log_event::request_refused, {}, "again");
+    std::string const written = testing::internal::GetCapturedStderr();
+    EXPECT_EQ(std::count(written.begin(), written.end(), '\n'), 202);
+    EXPECT_NE(written.find("of_event=400 lines=50"), std::string::npos);
+    EXPECT_NE(written.find("again"), std::string::npos);
+}
--- a/test/transport/engine_client_test.cpp
+++ b/test/transport/engine_client_test.cpp
@@ -182,8 +182,14 @@
             [&](auto handler)
             { engine.client_.order_layers(layers, number, handler); });
     };
+    auto is_done = [](result<bool> const& answer)
+    {
+        return answer
+                   ? testing::AssertionSuccess()
+                   : testing::AssertionFailure() << to_string(answer.error());
+    };
     served_engine strict(fast_options({0, 8}));
-    ASSERT_TRUE(order(strict, {2, 4}, 7));
+    ASSERT_TRUE(is_done(order(strict, {2, 4}, 7)));
     auto const refused = order(strict, {0, 8}, 6);
     ASSERT_FALSE(refused);
     EXPECT_EQ(refused.error().code_, error_code::conflict);
@@ -192,8 +198,8 @@
     auto options = fast_options({0, 8});
     options.checks_fencing_ = false;
     served_engine lax(options);
-    ASSERT_TRUE(order(lax, {2, 4}, 7));
-    ASSERT_TRUE(order(lax, {0, 8}, 6));
+    ASSERT_TRUE(is_done(order(lax, {2, 4}, 7)));
+    ASSERT_TRUE(is_done(order(lax, {0, 8}, 6)));
     EXPECT_EQ(lax.status().layers_, (layer_range{0, 8}));
 }
 
--- a/test/transport/fake_relay_test.cpp
+++ b/test/transport/fake_relay_test.cpp
@@ -111,6 +111,29 @@
     EXPECT_EQ(executions("k1"), 1);
 }
 
+TEST_F(relayed_service, answers_get_lost_while_requests_arrive)
+{
+    ASSERT_TRUE(relay_.run_command("lose"));
+    EXPECT_EQ(code_of(call("k1", milliseconds(100))), error_code::timeout);
+    EXPECT_EQ(executions("k1"), 1);
+    relay_.heal();
+    EXPECT_TRUE(call("k2"));
+}
+
+TEST_F(relayed_service, a_reset_loses_the_answer_of_what_runs)
+{
+    service_.set_faults({.delay_ = milliseconds(60'000)});
+    auto running =
+        std::async(std::launch::async, [this] { return call("k1"); });
+    while (executions("k1") == 0)
+    {
+        std::this_thread::yield();
+    }
+    ASSERT_TRUE(relay_.run_command("reset"));
+    EXPECT_EQ(code_of(running.get()), error_code::answer_lost);
+    EXPECT_EQ(executions("k1"), 1);
+}
+
 TEST_F(relayed_service, new_connections_go_to_another_target)
 {
     fake_plain_service other;
--- a/tools/auburnlb/main.cpp
+++ b/tools/auburnlb/main.cpp
@@ -8,8 +8,8 @@
 
 #include <unistd.h>
 
-#include "auburnlb/transport/admin_client.hpp"
-#include "auburnlb/transport/command_line.hpp"
+#include "auburnlb/command_line/admin_client.hpp"
+#include "auburnlb/command_line/command_line.hpp"
 
 namespace
 {
