--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -29,6 +29,7 @@
         self.text = ""
         self.is_whole = False
         self.has_left = False
+        self.failure = ""
         self.is_kept_connection = False
         # For a request on a route that was added: its number.
         self.route = 0
@@ -39,7 +40,7 @@
     def __str__(self):
         return (f"{self.request_id} at {self.router} run {self.incarnation}: "
                 f"status {self.status}, {len(self.text)} bytes, whole {self.is_whole}, "
-                f"left {self.has_left}, {self.ended - self.started:.2f} s")
+                f"left {self.has_left}, {self.ended - self.started:.2f} s {self.failure}")
 
 
 class CallerThread(threading.Thread):
@@ -93,7 +94,8 @@
             outcome.route = self.rng.randint(1, max(1, self.world.newest_route()))
         try:
             self.exchange(outcome, leaves_after if kind == "stream" else None)
-        except (http.client.HTTPException, OSError):
+        except (http.client.HTTPException, OSError) as failure:
+            outcome.failure = repr(failure)
             self.drop()
         outcome.ended = time.monotonic()
         self.promises.note(outcome)
@@ -118,6 +120,8 @@
                 outcome.has_left = True
                 self.drop()
                 return
+        # Tells an empty answer's end, too, without which the connection is not used on.
+        answer.read()
         outcome.is_whole = True
         if answer.will_close:
             self.drop()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -14,7 +14,7 @@
 from promises import Promises  # noqa: E402
 from world import World  # noqa: E402
 
-CALLERS = 8
+CALLERS = 16
 # How soon callers are served again after the last fault, from the users' bounds.
 RECOVER_S = 15
 # How long an engine may go on with what nobody waits for: half a second, and what the
