Let the stand-ins' server take two requests on a connection

Cause: RESTinio with one request a connection prepares its parser at the begin and at the end of writing an answer; a head that arrives between is forgotten and its body closes the connection. Ruled out: the product's client, whose refusal to send twice is right, and the product's server, which takes two. Also: the relay's connections have a file of their own.

--- a/fakes/fake_http.cpp
+++ b/fakes/fake_http.cpp
@@ -12,10 +12,11 @@
 namespace
 {
 
-/// With more threads RESTinio may take the end of writing an answer after the
-/// head of the next request, begins to parse anew, and closes the connection at
-/// that request's body.
-constexpr std::size_t server_threads = 1;
+constexpr std::size_t server_threads = 2;
+/// With a single one, RESTinio prepares to parse a request both when it begins
+/// and when it ends to write the answer before; if a head arrives in between,
+/// the connection is closed at that request's body.
+constexpr std::size_t max_pipelined_requests = 2;
 /// Idle and waiting connections are never closed by the stand-in itself.
 constexpr std::chrono::hours connection_limit{1};
 
@@ -94,6 +95,7 @@
             restinio::server_settings_t<server_traits>{}
                 .address("127.0.0.1")
                 .port(port)
+                .max_pipelined_requests(max_pipelined_requests)
                 .read_next_http_message_timelimit(connection_limit)
                 .handle_request_timeout(connection_limit)
                 .write_http_response_timelimit(connection_limit)
--- a/fakes/fake_relay.cpp
+++ b/fakes/fake_relay.cpp
@@ -1,10 +1,6 @@
 // TCP relay over Asio, on one thread.
 #include "fake_relay.hpp"
 
-#include <algorithm>
-#include <array>
-#include <atomic>
-#include <deque>
 #include <future>
 #include <set>
 #include <sstream>
@@ -13,6 +9,8 @@
 
 #include <asio.hpp>
 
+#include "relay_session.hpp"
+
 namespace auburnlb::fakes
 {
 
@@ -21,235 +19,6 @@
 
 using asio::ip::tcp;
 
-constexpr std::size_t chunk_bytes = 16U << 10U;
-/// Reading stops while so many bytes wait, so that the sender feels the limit.
-constexpr std::size_t max_waiting_bytes = 256U << 10U;
-
-/// What applies to every connection; read and written on the relay's thread.
-struct relay_condition
-{
-    milliseconds delay_{0};
-    std::uint64_t bytes_per_second_ = 0;
-    bool is_isolated_ = false;
-    bool loses_answers_ = false;
-};
-
-struct delayed_chunk
-{
-    time_point due_;
-    std::string bytes_;
-};
-
-/// Both directions of one connection.
-class session : public std::enable_shared_from_this<session>
-{
-public:
-    session(tcp::socket client, relay_condition const& condition)
-        : condition_(condition)
-        , client_(std::move(client))
-        , server_(client_.get_executor())
-        , upstream_{client_, server_, client_.get_executor()}
-        , downstream_{server_, client_, client_.get_executor()}
-    {
-    }
-
-    void start(tcp::endpoint const& target)
-    {
-        is_silent_ = condition_.is_isolated_;
-        loses_answers_ = condition_.loses_answers_;
-        if (is_silent_)
-        {
-            return;
-        }
-        server_.async_connect(
-            target, [self = shared_from_this()](asio::error_code error)
-            { self->on_connected(error); });
-    }
-
-    bool is_open() const { return client_.is_open(); }
-    bool is_silent() const { return is_silent_; }
-
-    void silence() { is_silent_ = true; }
-    void lose_answers() { loses_answers_ = true; }
-
-    /// Closes with a reset instead of an orderly end.
-    void reset()
-    {
-        asio::error_code ignored;
-        asio::socket_base::linger const at_once(true, 0);
-        client_.set_option(at_once, ignored);
-        server_.set_option(at_once, ignored);
-        close();
-    }
-
-    void close()
-    {
-        asio::error_code ignored;
-        client_.close(ignored);
-        server_.close(ignored);
-        upstream_.timer_.cancel();
-        downstream_.timer_.cancel();
-    }
-
-private:
-    struct direction
-    {
-        tcp::socket& from_;
-        tcp::socket& to_;
-        asio::steady_timer timer_;
-        std::array<char, chunk_bytes> buffer_{};
-        std::deque<delayed_chunk> waiting_{};
-        std::size_t waiting_bytes_ = 0;
-        bool is_reading_ = false;
-        bool is_writing_ = false;
-        bool is_ended_ = false;
-        /// When the rate lets the next byte through.
-        time_point next_free_{};
-
-        direction(tcp::socket& from, tcp::socket& to,
-                  tcp::socket::executor_type const& executor)
-            : from_(from)
-            , to_(to)
-            , timer_(executor)
-        {
-        }
-    };
-
-    void on_connected(asio::error_code error)
-    {
-        if (error)
-        {
-            close();
-            return;
-        }
-        asio::error_code ignored;
-        client_.set_option(tcp::no_delay(true), ignored);
-        server_.set_option(tcp::no_delay(true), ignored);
-        read(upstream_);
-        read(downstream_);
-    }
-
-    void read(direction& way)
-    {
-        if (is_silent_ || way.is_reading_ || way.is_ended_ ||
-            way.waiting_bytes_ >= max_waiting_bytes)
-        {
-            return;
-        }
-        way.is_reading_ = true;
-        way.from_.async_read_some(asio::buffer(way.buffer_),
-                                  [self = shared_from_this(), &way](
-                                      asio::error_code error, std::size_t bytes)
-                                  { self->on_read(way, error, bytes); });
-    }
-
-    void on_read(direction& way, asio::error_code error, std::size_t bytes)
-    {
-        way.is_reading_ = false;
-        if (is_silent_)
-        {
-            return;
-        }
-        if (loses_answers_ && &way == &downstream_)
-        {
-            // The end of the connection gets lost like its bytes.
-            way.is_ended_ = static_cast<bool>(error);
-            read(way);
-            return;
-        }
-        if (error)
-        {
-            way.is_ended_ = true;
-            close_when_drained(way);
-            return;
-        }
-        way.waiting_.push_back(
-            {due_time(way, bytes), std::string(way.buffer_.data(), bytes)});
-        way.waiting_bytes_ += bytes;
-        write_next(way);
-        read(way);
-    }
-
-    time_point due_time(direction& way, std::size_t bytes) const
-    {
-        auto const now = std::chrono::steady_clock::now();
-        auto due = now;
-        if (condition_.bytes_per_second_ != 0)
-        {
-            double const seconds_taken =
-                static_cast<double>(bytes) /
-                static_cast<double>(condition_.bytes_per_second_);
-            due = std::max(now, way.next_free_) +
-                  std::chrono::duration_cast<nanoseconds>(
-                      std::chrono::duration<double>(seconds_taken));
-            way.next_free_ = due;
-        }
-        return due + condition_.delay_;
-    }
-
-    void write_next(direction& way)
-    {
-        if (way.is_writing_ || way.waiting_.empty())
-        {
-            return;
-        }
-        way.is_writing_ = true;
-        way.timer_.expires_at(way.waiting_.front().due_);
-        way.timer_.async_wait([self = shared_from_this(), &way](
-                                  asio::error_code) { self->write_now(way); });
-    }
-
-    void write_now(direction& way)
-    {
-        if (is_silent_ || !way.to_.is_open())
-        {
-            return;
-        }
-        asio::async_write(way.to_, asio::buffer(way.waiting_.front().bytes_),
-                          [self = shared_from_this(),
-                           &way](asio::error_code error, std::size_t)
-                          { self->on_written(way, error); });
-    }
-
-    void on_written(direction& way, asio::error_code error)
-    {
-        way.is_writing_ = false;
-        if (error)
-        {
-            // A silent connection is held, whatever its ends do.
-            if (!is_silent_)
-            {
-                close();
-            }
-            return;
-        }
-        way.waiting_bytes_ -= way.waiting_.front().bytes_.size();
-        way.waiting_.pop_front();
-        write_next(way);
-        read(way);
-        if (way.is_ended_)
-        {
-            close_when_drained(way);
-        }
-    }
-
-    void close_when_drained(direction& way)
-    {
-        if (way.waiting_.empty())
-        {
-            close();
-        }
-    }
-
-    relay_condition const& condition_;
-    tcp::socket client_;
-    tcp::socket server_;
-    direction upstream_;
-    direction downstream_;
-    bool is_silent_ = false;
-    bool loses_answers_ = false;
-};
-
 tcp::endpoint parse_target(std::string const& target)
 {
     auto const colon = target.rfind(':');
@@ -285,7 +54,7 @@
     tcp::endpoint target_;
     tcp::acceptor acceptor_;
     relay_condition condition_;
-    std::set<std::shared_ptr<session>> sessions_;
+    std::set<std::shared_ptr<relay_session>> sessions_;
     std::thread thread_;
 
     impl(std::uint16_t port, std::string const& target);
@@ -323,8 +92,8 @@
             if (!error)
             {
                 forget_closed();
-                auto next =
-                    std::make_shared<session>(std::move(client), condition_);
+                auto next = std::make_shared<relay_session>(std::move(client),
+                                                            condition_);
                 sessions_.insert(next);
                 next->start(target_);
             }
