Begin paths only at engines that have a slot for them

Its slots bound what it takes as the first engine; the choice looked at KV cache alone. Ruled out: orders that make an engine refuse (none at that time); KV cache of streams left behind by routers that lost power (their engines refused little). Change: an engine with as many streams as slots is not the first of a path; the request takes another data centre or waits. The test fails before.

--- a/include/auburnlb/coordination/path_choice.hpp
+++ b/include/auburnlb/coordination/path_choice.hpp
@@ -3,6 +3,7 @@
 #define AUBURNLB_COORDINATION_PATH_CHOICE_HPP
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
     double kv_reserved_ = 0;
     /// Streams that pass through it.
     std::uint32_t streams_ = 0;
+    /// Streams that it takes as the first engine of their paths.
+    std::uint32_t slots_ = std::numeric_limits<std::uint32_t>::max();
     /// Prompt tokens times layers that it has yet to read.
     double prefill_backlog_ = 0;
     /// At least 1; higher for an engine that is slow or fails.
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "auburnlb/coordination/attempt_outcome.hpp"
+#include "auburnlb/coordination/attempted_endpoints.hpp"
 #include "auburnlb/coordination/path_choice.hpp"
 #include "auburnlb/protocol/event_splitter.hpp"
 #include "auburnlb/router/caller_connection.hpp"
@@ -150,10 +151,7 @@
 
     // Over all attempts.
     std::uint32_t sends_ = 0;
-    /// Endpoints that it was sent to, each once.
-    std::vector<std::string> sent_to_;
-    /// Whether the attempt in progress added its endpoint to sent_to_.
-    bool is_first_send_there_ = false;
+    attempted_endpoints sent_to_;
     bool may_have_run_ = false;
     event_splitter events_;
     std::uint32_t event_count_ = 0;
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -168,6 +168,7 @@
         endpoint.load_.kv_reserved_ + endpoint.foreign_load_.kv_reserved_;
     engine.streams_ =
         endpoint.load_.requests_ + endpoint.foreign_load_.requests_;
+    engine.slots_ = endpoint.record_.slots_;
     engine.prefill_backlog_ = endpoint.load_.prefill_backlog_ +
                               endpoint.foreign_load_.prefill_backlog_;
     engine.cost_factor_ = cost_factor(endpoint.health_, now);
--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -177,8 +177,14 @@
     return names;
 }
 
+/// All streams through an engine count against its slots, as nearly all paths
+/// through one that can be first begin there.
 bool may_be_first(path_demand const& demand, path_engine const& engine)
 {
+    if (engine.streams_ >= engine.slots_)
+    {
+        return false;
+    }
     auto const& allowed = demand.allowed_first_ids_;
     return allowed.empty() || std::find(allowed.begin(), allowed.end(),
                                         engine.id_) != allowed.end();
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -383,7 +383,7 @@
          {"outcome", outcome},
          {"status", std::to_string(status)},
          {"sends", std::to_string(sends_)},
-         {"peer", sent_to_.empty() ? "" : sent_to_.back()},
+         {"peer", sent_to_.last_id_},
          {"events", std::to_string(event_count_)},
          {"prompt_tokens", std::to_string(facts_.prompt_tokens_)},
          {"max_tokens", std::to_string(facts_.max_answer_tokens_)},
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -77,10 +77,7 @@
     if (end == attempt_end::not_sent)
     {
         --sends_;
-        if (is_first_send_there_)
-        {
-            sent_to_.pop_back();
-        }
+        withdraw_send(sent_to_);
     }
     else if (end != attempt_end::refused)
     {
@@ -134,7 +131,7 @@
                        std::string("reason=\"") + to_string(end) + "\"");
     log(log_level::info, log_event::stream_resumed,
         {{"request", facts_.id_},
-         {"peer", sent_to_.empty() ? "" : sent_to_.back()},
+         {"peer", sent_to_.last_id_},
          {"reason", to_string(end)},
          {"events", std::to_string(event_count_)},
          {"path", to_string(path_.path_)}},
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -81,9 +81,9 @@
     demand.data_centre_ = core_.options_.data_centre_;
     demand.may_cross_ = may_cross(core_.services_[service_name_].links_, model,
                                   core_.live_routers_, now);
-    if (sent_to_.size() >= route_->max_attempts_)
+    if (sent_to_.ids_.size() >= route_->max_attempts_)
     {
-        demand.allowed_first_ids_ = sent_to_;
+        demand.allowed_first_ids_ = sent_to_.ids_;
     }
     return demand;
 }
@@ -155,7 +155,7 @@
 {
     endpoint_ptr const endpoint =
         choose_endpoint(endpoints_of(core_.directory_, service_name_),
-                        core_.options_.data_centre_, sent_to_, now);
+                        core_.options_.data_centre_, sent_to_.ids_, now);
     if (endpoint == nullptr)
     {
         return false;
@@ -193,12 +193,7 @@
             std::clamp(priority() + usual_urgency_offset, 0, last_urgency));
     }
     ++sends_;
-    is_first_send_there_ = std::find(sent_to_.begin(), sent_to_.end(),
-                                     request.endpoint_id_) == sent_to_.end();
-    if (is_first_send_there_)
-    {
-        sent_to_.push_back(request.endpoint_id_);
-    }
+    note_send(sent_to_, request.endpoint_id_);
     sent_at_ = now;
     progress_at_ = now;
     event_gap_ = nanoseconds(0);
@@ -222,7 +217,7 @@
         return find_path(make_demand(now), now).has_value();
     }
     return choose_endpoint(endpoints_of(core_.directory_, service_name_),
-                           core_.options_.data_centre_, sent_to_,
+                           core_.options_.data_centre_, sent_to_.ids_,
                            now) != nullptr;
 }
 
--- a/test/coordination/path_choice_test.cpp
+++ b/test/coordination/path_choice_test.cpp
@@ -101,6 +101,27 @@
     }
 }
 
+TEST(path_choice, begins_at_an_engine_that_has_a_slot)
+{
+    auto engines = placed();
+    for (path_engine& each : engines)
+    {
+        bool const is_quick = each.accelerator_.step_factor_ < 10;
+        each.slots_ = 8;
+        each.streams_ = is_quick ? 8 : 7;
+    }
+    auto const choice = choose_path(engines, model, usual_demand());
+    ASSERT_TRUE(choice);
+    path_engine const& first =
+        find_engine(engines, choice->path_.parts_.front().endpoint_id_);
+    EXPECT_LT(first.streams_, first.slots_);
+    for (path_engine& each : engines)
+    {
+        each.streams_ = 8;
+    }
+    EXPECT_FALSE(choose_path(engines, model, usual_demand()));
+}
+
 TEST(path_choice, gives_nothing_where_no_engine_has_room)
 {
     auto engines = placed();
