--- a/test/coordination/store_watchers_test.cpp
+++ b/test/coordination/store_watchers_test.cpp
@@ -39,6 +39,7 @@
 {
     auto const count = *rc::gen::inRange(1, 12);
     std::vector<watch_candidate> routers;
+    routers.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
     {
         routers.push_back({std::string(1, static_cast<char>('a' + index)),
