--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -34,6 +34,8 @@
 constexpr double remote_hop_penalty_ms = 1'500;
 /// An answer whose bytes cross between data centres.
 constexpr double remote_first_penalty_ms = 1'000;
+/// A first engine that may refuse for want of a slot.
+constexpr double full_first_penalty_ms = 1'500;
 /// The longest path that engines accept.
 constexpr std::size_t max_parts = 32;
 
@@ -177,14 +179,8 @@
     return names;
 }
 
-/// All streams through an engine count against its slots, as nearly all paths
-/// through one that can be first begin there.
 bool may_be_first(path_demand const& demand, path_engine const& engine)
 {
-    if (engine.streams_ >= engine.slots_)
-    {
-        return false;
-    }
     auto const& allowed = demand.allowed_first_ids_;
     return allowed.empty() || std::find(allowed.begin(), allowed.end(),
                                         engine.id_) != allowed.end();
@@ -245,7 +241,13 @@
     std::string const& to = state.engines_[engine].data_centre_;
     if (at == start)
     {
-        return to == state.demand_.data_centre_ ? 0 : remote_first_penalty_ms;
+        // Streams that only pass through count as well, so that an engine that
+        // seems full may still have a slot.
+        path_engine const& first = state.engines_[engine];
+        double const waiting_ms =
+            first.streams_ < first.slots_ ? 0 : full_first_penalty_ms;
+        return waiting_ms +
+               (to == state.demand_.data_centre_ ? 0 : remote_first_penalty_ms);
     }
     bool const is_local = !is_crossing(state, at, engine);
     double const frames_ms =
