Let no foreign question or answer between routers end the process

Cause: the exchange read fields of a question or an answer as the type that a router writes; another type threw through the event loop and ended the process. Addresses are used again, so anybody may ask or answer there. Ruled out: the platform's objects, which are decoded under a check already, but for the lease's holder and the list of routers, mended as well. Change: what is no router's message is logged (E0305) and counts as silence; a question gets 400 with the reason.

--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -91,8 +91,10 @@
     /// Whether the peer is to tell what has changed in the list of endpoints.
     bool wants_endpoints(peer const& peer, time_point now) const;
     nlohmann::json endpoints_since(nlohmann::json const& question) const;
-    void read_endpoints(std::string const& address, nlohmann::json const& state,
-                        time_point now);
+    /// Throws if the answer is none of a router's.
+    void read_state(std::string const& address, peer& peer,
+                    nlohmann::json const& state, time_point now);
+    void read_endpoints(nlohmann::json const& state, time_point now);
     void read_peers(nlohmann::json const& state);
     void note_stops(time_point now);
     void ask(std::string const& address, peer& peer, milliseconds interval,
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -9,6 +9,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include "auburnlb/coordination/versioned_entries.hpp"
 #include "auburnlb/router/caller_connection.hpp"
@@ -73,6 +74,8 @@
     peer_exchange_handlers exchange_handlers();
     local_answer answer_control(http_head const& head, std::string const& body);
     void join_fleet(time_point now);
+    /// A router from the store's list; what is none is logged and left out.
+    void add_listed_router(nlohmann::json const& value);
 
     router_core core_;
     /// What the platform wrote, for routers that do not watch it.
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -301,6 +301,7 @@
 }
 
 local_answer peer_exchange::answer(std::string const& body)
+try
 {
     json const question = json::parse(body, nullptr, false);
     if (!question.is_object())
@@ -311,6 +312,12 @@
     add_peer(question.value("from", ""), question.value("data_centre", ""));
     return {status_ok, "application/json", own_state(question)};
 }
+catch (json::exception const& failure)
+{
+    log(log_level::warning, log_event::frame_rejected, {}, failure.what());
+    return {status_bad_request, "text/plain",
+            std::string(failure.what()) + "\n"};
+}
 
 void peer_exchange::on_tick(time_point now)
 {
@@ -398,11 +405,23 @@
         sum_loads(now);
         return;
     }
-    json const state = json::parse(reply.value().body_, nullptr, false);
-    if (!state.is_object())
+    try
     {
-        return;
+        read_state(address, peer, json::parse(reply.value().body_), now);
+    }
+    catch (json::exception const& failure)
+    {
+        // Another program may answer at an address that is used again.
+        ++peer.silences_;
+        log(log_level::warning, log_event::frame_rejected, {{"peer", address}},
+            failure.what());
     }
+}
+
+void peer_exchange::read_state(std::string const& address, peer& peer,
+                               json const& state, time_point now)
+{
+    std::string const data_centre = state.at("data_centre").get<std::string>();
     peer.answered_ = now;
     peer.silences_ = 0;
     peer.stop_end_.reset();
@@ -411,7 +430,7 @@
     {
         peer.stop_end_ = now + milliseconds(left->get<std::int64_t>());
     }
-    peer.data_centre_ = state.value("data_centre", "");
+    peer.data_centre_ = data_centre;
     read_loads(peer, state);
     read_crashes(address, state);
     read_avoided(state, now);
@@ -428,13 +447,11 @@
         handlers_.on_configuration_(text->get<std::string>(), address);
     }
     peer.contact_ = parse_store_contact(state.value("store", ""));
-    read_endpoints(address, state, now);
+    read_endpoints(state, now);
     read_peers(state);
 }
 
-void peer_exchange::read_endpoints(std::string const& address,
-                                   json const& state, time_point now)
-try
+void peer_exchange::read_endpoints(json const& state, time_point now)
 {
     if (auto const told = state.find("endpoints"); told != state.end())
     {
@@ -462,12 +479,6 @@
         behind_since_ = now;
     }
 }
-catch (json::exception const& failure)
-{
-    log(log_level::warning, log_event::frame_rejected, {{"peer", address}},
-        failure.what());
-}
-
 void peer_exchange::read_peers(json const& state)
 {
     for (json const& each : state.value("peers", json::array()))
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -54,7 +54,10 @@
 std::string read_holder(std::string const& value)
 {
     auto const document = nlohmann::json::parse(value, nullptr, false);
-    return document.is_object() ? document.value("holder", "") : "";
+    auto const holder =
+        document.is_object() ? document.find("holder") : document.end();
+    bool const is_readable = holder != document.end() && holder->is_string();
+    return is_readable ? holder->get<std::string>() : "";
 }
 
 milliseconds load_time_of(layer_range const& layers, model_profile const& model)
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -298,6 +298,17 @@
     return {status_not_found, "text/plain", "no such page\n"};
 }
 
+void router::add_listed_router(nlohmann::json const& value)
+try
+{
+    peers_.add_peer(value.at("control").get<std::string>(),
+                    value.at("data_centre").get<std::string>());
+}
+catch (nlohmann::json::exception const& failure)
+{
+    log(log_level::warning, log_event::frame_rejected, {}, failure.what());
+}
+
 void router::join_fleet(time_point now)
 {
     if (now < next_join_ || core_.is_stopping_)
@@ -345,11 +356,7 @@
             {
                 auto const value =
                     nlohmann::json::parse(each.value_, nullptr, false);
-                if (value.is_object())
-                {
-                    peers_.add_peer(value.value("control", ""),
-                                    value.value("data_centre", ""));
-                }
+                add_listed_router(value);
             }
         });
 }
--- a/test/process/router_test.py
+++ b/test/process/router_test.py
@@ -1,10 +1,12 @@
 """The router against a stand-in of the users' platform, as separate processes."""
 
+import http.server
 import json
 import os
 import signal
 import socket
 import subprocess
+import threading
 import time
 import unittest
 
@@ -203,6 +205,38 @@
                            "the change reaches those that are left")
             self.assertTrue(any(map(self.watches_store, left)))
 
+    def test_questions_that_no_router_asks_are_refused(self):
+        with calm() as system:
+            router = system.routers[0]
+            for body in ("no json", "[]", '{"from": 1}', '{"data_centre": []}',
+                         '{"version": "x"}', '{"peers": {}}', '{"endpoint_revision": -1}'):
+                status, _, text = request(router.control, "POST", "/exchange", body)
+                self.assertIn(status, (200, 400), body)
+                self.assertTrue(text)
+            self.assertEqual(system.look(router, "look-1").status, 200)
+
+    def test_answers_that_no_router_gives_are_logged(self):
+        class Foreign(http.server.BaseHTTPRequestHandler):
+            def do_POST(self):
+                text = b'{"data_centre": 3, "peers": [1], "loads": 2, "endpoints": []}'
+                self.send_response(200)
+                self.send_header("Content-Length", str(len(text)))
+                self.end_headers()
+                self.wfile.write(text)
+
+            def log_message(self, *_):
+                pass
+        with http.server.HTTPServer(("127.0.0.1", 0), Foreign) as foreign:
+            threading.Thread(target=foreign.serve_forever, daemon=True).start()
+            with PlatformCluster() as system:
+                system.add_engine("desk-0", service=DESK)
+                system.seeds.append(f"127.0.0.1:{foreign.server_address[1]}")
+                router = system.add_router()
+                wait_until(lambda: '"E0305"' in router.log(), "the answer is logged")
+                wait_until(lambda: system.look(router, "look-1").status == 200,
+                           "the router serves")
+            foreign.shutdown()
+
     def test_outage_of_the_store_stops_nothing(self):
         for mode in ("busy", "many", "silent", "reset"):
             with self.subTest(mode=mode), calm() as system:
