--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -20,7 +20,7 @@
 ENGINE_MB = 1000.0
 
 
-def configuration(version=1, routes=(), keys=(KEY,), timeout_ms=10_000):
+def configuration(version=1, routes=(), keys=(KEY,), timeout_ms=10_000, book_attempts=1):
     """The operators' object: a stream route and two plain ones."""
     base = [
         {"name": "stream", "host": HOST, "path-prefix": "/stream/", "kind": "streaming",
@@ -28,7 +28,7 @@
          "max-attempts": 2, "public": False, "resumable": True, "gap-aim-ms": 200},
         {"name": "book", "host": HOST, "path-prefix": "/book/", "kind": "unsafe",
          "timeout-ms": 1000, "latency-target-ms": 100, "priority": 2, "service": DESK,
-         "max-attempts": 1, "public": False},
+         "max-attempts": book_attempts, "public": False},
         {"name": "look", "host": HOST, "path-prefix": "/look/", "kind": "safe",
          "timeout-ms": 1000, "latency-target-ms": 100, "priority": 2, "service": DESK,
          "max-attempts": 2, "public": False}]
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -123,6 +123,10 @@
         for index in range(ROUTERS):
             self.add_member_router(f"router-{index}", ZONES[index % len(ZONES)])
 
+    def configure(self, **changes):
+        """Lets bookings be sent to a second endpoint, so that a wrong repeat is seen."""
+        return super().configure(book_attempts=2, **changes)
+
     def add_member_engine(self, name, service, zone):
         relay = Relay(self, f"relay-{name}", self.store.port)
 
