Give sums of loads, ranks of peers and the soak's counts one place each

Cause: a review of the whole change. Three places added the same fields of loads; the rank of a router of another data centre was hashed a hundred times a second though it never changes; the soak read one answer in two ways; a time and a delete call were kept and never used. Ruled out, left and listed: the answer's head is decoded twice, because the receiver may end the connection while it takes the head; the report's stalled streams, which a test reads. Behaviour is as before.

--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -31,6 +31,8 @@
     bool operator==(endpoint_load const&) const = default;
 };
 
+endpoint_load& operator+=(endpoint_load& sum, endpoint_load const& load);
+
 /// One endpoint. Requests in progress share it, so that it outlives its entry.
 struct known_endpoint
 {
@@ -58,6 +60,9 @@
 
 using endpoint_ptr = std::shared_ptr<known_endpoint>;
 
+/// What this router and all others have there.
+endpoint_load total_load(known_endpoint const& endpoint);
+
 /// All endpoints, by identifier.
 struct endpoint_directory
 {
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -73,7 +73,8 @@
         bool is_waiting_ = false;
         /// Questions without an answer since the last one.
         std::uint32_t silences_ = 0;
-        time_point known_since_{};
+        /// Order of asking among the routers of another data centre.
+        std::uint64_t rank_ = 0;
         /// Set after its first answer.
         std::optional<time_point> answered_;
         time_point next_call_{};
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -168,8 +168,6 @@
     /// Creates the object for the revision 0, else replaces that revision.
     http_call (*write_put_call_)(std::string const& kind,
                                  store_object const& object);
-    http_call (*write_delete_call_)(std::string const& kind,
-                                    std::string const& name);
     result<store_object> (*read_object_)(std::string const& body);
 };
 
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -27,8 +27,7 @@
                   std::string const& data_centre, time_point now)
 {
     double const requests =
-        static_cast<double>(endpoint.load_.requests_) +
-        static_cast<double>(endpoint.foreign_load_.requests_) + 1;
+        static_cast<double>(total_load(endpoint).requests_) + 1;
     double const share =
         requests / std::max(1.0, static_cast<double>(endpoint.record_.slots_));
     double const distance =
@@ -38,6 +37,21 @@
 
 } // namespace
 
+endpoint_load& operator+=(endpoint_load& sum, endpoint_load const& load)
+{
+    sum.requests_ += load.requests_;
+    sum.kv_reserved_ += load.kv_reserved_;
+    sum.prefill_backlog_ += load.prefill_backlog_;
+    return sum;
+}
+
+endpoint_load total_load(known_endpoint const& endpoint)
+{
+    endpoint_load total = endpoint.load_;
+    total += endpoint.foreign_load_;
+    return total;
+}
+
 endpoint_change apply_record(endpoint_directory& directory,
                              endpoint_record const& record)
 {
@@ -164,13 +178,11 @@
     std::uint32_t const held = engine.layers_.end_ - engine.layers_.first_;
     engine.kv_capacity_ = kv_tokens_beside(model, engine.accelerator_, held) *
                           static_cast<double>(held);
-    engine.kv_reserved_ =
-        endpoint.load_.kv_reserved_ + endpoint.foreign_load_.kv_reserved_;
-    engine.streams_ =
-        endpoint.load_.requests_ + endpoint.foreign_load_.requests_;
+    endpoint_load const total = total_load(endpoint);
+    engine.kv_reserved_ = total.kv_reserved_;
+    engine.streams_ = total.requests_;
     engine.slots_ = endpoint.record_.slots_;
-    engine.prefill_backlog_ = endpoint.load_.prefill_backlog_ +
-                              endpoint.foreign_load_.prefill_backlog_;
+    engine.prefill_backlog_ = total.prefill_backlog_;
     engine.cost_factor_ = cost_factor(endpoint.health_, now);
     engine.is_usable_ = held > 0 && accelerator != model.accelerators_.end() &&
                         now >= endpoint.layers_lost_until_ &&
@@ -209,9 +221,7 @@
 
 void add_load(known_endpoint& endpoint, endpoint_load const& load)
 {
-    endpoint.load_.requests_ += load.requests_;
-    endpoint.load_.kv_reserved_ += load.kv_reserved_;
-    endpoint.load_.prefill_backlog_ += load.prefill_backlog_;
+    endpoint.load_ += load;
 }
 
 void subtract_load(known_endpoint& endpoint, endpoint_load const& load)
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -60,10 +60,7 @@
 {
     for (auto const& [id, load] : loads)
     {
-        endpoint_load& sum = sums[id];
-        sum.requests_ += load.requests_;
-        sum.kv_reserved_ += load.kv_reserved_;
-        sum.prefill_backlog_ += load.prefill_backlog_;
+        sums[id] += load;
     }
 }
 
@@ -91,7 +88,9 @@
     auto const [entry, is_new] = peers_.try_emplace(address);
     if (is_new)
     {
-        entry->second.known_since_ = core_.clock_.now();
+        // Each router ranks them differently, so that all are asked.
+        std::string const pair = core_.options_.control_address_ + address;
+        entry->second.rank_ = XXH64(pair.data(), pair.size(), 0);
     }
     if (!data_centre.empty())
     {
@@ -150,10 +149,8 @@
             asked.push_back(address);
             continue;
         }
-        // Each router ranks them differently, so that all are asked.
-        std::string const pair = core_.options_.control_address_ + address;
-        std::tuple const rank(peer.silences_ < max_silences,
-                              XXH64(pair.data(), pair.size(), 0), address);
+        std::tuple const rank(peer.silences_ < max_silences, peer.rank_,
+                              address);
         auto const [entry, is_first] =
             chosen.try_emplace(peer.data_centre_, rank);
         if (!is_first && entry->second < rank)
@@ -479,6 +476,7 @@
         behind_since_ = now;
     }
 }
+
 void peer_exchange::read_peers(json const& state)
 {
     for (json const& each : state.value("peers", json::array()))
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -229,13 +229,13 @@
         engine.data_centre_ = record.data_centre_;
         engine.accelerator_ = accelerator->second;
         engine.layers_ = record.layers_;
-        engine.streams_ = each->load_.requests_ + each->foreign_load_.requests_;
+        endpoint_load const load = total_load(*each);
+        engine.streams_ = load.requests_;
         if (record.layers_)
         {
             engine.used_tokens_ =
-                (each->load_.kv_reserved_ + each->foreign_load_.kv_reserved_) /
-                static_cast<double>(record.layers_->end_ -
-                                    record.layers_->first_);
+                load.kv_reserved_ / static_cast<double>(record.layers_->end_ -
+                                                        record.layers_->first_);
         }
         if (auto const order = orders_.find(record.id_); order != orders_.end())
         {
--- a/src/router/request_answer.cpp
+++ b/src/router/request_answer.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "auburnlb/router/http_status.hpp"
+
 namespace auburnlb
 {
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -89,8 +89,7 @@
 def end_drained(world, member):
     """Nothing may run any more at an engine whose drain was told long ago."""
     if member.is_running() and not member.is_paused and not member.is_end_expected:
-        counts = request(member.process.port, "GET", "/fake/runs")[2]
-        world.drained.append((member.name, counts))
+        world.drained.append((member.name, world.streams_at(member)))
         member.kill(0.5)
         world.remove_entry(member.name)
 
--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -1,6 +1,5 @@
 """What the soak checks, from what callers and engines saw."""
 
-import json
 import threading
 
 from platform_cluster import expected_events
@@ -83,8 +82,7 @@
 
     def check_drained(self):
         """Nothing runs at an engine whose drain was told long ago."""
-        for name, counts in self.world.drained:
-            streams = json.loads(counts)["streams"]
+        for name, streams in self.world.drained:
             if streams and self.is_planned:
                 self.fail("drain", f"{name} still has {streams} streams at its drain's end")
 
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -131,9 +131,7 @@
     def check_left(self):
         """What callers left is not worked on any more."""
         def streams():
-            return sum(int(request(each.process.port, "GET", "/fake/runs")[2]
-                           .rsplit('"streams":', 1)[1].rstrip("}"))
-                       for each in self.world.engines_by_name.values())
+            return sum(map(self.world.streams_at, self.world.engines_by_name.values()))
         try:
             wait_until(lambda: streams() == 0, "no stream runs", LEFT_MARGIN_S)
         except TimeoutError:
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -1,6 +1,7 @@
 """The soak's deployment: the users' platform of the process tests with a relay before
 each engine and between each router and the store, whose processes end and start again."""
 
+import json
 import os
 import random
 import signal
@@ -113,7 +114,7 @@
         self.newest_route = 0
         # Routers that callers are sent to.
         self.ready = []
-        # What engines said at the end of their drains, by name.
+        # Name of each engine that was drained, and its streams at the end.
         self.drained = []
         for zone in ZONES:
             for index in range(ENGINES_PER_ZONE):
@@ -169,6 +170,12 @@
         self.configure(routes=self.extra_routes)
         self.newest_route = number
 
+    @staticmethod
+    def streams_at(member):
+        """Streams that an engine still writes."""
+        counts = request(member.process.port, "GET", "/fake/runs")[2]
+        return json.loads(counts)["streams"]
+
     def recorded_runs(self):
         """How often each request ran, over all engines that ever lived."""
         counts = {}
