Extend engines over the layers of those that leave, and look for lost engines early

The leader learned of a crash only when the list dropped the entry, about 3 s later. Change: engines next to the missing layers take them as well, which gives up nothing; a gap that lasts 5 s is split anew over the data centre, one data centre at a time. The leader probes engines that some router avoids, and extends over those that are probably lost. An engine that may be missing from the list only because the store was away keeps its layers in the plan. Events E0704 and E0705.

--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -47,6 +47,10 @@
     /// Times of the last answered and the last failed probe.
     time_point probe_answered_{};
     time_point probe_failed_{};
+    /// When the first of the latest consecutive probes failed.
+    time_point silent_since_{};
+    /// Whether the last failed probe found no process at the address.
+    bool is_refusing_connections_ = false;
     /// When the last probe was sent, and whether its outcome is pending.
     time_point probe_sent_{};
     bool is_probe_pending_ = false;
@@ -126,6 +130,14 @@
 /// not responded after that.
 bool has_failed_since(known_endpoint const& endpoint, time_point since);
 
+/// Records a failed probe, and whether the host refused the connection.
+void record_probe_failure(known_endpoint& endpoint, bool is_refused,
+                          time_point now);
+
+/// Returns whether the endpoint's process is gone, or it has not responded to
+/// probes for so long that it is probably lost.
+bool is_probably_lost(known_endpoint const& endpoint, time_point now);
+
 /// Converts an engine to the input of the path selection.
 path_engine to_path_engine(known_endpoint const& endpoint,
                            model_profile const& model, time_point now);
--- a/include/auburnlb/coordination/layer_plan.hpp
+++ b/include/auburnlb/coordination/layer_plan.hpp
@@ -3,10 +3,12 @@
 #define AUBURNLB_COORDINATION_LAYER_PLAN_HPP
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "auburnlb/state/clock.hpp"
 #include "auburnlb/state/ids.hpp"
 #include "auburnlb/state/model_profile.hpp"
 
@@ -23,6 +25,9 @@
     std::optional<layer_range> layers_;
     /// Whether the engine may be ordered to hold other layers now.
     bool is_movable_ = true;
+    /// Whether the engine is probably lost. Others may be extended over its
+    /// layers, but it keeps them in case it responds again.
+    bool is_probably_lost_ = false;
     /// Streams through the engine. It gives up layers only after these end.
     std::uint32_t streams_ = 0;
     /// KV cache that the streams use or will need, in tokens.
@@ -40,17 +45,22 @@
     bool operator==(plan_step const&) const = default;
 };
 
+/// Since when a data centre has lacked layers, by its name.
+struct gap_history
+{
+    std::map<std::string, time_point> since_;
+
+    bool operator==(gap_history const&) const = default;
+};
+
 /// Returns the orders that improve the placement; empty if it is good. A
 /// replica of the model stays within one data centre, because the links between
 /// data centres are shared. The first plan splits the engines of a data centre
-/// into complete replicas. Later plans assign engines without layers to the
-/// layers with the least KV cache. An engine with layers moves only to layers
-/// that no engine of its data centre holds, or whose KV cache is nearly used up
-/// while that of others is not, because a moving engine accepts no new streams
-/// until its current ones have ended. No engine is ordered to hold more than
-/// its memory allows.
+/// into complete replicas; later plans repair it (layer_repair.hpp). No engine
+/// is ordered to hold more than its memory allows.
 std::vector<plan_step> plan_layers(std::vector<plan_engine> const& engines,
-                                   model_profile const& model);
+                                   model_profile const& model,
+                                   gap_history& gaps, time_point now);
 
 } // namespace auburnlb
 
--- a/include/auburnlb/router/placement_controller.hpp
+++ b/include/auburnlb/router/placement_controller.hpp
@@ -72,6 +72,9 @@
     void run(lease_actions const& actions);
     void read_lease_object();
     void write_lease_object(write_lease const& action);
+    /// Probes the engines that this or another router avoids, to find out which
+    /// of them are lost before the platform's list shows it.
+    void probe_avoided_engines(time_point now);
     void plan_service(service_entry const& service, time_point now);
     std::vector<plan_engine> engines_of(service_entry const& service,
                                         time_point now);
@@ -97,6 +100,8 @@
     std::map<std::string, order> orders_;
     /// By service.
     std::map<std::string, initial_join> initial_joins_;
+    /// By service.
+    std::map<std::string, gap_history> gaps_;
     time_point next_plan_{};
 };
 
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -64,6 +64,8 @@
     duty_lost = 701,
     layers_ordered = 702,
     order_failed = 703,
+    layers_missing = 704,
+    layers_complete = 705,
 };
 
 /// A named field of an event, such as {"request", "1f-3"} or {"peer", ...}.
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -17,6 +17,9 @@
 /// and waiting, is full.
 constexpr double max_requests_per_slot = 4;
 
+/// An endpoint that has not responded to probes for this long is probably lost.
+constexpr milliseconds max_silence{1'000};
+
 bool has_other_layers(endpoint_record const& left, endpoint_record const& right)
 {
     return left.layers_ != right.layers_;
@@ -160,6 +163,28 @@
            !has_responded_since(endpoint, endpoint.probe_failed_);
 }
 
+void record_probe_failure(known_endpoint& endpoint, bool is_refused,
+                          time_point now)
+{
+    bool const is_first = !has_failed_since(endpoint, endpoint.silent_since_);
+    if (is_first)
+    {
+        endpoint.silent_since_ = now;
+    }
+    endpoint.probe_failed_ = now;
+    endpoint.is_refusing_connections_ = is_refused;
+}
+
+bool is_probably_lost(known_endpoint const& endpoint, time_point now)
+{
+    if (!has_failed_since(endpoint, endpoint.silent_since_))
+    {
+        return false;
+    }
+    return endpoint.is_refusing_connections_ ||
+           now - endpoint.silent_since_ >= max_silence;
+}
+
 path_engine to_path_engine(known_endpoint const& endpoint,
                            model_profile const& model, time_point now)
 {
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -40,14 +40,14 @@
 void endpoint_prober::on_probe_failed(endpoint_ptr const& endpoint,
                                       error const& failure, time_point now)
 {
-    endpoint->probe_failed_ = now;
+    bool const is_refused = failure.code_ == error_code::unreachable &&
+                            now - endpoint->probe_sent_ < max_refusal_delay;
+    record_probe_failure(*endpoint, is_refused, now);
     record_health_signal(endpoint->health_, health_signal::silence, now);
     log(log_level::warning, log_event::peer_silent,
         {{"peer", endpoint->record_.id_},
          {"address", endpoint->record_.address_}},
         to_string(failure));
-    bool const is_refused = failure.code_ == error_code::unreachable &&
-                            now - endpoint->probe_sent_ < max_refusal_delay;
     if (is_refused && on_connection_refused_)
     {
         on_connection_refused_(*endpoint);
--- a/src/router/placement_controller.cpp
+++ b/src/router/placement_controller.cpp
@@ -37,6 +37,13 @@
 constexpr milliseconds join_quiet_time{700};
 constexpr milliseconds max_join_wait{3'500};
 
+/// Interval between probes of an engine that some router avoids.
+constexpr milliseconds suspect_probe_interval{400};
+
+/// If more than this share of the engines seems to be lost, the leader has
+/// probably lost its own connection to them.
+constexpr double max_lost_share = 0.35;
+
 /// Time after which an order without a response is assumed not to be executed
 /// any more.
 constexpr milliseconds late_order_time{3'000};
@@ -72,6 +79,29 @@
     return min_load_time + std::chrono::duration_cast<milliseconds>(alone);
 }
 
+void log_gap_changes(std::string const& service, gap_history const& before,
+                     gap_history const& after)
+{
+    for (auto const& [data_centre, since] : after.since_)
+    {
+        if (!before.since_.contains(data_centre))
+        {
+            log(log_level::warning, log_event::layers_missing,
+                {{"service", service}, {"data_centre", data_centre}},
+                "no engine of the data centre holds some of the layers");
+        }
+    }
+    for (auto const& [data_centre, since] : before.since_)
+    {
+        if (!after.since_.contains(data_centre))
+        {
+            log(log_level::info, log_event::layers_complete,
+                {{"service", service}, {"data_centre", data_centre}},
+                "the engines of the data centre hold all layers, or will");
+        }
+    }
+}
+
 } // namespace
 
 placement_controller::placement_controller(router_core& core,
@@ -107,6 +137,7 @@
         return;
     }
     next_plan_ = now + plan_interval;
+    probe_avoided_engines(now);
     for (service_entry const& each : core_.routes_->table().services_)
     {
         if (each.model_ && each.model_->layers_ > 1)
@@ -116,6 +147,23 @@
     }
 }
 
+void placement_controller::probe_avoided_engines(time_point now)
+{
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        bool const is_suspect =
+            !is_available(endpoint->health_, now) ||
+            has_failed_since(*endpoint, endpoint->silent_since_);
+        if (is_suspect && endpoint->record_.layers_ &&
+            !endpoint->record_.is_draining_ &&
+            !has_responded_since(*endpoint, now - suspect_probe_interval) &&
+            now - endpoint->probe_sent_ >= suspect_probe_interval)
+        {
+            core_.prober_.probe(endpoint);
+        }
+    }
+}
+
 bool placement_controller::is_leader(time_point now) const
 {
     return held_fencing_number(lease_, now).has_value();
@@ -226,8 +274,7 @@
         endpoint_record const& record = each->record_;
         auto const accelerator =
             service.model_->accelerators_.find(record.accelerator_);
-        if (accelerator == service.model_->accelerators_.end() ||
-            each->missing_since_)
+        if (accelerator == service.model_->accelerators_.end())
         {
             continue;
         }
@@ -236,6 +283,10 @@
         engine.data_centre_ = record.data_centre_;
         engine.accelerator_ = accelerator->second;
         engine.layers_ = record.layers_;
+        // An engine that may be missing only because the platform was
+        // unreachable keeps its layers, and gets no orders.
+        engine.is_movable_ = !each->missing_since_;
+        engine.is_probably_lost_ = is_probably_lost(*each, now);
         endpoint_load const load = total_load(*each);
         engine.streams_ = load.requests_;
         if (record.layers_)
@@ -254,7 +305,17 @@
         }
         engines.push_back(std::move(engine));
     }
-    static_cast<void>(now);
+    auto const lost = std::count_if(engines.begin(), engines.end(),
+                                    [](plan_engine const& each)
+                                    { return each.is_probably_lost_; });
+    if (static_cast<double>(lost) >
+        static_cast<double>(engines.size()) * max_lost_share)
+    {
+        for (plan_engine& each : engines)
+        {
+            each.is_probably_lost_ = false;
+        }
+    }
     return engines;
 }
 
@@ -284,7 +345,11 @@
     {
         return;
     }
-    for (plan_step const& step : plan_layers(engines, *service.model_))
+    gap_history& gaps = gaps_[service.name_];
+    gap_history const before = gaps;
+    auto const steps = plan_layers(engines, *service.model_, gaps, now);
+    log_gap_changes(service.name_, before, gaps);
+    for (plan_step const& step : steps)
     {
         if (!orders_.contains(step.id_))
         {
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -70,6 +70,8 @@
     {log_event::duty_lost, "duty_lost"},
     {log_event::layers_ordered, "layers_ordered"},
     {log_event::order_failed, "order_failed"},
+    {log_event::layers_missing, "layers_missing"},
+    {log_event::layers_complete, "layers_complete"},
 });
 
 constexpr auto event_list = []
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -190,3 +190,26 @@
     endpoint.last_progress_ = start + milliseconds(150);
     EXPECT_FALSE(has_failed_since(endpoint, start));
 }
+
+TEST(endpoint_directory, an_endpoint_that_is_silent_for_long_is_probably_lost)
+{
+    known_endpoint endpoint;
+    EXPECT_FALSE(is_probably_lost(endpoint, start));
+    record_probe_failure(endpoint, false, start);
+    EXPECT_FALSE(is_probably_lost(endpoint, start + milliseconds(400)));
+    record_probe_failure(endpoint, false, start + milliseconds(900));
+    EXPECT_TRUE(is_probably_lost(endpoint, start + milliseconds(1'100)));
+    endpoint.probe_answered_ = start + milliseconds(1'200);
+    EXPECT_FALSE(is_probably_lost(endpoint, start + milliseconds(1'300)));
+    record_probe_failure(endpoint, false, start + milliseconds(1'400));
+    EXPECT_FALSE(is_probably_lost(endpoint, start + milliseconds(1'500)));
+}
+
+TEST(endpoint_directory, an_endpoint_that_refuses_connections_is_lost_at_once)
+{
+    known_endpoint endpoint;
+    record_probe_failure(endpoint, true, start);
+    EXPECT_TRUE(is_probably_lost(endpoint, start));
+    endpoint.last_progress_ = start + milliseconds(100);
+    EXPECT_FALSE(is_probably_lost(endpoint, start + milliseconds(200)));
+}
--- a/test/coordination/path_choice_test.cpp
+++ b/test/coordination/path_choice_test.cpp
@@ -19,7 +19,9 @@
 std::vector<path_engine> planned_engines(std::string const& name = "dc-1")
 {
     auto engines = split_model::data_centre(name);
-    split_model::carry_out(engines, plan_layers(engines, model));
+    gap_history gaps;
+    split_model::carry_out(engines,
+                           plan_layers(engines, model, gaps, time_point{}));
     return split_model::path_engines(engines);
 }
 
