--- a/include/auburnlb/coordination/path_choice.hpp
+++ b/include/auburnlb/coordination/path_choice.hpp
@@ -14,6 +14,12 @@
 namespace auburnlb
 {
 
+/// Multiple of an engine's KV cache that requests may reserve. A reservation is
+/// for the whole response, which fills it only as it is generated, and many
+/// responses end early. If too much is filled at once, the engine preempts its
+/// newest requests and continues them later.
+inline constexpr double kv_overcommit = 1.25;
+
 /// State of an engine that may be part of a path.
 struct path_engine
 {
@@ -52,7 +58,7 @@
     /// Data centre of the router. A first engine in another data centre adds to
     /// the cost of a path.
     std::string data_centre_;
-    /// Fraction of an engine's KV cache that may be reserved, in (0, 1].
+    /// Multiple of an engine's KV cache that may be reserved; positive.
     double max_kv_share_ = 1;
     /// Whether the path may cross between data centres.
     bool may_cross_ = true;
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -83,6 +83,7 @@
         static_cast<double>(event_count_) *
             static_cast<double>(model.steps_per_event_);
     demand.answer_tokens_ = expected_output_tokens();
+    demand.max_kv_share_ = kv_overcommit;
     demand.data_centre_ = core_.options_.data_centre_;
     demand.may_cross_ = may_cross(core_.services_[service_name_].links_, model,
                                   core_.live_router_count_, now);
