Give a new router the retry slack over one window

A process that has just started knows no other router, so each took a fifth of the whole fleet's slack for itself. Change: the slack grows from nothing over one window from the start of the process. A test lets 100 routers restart at once; before the change they took more than the limit. Ruled out: waiting until other routers are known, which leaves a single router without slack for good.

--- a/include/auburnlb/coordination/retry_window.hpp
+++ b/include/auburnlb/coordination/retry_window.hpp
@@ -37,9 +37,9 @@
         bool operator==(slot const&) const = default;
     };
     std::deque<slot> slots_;
-    /// Start of the process. The slack is available in full only after one
-    /// window from then, because a previous process of this router may have
-    /// used it.
+    /// Start of the process. The slack becomes available over one window from
+    /// then: a previous process may have used it, and a new one does not know
+    /// yet how many routers share it.
     time_point began_{};
 
     bool operator==(retry_window const&) const = default;
--- a/src/coordination/retry_window.cpp
+++ b/src/coordination/retry_window.cpp
@@ -17,9 +17,6 @@
 /// the routers' clocks and for requests in transit.
 constexpr double used_share = 0.8;
 
-/// Fraction of the slack that a new process may use at once.
-constexpr double min_slack_share = 0.2;
-
 retry_window::slot& current_slot(retry_window& window,
                                  retry_limits const& limits, time_point now)
 {
@@ -58,8 +55,8 @@
     }
     double const age = std::chrono::duration<double>(now - window.began_) /
                        std::chrono::duration<double>(limits.window_);
-    double const shared = limits.slack_ / std::max(routers, 1U) *
-                          std::clamp(age, min_slack_share, 1.0);
+    double const shared =
+        limits.slack_ / std::max(routers, 1U) * std::clamp(age, 0.0, 1.0);
     return (limits.ratio_ * requests + shared) * used_share - retries;
 }
 
--- a/test/coordination/retry_window_test.cpp
+++ b/test/coordination/retry_window_test.cpp
@@ -57,15 +57,43 @@
     EXPECT_EQ(take_all(window, 1, later + seconds(11)), taken);
 }
 
-TEST(retry_window, a_new_process_may_use_only_part_of_the_slack_at_once)
+TEST(retry_window, a_new_process_gets_the_slack_over_one_window)
 {
     retry_window before;
     int const all = take_all(before, 1, later);
     retry_window after;
     after.began_ = later;
-    int const at_once = take_all(after, 1, later);
-    EXPECT_LE(at_once, all / 4);
-    EXPECT_GT(at_once, 0);
+    EXPECT_EQ(take_all(after, 1, later), 0);
+    int const soon = take_all(after, 1, later + seconds(2));
+    EXPECT_GT(soon, 0);
+    EXPECT_LE(soon, all / 4);
+}
+
+TEST(retry_window, a_fleet_that_restarts_at_once_stays_within_the_limit)
+{
+    constexpr int routers = 100;
+    constexpr int requests_each = 60;
+    // Each router finds the others within a second of its start.
+    auto const known = [](int second) -> std::uint32_t
+    {
+        return second == 0 ? 1 : routers;
+    };
+    int retries = 0;
+    for (int router = 0; router < routers; ++router)
+    {
+        retry_window window;
+        window.began_ = later;
+        for (int second = 0; second < 10; ++second)
+        {
+            time_point const now = later + seconds(second);
+            for (int count = 0; count < requests_each / 10; ++count)
+            {
+                record_request(window, limits, now);
+            }
+            retries += take_all(window, known(second), now);
+        }
+    }
+    EXPECT_LE(retries, limits.ratio_ * routers * requests_each + limits.slack_);
 }
 
 RC_GTEST_PROP(retry_window, retries_stay_within_the_limit_in_every_window, ())
