--- a/src/coordination/layer_plan.cpp
+++ b/src/coordination/layer_plan.cpp
@@ -82,7 +82,7 @@
 {
     if (is_empty(engines))
     {
-        auto const steps = first_plan(pointers_to(engines), model);
+        std::vector<plan_step> steps = first_plan(pointers_to(engines), model);
         if (!steps.empty())
         {
             return steps;
