Log the shared parts of a prompt and whether a cut response had begun

What callers saw: streams were cut one after the other, and the log did not say what the requests had in common nor whether the engine had begun to answer. Cause: the header field with the prompt's parts was passed on and never read.

--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -117,6 +117,8 @@
     void send_error(unsigned status, refusal_reason reason,
                     std::optional<milliseconds> retry_after);
     void record_metrics(char const* outcome, time_point now);
+    /// The prompt's shared parts, for the log.
+    std::string prompt_parts_text() const;
     void end_request(char const* outcome, unsigned status);
     void release_reservations();
     bool is_stream() const { return route_->kind_ == route_kind::stream; }
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -34,6 +34,9 @@
     std::uint32_t prompt_tokens_ = 0;
     /// Upper limit of generated tokens.
     std::uint32_t max_output_tokens_ = 0;
+    /// Identifiers of the prompt's parts that other requests may share, in
+    /// order. The last part of a prompt is the request's own and left out.
+    std::vector<std::string> shared_prompt_parts_;
     /// The caller's estimate of generated tokens; often inaccurate.
     std::optional<std::uint32_t> estimated_output_tokens_;
 
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -373,6 +373,16 @@
     }
 }
 
+std::string forwarded_request::prompt_parts_text() const
+{
+    std::string text;
+    for (std::string const& part : caller_request_.shared_prompt_parts_)
+    {
+        text += text.empty() ? part : "," + part;
+    }
+    return text;
+}
+
 void forwarded_request::end_request(char const* outcome, unsigned status)
 {
     if (std::exchange(has_ended_, true))
@@ -397,6 +407,7 @@
          {"events", std::to_string(event_count_)},
          {"prompt_tokens", std::to_string(caller_request_.prompt_tokens_)},
          {"max_tokens", std::to_string(caller_request_.max_output_tokens_)},
+         {"parts", prompt_parts_text()},
          {"first_ms",
           first_event_at_ ? ms_text(*first_event_at_ - received_) : ""},
          {"gap_ms", ms_text(longest_event_gap_)},
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -137,6 +137,8 @@
          {"peer", sent_to_.last_id_},
          {"reason", to_string(outcome)},
          {"events", std::to_string(event_count_)},
+         {"began", is_streaming_ ? "true" : "false"},
+         {"parts", prompt_parts_text()},
          {"path", to_string(path_.path_)}},
         reason);
     if (!try_start(now))
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -20,6 +20,7 @@
                     {"Auburnlb-Model", "model-1"},
                     {"Auburnlb-Token-Counts", "1460,80"},
                     {"Auburnlb-Length-Hint", "60"},
+                    {"Auburnlb-Prefix-Hash", "5c1e07a2:800,91bd:410,e4:250"},
                     {"Auburnlb-Deadline-Ms", "20000"},
                     {"Last-Event-Id", "12"},
                     {"Authorization", "Token key-1"},
@@ -68,6 +69,20 @@
     EXPECT_EQ(request.prompt_tokens_, 1'460U);
     EXPECT_EQ(request.max_output_tokens_, 80U);
     EXPECT_EQ(request.estimated_output_tokens_, 60U);
+    EXPECT_EQ(request.shared_prompt_parts_,
+              (std::vector<std::string>{"5c1e07a2", "91bd"}));
+}
+
+TEST(platform_requests, a_prompt_of_one_part_or_of_none_shares_nothing)
+{
+    http_head head = usual_head();
+    for (char const* const value : {"5c1e07a2:800", ""})
+    {
+        set_field(head, "Auburnlb-Prefix-Hash", value);
+        EXPECT_TRUE(platform::read_request(head)
+                        .value()
+                        .shared_prompt_parts_.empty());
+    }
 }
 
 TEST(platform_requests, names_the_field_that_cannot_be_read)
