Reproduce engines crashed by a part of a prompt

What callers saw: each request with one part in its prompt crashed the engine that began to answer it, and the streams beside it were cut.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -7,6 +7,7 @@
 // off within an event; "extra" sends a second answer; "foreign" answers with
 // another request's id first; "unframed" sends no length; "mute" never answers;
 // "early" answers before a body is read. GET /fake/runs gives the runs by id.
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -86,6 +87,19 @@
     return addresses;
 }
 
+/// Whether a part other than the last of the request's prompt has this
+/// identifier.
+bool has_shared_part(http_head const& head, std::string const& id)
+{
+    auto const request = platform::read_request(head);
+    if (!request || id.empty())
+    {
+        return false;
+    }
+    auto const& parts = request.value().shared_prompt_parts_;
+    return std::find(parts.begin(), parts.end(), id) != parts.end();
+}
+
 class engine;
 
 /// One stream that this engine writes.
@@ -96,12 +110,14 @@
 public:
     running_stream(asio::io_context& io, engine& owner,
                    std::shared_ptr<caller_connection> caller, std::string id,
-                   std::uint64_t next, std::vector<std::string> parts)
+                   std::uint64_t next, std::vector<std::string> parts,
+                   bool is_crashing)
         : owner_(owner)
         , caller_(std::move(caller))
         , id_(std::move(id))
         , next_(next)
         , parts_(std::move(parts))
+        , is_crashing_(is_crashing)
         , timer_(io)
     {
     }
@@ -122,6 +138,8 @@
     std::string id_;
     std::uint64_t next_;
     std::vector<std::string> parts_;
+    /// The process ends instead of writing an event.
+    bool is_crashing_;
     asio::steady_timer timer_;
     milliseconds stalled_{0};
 };
@@ -337,8 +355,9 @@
         }
         std::string const* const last = head.find(names::last_event_id);
         std::uint64_t const next = last == nullptr ? 1 : std::stoull(*last) + 1;
-        std::make_shared<running_stream>(io_, *this, caller, *id, next,
-                                         other_parts(head))
+        std::make_shared<running_stream>(
+            io_, *this, caller, *id, next, other_parts(head),
+            has_shared_part(head, options_.crash_part_))
             ->begin();
     }
 
@@ -397,6 +416,13 @@
     http_head head = completion_metadata(200, id_);
     head.fields_.push_back({"Content-Type", "text/event-stream"});
     caller_->begin_response(head);
+    if (is_crashing_)
+    {
+        timer_.expires_after(event_interval);
+        timer_.async_wait([](asio::error_code const&)
+                          { std::_Exit(EXIT_FAILURE); });
+        return;
+    }
     step();
 }
 
--- a/fakes/users_engine_options.cpp
+++ b/fakes/users_engine_options.cpp
@@ -14,7 +14,7 @@
 constexpr char const* usage =
     "usage: fake-users_engine --id ID --store IP:PORT [--service NAME] "
     "[--zone NAME] [--kind ACCELERATOR] [--events N] "
-    "[--advertise IP:PORT] [--record FILE]\n";
+    "[--advertise IP:PORT] [--record FILE] [--crash-part ID]\n";
 
 } // namespace
 
@@ -29,6 +29,7 @@
                             {"events", required_argument, nullptr, 'e'},
                             {"advertise", required_argument, nullptr, 'a'},
                             {"record", required_argument, nullptr, 'r'},
+                            {"crash-part", required_argument, nullptr, 'c'},
                             {nullptr, 0, nullptr, 0}};
     constexpr std::uint64_t max_events = 100'000;
     for (int chosen = getopt_long(argc, argv, "", names, nullptr); chosen != -1;
@@ -61,6 +62,9 @@
         case 'r':
             options.record_ = optarg;
             break;
+        case 'c':
+            options.crash_part_ = optarg;
+            break;
         default:
             exit_with_usage(usage, 2);
         }
--- a/fakes/users_engine_options.hpp
+++ b/fakes/users_engine_options.hpp
@@ -24,6 +24,9 @@
     /// File to which each run is appended, so that it outlives the process;
     /// empty for none.
     std::string record_;
+    /// A model engine's process ends when it begins to answer a prompt with
+    /// this part; empty for none.
+    std::string crash_part_;
 };
 
 /// Reads the command line; prints what is wrong and exits with status 2.
