Refuse prompts by the part that crashes endpoints

What callers saw: each request with one part in its prompt crashed the endpoint that began to answer it; nothing else was the same in them, so each was new to the quarantine, and the streams beside it were cut again and again. Cause: a crash was counted against the request as a whole (workspace, path and body). The class of fault is a key that is finer than the cause. Why this works: a run that is cut when it has just begun names the parts of its prompt; crashes are kept by the endpoint's run, merged by all routers and passed on at once, so that none counts twice and a restarted router learns them again. The part that has never gone well and explains most crashes is blamed first; the crashes that it explains count against no other part. Only the parts that came together in all these crashes are refused, together.

--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -108,6 +108,16 @@
     /// time.
     void probe_unresponsive(time_point since);
     void record_refusal(time_point now);
+    /// Whether the attempt has just begun to answer, so that its prompt may be
+    /// what crashes the endpoint.
+    bool has_just_begun(time_point now) const;
+    void record_interrupted_run(time_point now);
+    void record_prompt_sound(time_point now);
+    /// Refuses a prompt that is known to crash endpoints.
+    void refuse_prompt();
+    /// Ends a request that may have run, so that it cannot be refused. Returns
+    /// whether it may have.
+    bool end_if_begun();
     void check_stall(time_point now);
     milliseconds stall_timeout() const;
     bool has_alternative(time_point now) const;
@@ -117,8 +127,6 @@
     void send_error(unsigned status, refusal_reason reason,
                     std::optional<milliseconds> retry_after);
     void record_metrics(char const* outcome, time_point now);
-    /// The prompt's shared parts, for the log.
-    std::string prompt_parts_text() const;
     void end_request(char const* outcome, unsigned status);
     void release_reservations();
     bool is_stream() const { return route_->kind_ == route_kind::stream; }
@@ -141,6 +149,7 @@
     workspace_entry const* workspace_ = nullptr;
     time_point deadline_{};
     request_fingerprint fingerprint_ = 0;
+    prompt_parts prompt_parts_;
     bool is_waiting_ = false;
     bool has_ended_ = false;
 
@@ -156,6 +165,10 @@
     bool is_streaming_ = false;
     time_point sent_at_{};
     time_point last_progress_at_{};
+    time_point response_began_at_{};
+    std::uint32_t attempt_events_ = 0;
+    /// Whether this attempt has shown that its prompt crashes nothing.
+    bool is_prompt_sound_ = false;
     /// Moving average of the time between two events.
     nanoseconds mean_event_gap_{0};
     milliseconds stall_extension_{0};
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -65,6 +65,9 @@
     /// empty if it is not known yet.
     void add_peer(std::string const& address, std::string const& data_centre);
     void on_tick(time_point now);
+    /// Polls all routers at the next tick, so that they learn of a change at
+    /// once.
+    void poll_now(time_point now);
     /// Routers of the same data centre that answered recently.
     std::vector<watch_candidate> watch_candidates(time_point now) const;
 
@@ -84,6 +87,10 @@
         /// Set during a planned stop: the latest time at which it ends.
         std::optional<time_point> stop_end_;
         std::map<std::string, endpoint_load> loads_;
+        /// Revision of this router's prompt suspicion that the peer has, and of
+        /// the peer's that this router has.
+        std::uint64_t sent_suspicion_ = 0;
+        std::uint64_t known_suspicion_ = 0;
         store_reachability reachability_ = store_reachability::none;
     };
 
@@ -103,9 +110,13 @@
     void update_peer_stops(time_point now);
     void send_request(std::string const& address, peer& peer,
                       milliseconds interval, time_point now);
-    void on_reply(std::string const& address, result<http_reply> const& reply);
+    /// @param sent_suspicion revision that the peer has if it replied
+    void on_reply(std::string const& address, std::uint64_t sent_suspicion,
+                  result<http_reply> const& reply);
     void read_loads(peer& peer, nlohmann::json const& state);
     void read_crashes(std::string const& address, nlohmann::json const& state);
+    /// Merges the prompt suspicion in a message, if there is any.
+    void read_suspicion(nlohmann::json const& message);
     /// Endpoints that failed this router's last probe.
     nlohmann::json unresponsive_endpoints() const;
     void apply_unresponsive(nlohmann::json const& state, time_point now);
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -62,6 +62,10 @@
                           std::string const& source);
     void on_endpoint(std::string const& id, std::string const& value);
     void on_endpoint_connection_refused(known_endpoint const& endpoint);
+    /// Tells the other routers at once, before the part reaches more endpoints.
+    void on_prompt_crash();
+    /// Logs the prompts that are refused from now on.
+    void log_refused_prompts();
     void on_endpoint_removed(std::string const& id);
     void on_endpoint_delta(entries_delta const& delta);
     /// Starts or stops watching the store, as the other routers require.
@@ -85,6 +89,7 @@
     /// watch the store.
     std::string configuration_text_;
     versioned_entries endpoint_entries_;
+    std::vector<prompt_parts> logged_refusals_;
     store_feed configuration_feed_;
     store_feed endpoint_feed_;
     peer_exchange peers_;
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,6 +17,7 @@
 #include "auburnlb/coordination/crash_counts.hpp"
 #include "auburnlb/coordination/endpoint_directory.hpp"
 #include "auburnlb/coordination/link_budget.hpp"
+#include "auburnlb/coordination/prompt_suspicion.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
 #include "auburnlb/router/connection_pool.hpp"
@@ -74,6 +76,11 @@
     std::shared_ptr<route_index const> routes_;
     endpoint_directory directory_;
     crash_counts crashes_;
+    prompt_suspicion prompt_suspicion_;
+    interrupted_prompts interrupted_prompts_;
+    /// Called after a crash was counted against prompts.
+    std::function<void()> on_prompt_crash_ = [] {
+    };
     connection_pool pool_;
     /// For calls other than callers' requests.
     internal_http_client http_client_;
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -114,6 +114,8 @@
                    std::nullopt);
         return false;
     }
+    prompt_parts_ =
+        make_prompt_parts(service_name_, caller_request_.shared_prompt_parts_);
     return true;
 }
 
@@ -231,19 +233,37 @@
 void forwarded_request::refuse_waiting(time_point)
 {
     is_waiting_ = false;
+    if (!end_if_begun())
+    {
+        send_error(status_unavailable, refusal_reason::overloaded,
+                   retry_delay());
+    }
+}
+
+void forwarded_request::refuse_prompt()
+{
+    if (!end_if_begun())
+    {
+        send_error(status_unavailable, refusal_reason::suspected_crash,
+                   std::nullopt);
+    }
+}
+
+bool forwarded_request::end_if_begun()
+{
     if (caller_->has_begun_response())
     {
         caller_->abort_response();
         end_request("broken_off", 0);
-        return;
+        return true;
     }
     if (may_have_run_)
     {
         send_error(status_bad_gateway, refusal_reason::call_outcome_unknown,
                    std::nullopt);
-        return;
+        return true;
     }
-    send_error(status_unavailable, refusal_reason::overloaded, retry_delay());
+    return false;
 }
 
 void forwarded_request::refuse_for_stop()
@@ -373,16 +393,6 @@
     }
 }
 
-std::string forwarded_request::prompt_parts_text() const
-{
-    std::string text;
-    for (std::string const& part : caller_request_.shared_prompt_parts_)
-    {
-        text += text.empty() ? part : "," + part;
-    }
-    return text;
-}
-
 void forwarded_request::end_request(char const* outcome, unsigned status)
 {
     if (std::exchange(has_ended_, true))
@@ -407,7 +417,7 @@
          {"events", std::to_string(event_count_)},
          {"prompt_tokens", std::to_string(caller_request_.prompt_tokens_)},
          {"max_tokens", std::to_string(caller_request_.max_output_tokens_)},
-         {"parts", prompt_parts_text()},
+         {"parts", to_string(prompt_parts_)},
          {"first_ms",
           first_event_at_ ? ms_text(*first_event_at_ - received_) : ""},
          {"gap_ms", ms_text(longest_event_gap_)},
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/router/suspicion_messages.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -285,6 +286,13 @@
     {
         state["crashes"].push_back({fingerprint, crashes});
     }
+    std::uint64_t const suspicion = core_.prompt_suspicion_.revision_;
+    if (request.value("suspicion_revision", suspicion) != suspicion)
+    {
+        state["suspicion_revision"] = suspicion;
+        state["suspicion"] = write_prompt_suspicion(
+            current_update(core_.prompt_suspicion_), core_.clock_.now());
+    }
     state["avoided"] = unresponsive_endpoints();
     state["store"] = to_string(handlers_.store_reachability_());
     state["endpoint_revision"] = handlers_.endpoint_entries_().revision_;
@@ -315,6 +323,7 @@
                 "the request is not a JSON object\n"};
     }
     add_peer(request.value("from", ""), request.value("data_centre", ""));
+    read_suspicion(request);
     return {status_ok, "application/json", make_state(request)};
 }
 catch (json::exception const& failure)
@@ -353,6 +362,14 @@
     }
 }
 
+void peer_exchange::poll_now(time_point now)
+{
+    for (auto& [address, peer] : peers_)
+    {
+        peer.next_call_ = std::min(peer.next_call_, now);
+    }
+}
+
 void peer_exchange::update_peer_stops(time_point now)
 {
     core_.is_other_router_accepting_ = false;
@@ -386,17 +403,25 @@
                  {"version", core_.routes_ == nullptr
                                  ? 0
                                  : core_.routes_->table().version_}};
+    request["suspicion_revision"] = peer.known_suspicion_;
+    std::uint64_t const suspicion = core_.prompt_suspicion_.revision_;
+    if (peer.sent_suspicion_ != suspicion)
+    {
+        request["suspicion"] = write_prompt_suspicion(
+            current_update(core_.prompt_suspicion_), now);
+    }
     if (should_request_endpoints(peer, now))
     {
         request["endpoint_revision"] = handlers_.endpoint_entries_().revision_;
     }
-    http_client_.call(address, {"POST", "/exchange", request.dump()},
-                      request_timeout,
-                      [this, address](result<http_reply> const& reply)
-                      { on_reply(address, reply); });
+    http_client_.call(
+        address, {"POST", "/exchange", request.dump()}, request_timeout,
+        [this, address, suspicion](result<http_reply> const& reply)
+        { on_reply(address, suspicion, reply); });
 }
 
 void peer_exchange::on_reply(std::string const& address,
+                             std::uint64_t sent_suspicion,
                              result<http_reply> const& reply)
 {
     auto const found = peers_.find(address);
@@ -414,6 +439,7 @@
         sum_loads(now);
         return;
     }
+    peer.sent_suspicion_ = sent_suspicion;
     try
     {
         read_state(address, peer, json::parse(reply.value().body_), now);
@@ -442,6 +468,9 @@
     peer.data_centre_ = data_centre;
     read_loads(peer, state);
     read_crashes(address, state);
+    read_suspicion(state);
+    peer.known_suspicion_ =
+        state.value("suspicion_revision", peer.known_suspicion_);
     apply_unresponsive(state, now);
     if (auto const lease = state.find("lease");
         lease != state.end() && lease->is_object())
@@ -539,6 +568,18 @@
     replace_peer_crashes(core_.crashes_, address, std::move(table));
 }
 
+void peer_exchange::read_suspicion(json const& message)
+{
+    auto const suspicion = message.find("suspicion");
+    if (suspicion == message.end())
+    {
+        return;
+    }
+    time_point const now = core_.clock_.now();
+    merge_update(core_.prompt_suspicion_,
+                 read_prompt_suspicion(*suspicion, now), now);
+}
+
 void peer_exchange::sum_loads(time_point now)
 {
     std::map<std::string, endpoint_load> sums;
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -63,7 +63,8 @@
     limits.has_time_ = deadline_ - now > min_attempt_time;
     limits.may_have_run_ = may_have_run_;
     limits.is_suspect_ =
-        crash_count(core_.crashes_, fingerprint_, now) >= suspect_crash_count;
+        crash_count(core_.crashes_, fingerprint_, now) >= suspect_crash_count ||
+        is_suspect_prompt(core_.prompt_suspicion_, prompt_parts_);
     limits.has_delivered_ = caller_->has_begun_response();
     auto& runtime = core_.services_[service_name_];
     double const left = retries_left(runtime.retries_, core_.options_.retries_,
@@ -138,7 +139,7 @@
          {"reason", to_string(outcome)},
          {"events", std::to_string(event_count_)},
          {"began", is_streaming_ ? "true" : "false"},
-         {"parts", prompt_parts_text()},
+         {"parts", to_string(prompt_parts_)},
          {"path", to_string(path_.path_)}},
         reason);
     if (!try_start(now))
@@ -167,9 +168,7 @@
         return;
     case attempt_outcome::broken:
         record_health_signal(first_health, health_signal::failure, now);
-        record_interrupted_run(
-            core_.crashes_, reservations_.front().endpoint_->record_.address_,
-            fingerprint_, now);
+        record_interrupted_run(now);
         core_.prober_.probe(reservations_.front().endpoint_);
         return;
     case attempt_outcome::silent:
@@ -178,6 +177,21 @@
     }
 }
 
+void forwarded_request::record_interrupted_run(time_point now)
+{
+    endpoint_record const& record = reservations_.front().endpoint_->record_;
+    auburnlb::record_interrupted_run(core_.crashes_, record.address_,
+                                     fingerprint_, now);
+    if (has_just_begun(now) &&
+        record_interrupted_prompt(
+            core_.prompt_suspicion_, core_.interrupted_prompts_,
+            endpoint_run_id(record.id_, record.started_ms_), prompt_parts_,
+            now))
+    {
+        core_.on_prompt_crash_();
+    }
+}
+
 void forwarded_request::record_refusal(time_point now)
 {
     known_endpoint* faulty = reservations_.front().endpoint_.get();
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -39,6 +39,12 @@
 
 bool forwarded_request::try_start(time_point now)
 {
+    if (is_refused_prompt(core_.prompt_suspicion_, prompt_parts_))
+    {
+        is_waiting_ = false;
+        refuse_prompt();
+        return true;
+    }
     bool const is_model = service_entry_ != nullptr && service_entry_->model_ &&
                           service_entry_->model_->layers_ > 1;
     bool const is_started =
@@ -204,6 +210,8 @@
     record_attempt(sent_to_, request.endpoint_id_);
     sent_at_ = now;
     last_progress_at_ = now;
+    attempt_events_ = 0;
+    is_prompt_sound_ = false;
     mean_event_gap_ = nanoseconds(0);
     stall_extension_ = milliseconds(0);
     is_streaming_ = false;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -98,6 +98,10 @@
     core_.prober_.set_on_connection_refused(
         [this](known_endpoint const& endpoint)
         { on_endpoint_connection_refused(endpoint); });
+    core_.on_prompt_crash_ = [this]
+    {
+        on_prompt_crash();
+    };
     last_tick_ = core_.clock_.now();
     last_steady_ = std::chrono::steady_clock::now();
     publish_watch_role();
@@ -224,6 +228,9 @@
     {
         each->on_tick(now);
     }
+    expire_prompt_suspicion(core_.prompt_suspicion_, core_.interrupted_prompts_,
+                            now);
+    log_refused_prompts();
     ready_server_.on_tick(now);
     control_server_.on_tick(now);
     sync_router_list(now);
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -144,6 +144,41 @@
                 "several endpoints crashed while executing the same request");
         }
     }
+    endpoint_record const& record = endpoint.record_;
+    if (confirm_prompt_crash(
+            core_.prompt_suspicion_, core_.interrupted_prompts_,
+            endpoint_run_id(record.id_, record.started_ms_), now))
+    {
+        on_prompt_crash();
+    }
+}
+
+void router::on_prompt_crash()
+{
+    peers_.poll_now(core_.clock_.now());
+}
+
+void router::log_refused_prompts()
+{
+    auto const& refused = core_.prompt_suspicion_.refused_;
+    if (refused == logged_refusals_)
+    {
+        return;
+    }
+    for (prompt_parts const& each : refused)
+    {
+        bool const is_known =
+            std::find(logged_refusals_.begin(), logged_refusals_.end(), each) !=
+            logged_refusals_.end();
+        if (!is_known)
+        {
+            log(log_level::warning, log_event::request_quarantined,
+                {{"parts", to_string(each)}},
+                "several endpoints crashed when they began to answer prompts "
+                "with these parts");
+        }
+    }
+    logged_refusals_ = refused;
 }
 
 void router::on_endpoint_delta(entries_delta const& delta)
--- /dev/null
+++ b/src/router/suspicion_messages.cpp
@@ -0,0 +1,59 @@
+// Encoding and decoding of prompt suspicion.
+#include "auburnlb/router/suspicion_messages.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::int64_t age_ms(time_point at, time_point now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - at).count();
+}
+
+time_point time_at(json const& age, time_point now)
+{
+    return now - milliseconds(age.get<std::int64_t>());
+}
+
+} // namespace
+
+json write_prompt_suspicion(prompt_suspicion_update const& update,
+                            time_point now)
+{
+    json crashes = json::object();
+    for (auto const& [run, crash] : update.crashes_)
+    {
+        crashes[run] = {{"age_ms", age_ms(crash.at_, now)},
+                        {"prompts", crash.prompts_}};
+    }
+    json successes = json::object();
+    for (auto const& [part, at] : update.successes_)
+    {
+        successes[part] = age_ms(at, now);
+    }
+    return {{"crashes", crashes}, {"successes", successes}};
+}
+
+prompt_suspicion_update read_prompt_suspicion(json const& value, time_point now)
+{
+    prompt_suspicion_update update;
+    for (auto const& [run, crash] : value.at("crashes").items())
+    {
+        update.crashes_[run] = {
+            time_at(crash.at("age_ms"), now),
+            crash.at("prompts").get<std::set<prompt_parts>>()};
+    }
+    for (auto const& [part, age] : value.at("successes").items())
+    {
+        update.successes_[part] = time_at(age, now);
+    }
+    return update;
+}
+
+} // namespace auburnlb
--- /dev/null
+++ b/test/coordination/prompt_suspicion_test.cpp
@@ -0,0 +1,218 @@
+// Tests of the search for parts of prompts that crash endpoints.
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "auburnlb/coordination/prompt_suspicion.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+time_point const start{seconds(10'000)};
+prompt_parts const crashing_alone{"m/bad"};
+
+/// One router's knowledge.
+struct observer
+{
+    prompt_suspicion suspicion_;
+    interrupted_prompts interrupted_;
+
+    bool crash(std::string const& run, prompt_parts const& parts, time_point at)
+    {
+        record_interrupted_prompt(suspicion_, interrupted_, run, parts, at);
+        return confirm_prompt_crash(suspicion_, interrupted_, run, at);
+    }
+    void success(prompt_parts const& parts, time_point at)
+    {
+        record_prompt_success(suspicion_, parts, at);
+    }
+    bool refuses(prompt_parts const& parts) const
+    {
+        return is_refused_prompt(suspicion_, parts);
+    }
+};
+
+} // namespace
+
+TEST(prompt_suspicion, different_requests_with_one_crashing_part_are_refused)
+{
+    observer router;
+    for (int number = 0; number < 3; ++number)
+    {
+        std::string const text = std::to_string(number);
+        EXPECT_FALSE(router.refuses({"m/bad", "m/other"}));
+        router.crash("run" + text, {"m/bad", "m/first" + text},
+                     start + seconds(number));
+    }
+    EXPECT_TRUE(router.refuses({"m/bad", "m/other"}));
+    EXPECT_FALSE(router.refuses({"m/first0", "m/other"}));
+    EXPECT_EQ(router.suspicion_.refused_.size(), 1U);
+}
+
+TEST(prompt_suspicion, a_sound_part_beside_the_crashing_one_is_not_refused)
+{
+    observer router;
+    router.success({"m/first"}, start - seconds(5));
+    for (int number = 0; number < 6; ++number)
+    {
+        router.crash("run" + std::to_string(number), {"m/bad", "m/first"},
+                     start + seconds(number));
+        EXPECT_FALSE(router.refuses({"m/first"}));
+    }
+    EXPECT_TRUE(router.refuses({"m/bad", "m/first"}));
+}
+
+TEST(prompt_suspicion, one_more_crash_tells_parts_apart_that_came_together)
+{
+    observer router;
+    for (int number = 0; number < 3; ++number)
+    {
+        router.crash("run" + std::to_string(number), {"m/bad", "m/first"},
+                     start + seconds(number));
+    }
+    EXPECT_TRUE(router.refuses({"m/bad", "m/first"}));
+    EXPECT_FALSE(router.refuses({"m/bad", "m/second"}));
+    router.crash("run3", {"m/bad", "m/second"}, start + seconds(4));
+    EXPECT_TRUE(router.refuses({"m/bad", "m/third"}));
+    EXPECT_FALSE(router.refuses({"m/first"}));
+}
+
+TEST(prompt_suspicion, prompts_cut_by_the_crash_of_another_are_not_refused)
+{
+    observer router;
+    for (int number = 0; number < 4; ++number)
+    {
+        std::string const run = "run" + std::to_string(number);
+        time_point const at = start + seconds(number);
+        router.crash(run, {"m/popular"}, at);
+        router.crash(run, crashing_alone, at);
+    }
+    router.success({"m/popular"}, start + milliseconds(3'500));
+    EXPECT_TRUE(router.refuses(crashing_alone));
+    EXPECT_FALSE(router.refuses({"m/popular"}));
+}
+
+TEST(prompt_suspicion, a_new_sound_part_in_every_crash_is_not_refused)
+{
+    observer router;
+    for (int number = 0; number < 4; ++number)
+    {
+        std::string const run = "run" + std::to_string(number);
+        time_point const at = start + seconds(number);
+        router.crash(run, {"m/a_first"}, at);
+        router.crash(run, {"m/a_first", "m/bad"}, at);
+    }
+    EXPECT_TRUE(router.refuses({"m/a_first", "m/bad"}));
+    EXPECT_FALSE(router.refuses({"m/a_first"}));
+}
+
+TEST(prompt_suspicion, endpoints_lost_at_the_same_moment_count_once)
+{
+    observer router;
+    for (int number = 0; number < 5; ++number)
+    {
+        router.crash("run" + std::to_string(number), {"m/popular"},
+                     start + milliseconds(number));
+    }
+    EXPECT_FALSE(router.refuses({"m/popular"}));
+}
+
+TEST(prompt_suspicion, a_crash_that_several_routers_see_counts_once)
+{
+    observer first;
+    observer second;
+    for (int number = 0; number < 2; ++number)
+    {
+        std::string const run = "run" + std::to_string(number);
+        time_point const at = start + seconds(number);
+        first.crash(run, crashing_alone, at);
+        second.crash(run, crashing_alone, at);
+    }
+    time_point const now = start + seconds(2);
+    merge_update(second.suspicion_, current_update(first.suspicion_), now);
+    EXPECT_FALSE(second.refuses(crashing_alone));
+    first.crash("run2", crashing_alone, now);
+    merge_update(second.suspicion_, current_update(first.suspicion_), now);
+    EXPECT_TRUE(second.refuses(crashing_alone));
+}
+
+TEST(prompt_suspicion, a_restarted_router_learns_what_it_had_confirmed)
+{
+    observer first;
+    observer second;
+    for (int number = 0; number < 3; ++number)
+    {
+        first.crash("run" + std::to_string(number), crashing_alone,
+                    start + seconds(number));
+    }
+    time_point const now = start + seconds(3);
+    merge_update(second.suspicion_, current_update(first.suspicion_), now);
+    first = {};
+    merge_update(first.suspicion_, current_update(second.suspicion_), now);
+    EXPECT_TRUE(first.refuses(crashing_alone));
+}
+
+TEST(prompt_suspicion, a_success_elsewhere_clears_a_part)
+{
+    observer first;
+    observer second;
+    for (int number = 0; number < 3; ++number)
+    {
+        first.crash("run" + std::to_string(number), {"m/popular"},
+                    start + seconds(number));
+    }
+    time_point const now = start + seconds(3);
+    merge_update(second.suspicion_, current_update(first.suspicion_), now);
+    EXPECT_TRUE(second.refuses({"m/popular"}));
+    second.success({"m/popular"}, now);
+    std::uint64_t const revision = first.suspicion_.revision_;
+    merge_update(first.suspicion_, current_update(second.suspicion_), now);
+    EXPECT_FALSE(first.refuses({"m/popular"}));
+    EXPECT_NE(first.suspicion_.revision_, revision);
+    merge_update(first.suspicion_, current_update(second.suspicion_), now);
+    EXPECT_EQ(first.suspicion_.revision_, revision + 1);
+}
+
+TEST(prompt_suspicion, a_run_that_ends_after_its_endpoint_was_found_lost_counts)
+{
+    observer router;
+    EXPECT_FALSE(confirm_prompt_crash(router.suspicion_, router.interrupted_,
+                                      "run", start));
+    EXPECT_TRUE(record_interrupted_prompt(
+        router.suspicion_, router.interrupted_, "run", crashing_alone, start));
+    EXPECT_EQ(router.suspicion_.crashes_.size(), 1U);
+}
+
+TEST(prompt_suspicion, a_cut_without_a_crash_does_not_count)
+{
+    observer router;
+    record_interrupted_prompt(router.suspicion_, router.interrupted_, "run",
+                              crashing_alone, start);
+    EXPECT_FALSE(confirm_prompt_crash(router.suspicion_, router.interrupted_,
+                                      "run", start + seconds(3)));
+    EXPECT_TRUE(router.suspicion_.crashes_.empty());
+}
+
+TEST(prompt_suspicion, two_crashes_end_retries_and_time_ends_all)
+{
+    observer router;
+    router.crash("run0", crashing_alone, start);
+    EXPECT_FALSE(is_suspect_prompt(router.suspicion_, crashing_alone));
+    router.crash("run1", crashing_alone, start + seconds(1));
+    EXPECT_TRUE(is_suspect_prompt(router.suspicion_, crashing_alone));
+    router.crash("run2", crashing_alone, start + seconds(2));
+    expire_prompt_suspicion(router.suspicion_, router.interrupted_,
+                            start + seconds(1'000));
+    EXPECT_FALSE(router.refuses(crashing_alone));
+    EXPECT_TRUE(router.suspicion_.crashes_.empty());
+    EXPECT_TRUE(router.interrupted_.lost_.empty());
+}
+
+TEST(prompt_suspicion, parts_of_different_services_differ)
+{
+    EXPECT_NE(make_prompt_parts("a", {"1"}), make_prompt_parts("b", {"1"}));
+    EXPECT_EQ(make_prompt_parts("a", {"", std::string(65, '1'), "2"}),
+              (prompt_parts{"a/2"}));
+}
--- /dev/null
+++ b/test/router/suspicion_messages_test.cpp
@@ -0,0 +1,36 @@
+// Tests of prompt suspicion in the messages between routers.
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "auburnlb/router/suspicion_messages.hpp"
+
+using namespace auburnlb;
+
+TEST(suspicion_messages, another_routers_clock_does_not_matter)
+{
+    time_point const own{seconds(100)};
+    time_point const others{seconds(7)};
+    prompt_suspicion_update update;
+    update.crashes_["i-1@5"] = {own - milliseconds(400), {{"m/1", "m/2"}}};
+    update.successes_["m/1"] = own - seconds(2);
+    prompt_suspicion_update expected;
+    expected.crashes_["i-1@5"] = {others - milliseconds(400), {{"m/1", "m/2"}}};
+    expected.successes_["m/1"] = others - seconds(2);
+    EXPECT_EQ(
+        read_prompt_suspicion(write_prompt_suspicion(update, own), others),
+        expected);
+}
+
+TEST(suspicion_messages, a_foreign_value_is_an_error)
+{
+    for (
+        char const* const text :
+        {"{}", "[]", R"({"crashes": 1, "successes": {}})",
+         R"({"crashes": {"a": {"age_ms": "x", "prompts": []}}, "successes": {}})"})
+    {
+        EXPECT_THROW(
+            read_prompt_suspicion(nlohmann::json::parse(text), time_point{}),
+            nlohmann::json::exception)
+            << text;
+    }
+}
