Reproduce endpoints that get more requests than the rate they name

What callers saw: an endpoint in need that names the rate of requests it takes got far more of them. Hypotheses: 1. the field with the limit is passed on to callers and never read; 2. each router alone keeps to a limit that is meant for all of them.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -6,7 +6,9 @@
 // "error" answers 500; "lose" runs and closes without an answer; "half" breaks
 // off within an event; "extra" sends a second answer; "foreign" answers with
 // another request's id first; "unframed" sends no length; "mute" never answers;
-// "early" answers before a body is read. GET /fake/runs gives the runs by id.
+// "early" answers before a body is read. A post to /fake/limit sets the rate
+// limit that responses name, an empty one ends it. GET /fake/runs gives the
+// runs by id.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -51,6 +53,10 @@
     std::string fault_ = "none";
     std::map<std::string, int> runs_;
     std::map<std::string, int> cancelled_;
+    /// Value of the rate limit that all responses name; empty for none.
+    std::string rate_limit_;
+    /// Arrivals of requests since the start.
+    std::vector<std::int64_t> arrivals_ms_;
     std::uint64_t born_ = 0;
     /// Streams whose caller is there.
     std::uint32_t streams_ = 0;
@@ -62,12 +68,18 @@
            "\n\n";
 }
 
-http_head completion_metadata(unsigned status, std::string const& request_id)
+http_head completion_metadata(unsigned status, std::string const& request_id,
+                              engine_state const& state)
 {
     http_head head;
     head.status_ = status;
     head.fields_ = {{std::string(names::request_id), request_id},
                     {std::string(names::signature), "signed-" + request_id}};
+    if (!state.rate_limit_.empty())
+    {
+        head.fields_.push_back(
+            {std::string(names::rate_limit), state.rate_limit_});
+    }
     return head;
 }
 
@@ -263,6 +275,10 @@
         {
             state_.fault_ = body;
         }
+        if (head.target_ == "/fake/limit")
+        {
+            state_.rate_limit_ = body;
+        }
         if (head.target_ == "/fake/drain")
         {
             state_.is_draining_ = true;
@@ -271,6 +287,7 @@
         fakes::answer_json(caller, 200,
                            json{{"runs", state_.runs_},
                                 {"cancelled", state_.cancelled_},
+                                {"arrivals_ms", state_.arrivals_ms_},
                                 {"streams", state_.streams_}}
                                .dump());
     }
@@ -337,6 +354,8 @@
             refuse(*caller, unavailable);
             return;
         }
+        state_.arrivals_ms_.push_back(clock_.now().time_since_epoch() /
+                                      milliseconds(1));
         ++state_.runs_[*id];
         record_ << options_.id_ << ' ' << *id << '\n' << std::flush;
         if (options_.kind_.empty())
@@ -350,7 +369,8 @@
         }
         if (state_.fault_ == "error")
         {
-            caller->send_response(completion_metadata(500, *id), "failed");
+            caller->send_response(completion_metadata(500, *id, state_),
+                                  "failed");
             return;
         }
         std::string const* const last = head.find(names::last_event_id);
@@ -388,7 +408,8 @@
             return;
         }
         caller.send_response(
-            completion_metadata(fault == "error" ? 500 : 200, id), "ran " + id);
+            completion_metadata(fault == "error" ? 500 : 200, id, state_),
+            "ran " + id);
         if (fault == "extra")
         {
             caller.send_raw(
@@ -413,7 +434,7 @@
 {
     caller_->set_disconnect_handler(this);
     ++owner_.state().streams_;
-    http_head head = completion_metadata(200, id_);
+    http_head head = completion_metadata(200, id_, owner_.state());
     head.fields_.push_back({"Content-Type", "text/event-stream"});
     caller_->begin_response(head);
     if (is_crashing_)
