Share the rate limits that endpoints name among the routers

Cause: the field that names the limit was passed on and never read. The class of fault is a limit for a whole fleet of which no member knows. Why this works: each router keeps a token bucket for each endpoint that names a limit and fills it at its share, the limit divided by the routers that send there or wait for their turn; the exchange between routers tells their number, summed by data centre as loads are. An empty bucket keeps the endpoint from being first in a path, and plain calls from going there; other endpoints take them, or they wait in the queue and are refused by its estimate. A response to an earlier request does not end a limit; a limit of nothing is tried now and then.

--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -12,6 +12,7 @@
 
 #include "auburnlb/coordination/endpoint_health.hpp"
 #include "auburnlb/coordination/path_choice.hpp"
+#include "auburnlb/coordination/rate_limit.hpp"
 #include "auburnlb/state/clock.hpp"
 #include "auburnlb/state/endpoint_record.hpp"
 
@@ -42,6 +43,7 @@
     endpoint_load load_;
     /// Load from all other routers.
     endpoint_load other_routers_load_;
+    rate_limit rate_limit_;
     /// Last time that a request at the endpoint made progress.
     time_point last_progress_{};
     /// Times of the last answered and the last failed probe.
--- a/include/auburnlb/coordination/path_choice.hpp
+++ b/include/auburnlb/coordination/path_choice.hpp
@@ -43,6 +43,9 @@
     /// Factor of the engine's cost: at least 1, higher for an engine that is
     /// slow or fails.
     double cost_factor_ = 1;
+    /// Whether the engine may be the first one of a path: it takes no more
+    /// requests than its rate limit allows.
+    bool may_be_first_ = true;
     /// Whether the engine may be part of a path.
     bool is_usable_ = true;
 
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -87,6 +87,8 @@
                                          time_point now) const;
     double expected_output_tokens() const;
 
+    /// Applies the rate limit that the response names.
+    void read_rate_limit(time_point now);
     void on_events(std::string_view piece);
     /// Records that the stream produced events. Comments are no progress: a
     /// stalled engine may go on sending them.
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -91,6 +91,9 @@
         /// the peer's that this router has.
         std::uint64_t sent_suspicion_ = 0;
         std::uint64_t known_suspicion_ = 0;
+        /// Routers that send to each endpoint with a rate limit: the peer, or
+        /// its data centre.
+        std::map<std::string, std::uint32_t> senders_;
         store_reachability reachability_ = store_reachability::none;
     };
 
@@ -124,6 +127,10 @@
     std::string make_state(nlohmann::json const& request);
     /// Loads of this router alone, or of its whole data centre.
     nlohmann::json loads(bool of_data_centre) const;
+    /// Senders to each endpoint with a rate limit: this router alone, or its
+    /// whole data centre.
+    nlohmann::json senders(bool of_data_centre) const;
+    void sum_senders(time_point now);
 
     router_core& core_;
     internal_http_client& http_client_;
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -70,6 +70,9 @@
     bool is_not_executed_ = false;
     /// The request that it responds to; empty if not given.
     std::string request_id_;
+    /// Requests per second that the endpoint takes from all routers; unset if
+    /// it names no limit.
+    std::optional<double> rate_limit_;
     /// Address of the engine in the path that caused a refusal, or empty.
     std::string faulty_address_;
 
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -49,6 +49,7 @@
     peer_replaced = 303,
     peer_silent = 304,
     frame_rejected = 305,
+    rate_limit_changed = 306,
     request_refused = 400,
     stream_resumed = 401,
     stream_failed = 402,
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -209,6 +209,7 @@
     engine.streams_ = total.requests_;
     engine.slots_ = endpoint.record_.slots_;
     engine.prefill_backlog_ = total.prefill_backlog_;
+    engine.may_be_first_ = may_send(endpoint.rate_limit_, now);
     engine.cost_factor_ = cost_factor(endpoint.health_, now);
     engine.is_usable_ = layer_count > 0 &&
                         accelerator != model.accelerators_.end() &&
@@ -232,7 +233,8 @@
         bool const is_full =
             each->load_.requests_ >=
             max_requests_per_slot * static_cast<double>(each->record_.slots_);
-        if (is_excluded || is_full || !accepts_requests(*each, now))
+        if (is_excluded || is_full || !accepts_requests(*each, now) ||
+            !may_send(each->rate_limit_, now))
         {
             continue;
         }
--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -184,6 +184,10 @@
 
 bool may_be_first(path_demand const& demand, path_engine const& engine)
 {
+    if (!engine.may_be_first_)
+    {
+        return false;
+    }
     auto const& allowed = demand.allowed_first_ids_;
     return allowed.empty() || std::find(allowed.begin(), allowed.end(),
                                         engine.id_) != allowed.end();
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -201,6 +201,52 @@
     return value;
 }
 
+json peer_exchange::senders(bool of_data_centre) const
+{
+    time_point const now = core_.clock_.now();
+    json value = json::object();
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        if (!endpoint->rate_limit_.per_s_)
+        {
+            continue;
+        }
+        std::uint32_t count = is_sender(endpoint->rate_limit_, now) ? 1 : 0;
+        for (auto const& [address, peer] : peers_)
+        {
+            auto const found = peer.senders_.find(id);
+            if (of_data_centre && is_local(peer) &&
+                found != peer.senders_.end())
+            {
+                count += found->second;
+            }
+        }
+        value[id] = count;
+    }
+    return value;
+}
+
+void peer_exchange::sum_senders(time_point now)
+{
+    std::map<std::string, std::uint32_t> sums;
+    for (auto const& [address, peer] : peers_)
+    {
+        bool const is_recent = peer.last_response_at_ &&
+                               now - *peer.last_response_at_ <= load_lifetime;
+        for (auto const& [id, count] : peer.senders_)
+        {
+            sums[id] += is_recent ? count : 0;
+        }
+    }
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        if (endpoint->rate_limit_.per_s_)
+        {
+            set_other_senders(endpoint->rate_limit_, sums[id], now);
+        }
+    }
+}
+
 json peer_exchange::unresponsive_endpoints() const
 {
     time_point const now = core_.clock_.now();
@@ -265,7 +311,8 @@
     bool const is_local_request =
         request.value("data_centre", "") == core_.options_.data_centre_;
     json state{{"data_centre", core_.options_.data_centre_},
-               {"loads", loads(!is_local_request)}};
+               {"loads", loads(!is_local_request)},
+               {"senders", senders(!is_local_request)}};
     std::uint64_t const version =
         core_.routes_ == nullptr ? 0 : core_.routes_->table().version_;
     if (version > request.value("version", std::uint64_t{0}))
@@ -467,6 +514,8 @@
     }
     peer.data_centre_ = data_centre;
     read_loads(peer, state);
+    peer.senders_ =
+        state.value("senders", std::map<std::string, std::uint32_t>());
     read_crashes(address, state);
     read_suspicion(state);
     peer.known_suspicion_ =
@@ -479,6 +528,7 @@
                              lease->value("version", std::uint64_t{0})});
     }
     sum_loads(now);
+    sum_senders(now);
     if (auto const text = state.find("configuration");
         text != state.end() && text->is_string())
     {
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/log.hpp"
 
 namespace auburnlb
 {
@@ -38,6 +39,7 @@
     response_head_ = head;
     response_ = core_.protocol_.read_response_(head);
     response_began_at_ = core_.clock_.now();
+    read_rate_limit(response_began_at_);
     is_streaming_ =
         is_stream() && is_success(head.status_) && response_.is_signed_;
     if (is_streaming_ && !caller_->has_begun_response())
@@ -46,6 +48,26 @@
     }
 }
 
+void forwarded_request::read_rate_limit(time_point now)
+{
+    bool const is_of_endpoint =
+        response_.is_signed_ || response_.is_not_executed_;
+    if (!is_of_endpoint || reservations_.empty())
+    {
+        return;
+    }
+    known_endpoint& endpoint = *reservations_.front().endpoint_;
+    std::optional<double> const named = response_.rate_limit_;
+    if (record_named_limit(endpoint.rate_limit_, named, sent_at_, now))
+    {
+        log(log_level::info, log_event::rate_limit_changed,
+            {{"peer", endpoint.record_.id_},
+             {"per_s", named ? std::to_string(*named) : ""}},
+            named ? "an endpoint limits its requests"
+                  : "an endpoint limits its requests no longer");
+    }
+}
+
 void forwarded_request::on_response_body(std::string_view piece)
 {
     if (is_streaming_)
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -206,6 +206,7 @@
         request.urgency_ = static_cast<std::uint32_t>(
             std::clamp(priority() + default_urgency_offset, 0, lowest_urgency));
     }
+    record_send(first->rate_limit_, now);
     ++send_count_;
     record_attempt(sent_to_, request.endpoint_id_);
     sent_at_ = now;
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -73,15 +73,24 @@
               (std::vector<std::string>{"5c1e07a2", "91bd"}));
 }
 
+TEST(platform_requests, an_answer_names_the_rate_that_its_engine_takes)
+{
+    http_head head;
+    EXPECT_EQ(platform::read_response(head).rate_limit_, std::nullopt);
+    head.fields_ = {{"Server-Limit", "2.75"}};
+    EXPECT_EQ(platform::read_response(head).rate_limit_, 2.75);
+    head.fields_ = {{"Server-Limit", "few"}};
+    EXPECT_EQ(platform::read_response(head).rate_limit_, std::nullopt);
+}
+
 TEST(platform_requests, a_prompt_of_one_part_or_of_none_shares_nothing)
 {
     http_head head = usual_head();
     for (char const* const value : {"5c1e07a2:800", ""})
     {
         set_field(head, "Auburnlb-Prefix-Hash", value);
-        EXPECT_TRUE(platform::read_request(head)
-                        .value()
-                        .shared_prompt_parts_.empty());
+        EXPECT_TRUE(
+            platform::read_request(head).value().shared_prompt_parts_.empty());
     }
 }
 
