Start the revision of prompt suspicion at the start time of the process

What callers saw: nothing yet. Cause: a router that restarts counted revisions from zero, so that it could reach the number which another had last seen of its predecessor, and that one would then not ask for the news. Why this works: milliseconds since boot are above any number of changes that the previous process can have counted.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -98,6 +98,9 @@
     core_.prober_.set_on_connection_refused(
         [this](known_endpoint const& endpoint)
         { on_endpoint_connection_refused(endpoint); });
+    // A restarted router must not repeat the revisions of the previous process.
+    core_.prompt_suspicion_.revision_ = static_cast<std::uint64_t>(
+        core_.clock_.now().time_since_epoch() / milliseconds(1));
     core_.on_prompt_crash_ = [this]
     {
         on_prompt_crash();
