--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -5,7 +5,8 @@
 // A test may post to /fake/fault: "none"; "shed" refuses without running;
 // "error" answers 500; "lose" runs and closes without an answer; "half" breaks
 // off within an event; "extra" sends a second answer; "foreign" answers with
-// another request's id first; "unframed" sends no length; "mute" never answers;
+// another request's id first; "unframed" sends neither length nor chunks, and
+// "torn" breaks off within an event of such a stream; "mute" never answers;
 // "early" answers before a body is read. A post to /fake/limit sets the rate
 // limit that responses name, an empty one ends it. GET /fake/runs gives the
 // runs by id.
@@ -141,6 +142,9 @@
     void step();
     void check_part(std::size_t index);
     void write_event();
+    void write(std::string_view text);
+    /// Ends the response as its framing asks for.
+    void finish();
     void wait(milliseconds pause);
     /// Ends the stream; gives the caller whose answer is to be ended.
     std::shared_ptr<caller_connection> release_caller();
@@ -154,6 +158,8 @@
     bool is_crashing_;
     asio::steady_timer timer_;
     milliseconds stalled_{0};
+    /// The response ends with its connection.
+    bool is_unframed_ = false;
 };
 
 class engine
@@ -436,7 +442,21 @@
     ++owner_.state().streams_;
     http_head head = completion_metadata(200, id_, owner_.state());
     head.fields_.push_back({"Content-Type", "text/event-stream"});
-    caller_->begin_response(head);
+    std::string const& fault = owner_.state().fault_;
+    is_unframed_ = fault == "unframed" || fault == "torn";
+    if (is_unframed_)
+    {
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        for (http_field const& field : head.fields_)
+        {
+            append_field(text, field.name_, field.value_);
+        }
+        caller_->send_raw(text + "\r\n");
+    }
+    else
+    {
+        caller_->begin_response(head);
+    }
     if (is_crashing_)
     {
         timer_.expires_after(event_interval);
@@ -507,21 +527,33 @@
         });
 }
 
+void running_stream::write(std::string_view text)
+{
+    is_unframed_ ? caller_->send_raw(text) : caller_->send_body(text);
+}
+
+void running_stream::finish()
+{
+    auto const caller = release_caller();
+    is_unframed_ ? caller->abort_response() : caller->end_response();
+}
+
 void running_stream::write_event()
 {
     std::string const text = event_text(next_);
-    bool const is_half = owner_.state().fault_ == "half" &&
+    std::string const& fault = owner_.state().fault_;
+    bool const is_half = (fault == "half" || fault == "torn") &&
                          next_ == owner_.options().events_ / 2;
     if (is_half)
     {
-        caller_->send_body(text.substr(0, text.size() / 2));
+        write(text.substr(0, text.size() / 2));
         release_caller()->abort_response();
         return;
     }
-    caller_->send_body(text);
+    write(text);
     if (next_++ >= owner_.options().events_)
     {
-        release_caller()->end_response();
+        finish();
         return;
     }
     wait(event_interval);
--- a/test/process/router_test.py
+++ b/test/process/router_test.py
@@ -72,6 +72,18 @@
                 system.fault(name, "half")
             self.assert_whole(system.stream(system.routers[0], "stream-1"))
 
+    def test_stream_without_framing_is_passed_whole(self):
+        with calm() as system:
+            for name in system.engines:
+                system.fault(name, "unframed")
+            self.assert_whole(system.stream(system.routers[0], "stream-1"))
+
+    def test_stream_without_framing_that_ends_within_an_event_goes_on_elsewhere(self):
+        with calm() as system:
+            for name in ("engine-dc1-0", "engine-dc1-1"):
+                system.fault(name, "torn")
+            self.assert_whole(system.stream(system.routers[0], "stream-1"))
+
     def test_caller_resumes_after_an_event(self):
         with calm() as system:
             answer = system.stream(system.routers[0], "stream-1", {"Last-Event-Id": "30"})
