Split the content of messages between routers from their exchange

The second is peer_messages.cpp now; nothing else is changed but one concatenation that the linter named in prompt_suspicion.cpp.

--- a/src/coordination/prompt_suspicion.cpp
+++ b/src/coordination/prompt_suspicion.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <optional>
 #include <tuple>
+#include <utility>
 
 namespace auburnlb
 {
@@ -261,7 +262,10 @@
     {
         if (!id.empty() && id.size() <= max_part_id_length)
         {
-            parts.insert(service + "/" + id);
+            std::string part = service;
+            part += '/';
+            part += id;
+            parts.insert(std::move(part));
         }
     }
     return parts;
--- /dev/null
+++ b/src/router/peer_messages.cpp
@@ -0,0 +1,376 @@
+// Content of the messages between routers: writing this router's state and
+// applying that of others.
+#include "auburnlb/router/peer_exchange.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "auburnlb/router/suspicion_messages.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Time for which the reported load of a router is used.
+constexpr milliseconds load_lifetime{2'500};
+
+/// Time for which a failed probe is reported to other routers. It is ignored by
+/// routers that have seen more recent activity.
+constexpr milliseconds probe_failure_lifetime{600};
+/// How long an endpoint is avoided after another router reported it.
+constexpr milliseconds reported_avoidance{600};
+
+void add_loads(std::map<std::string, endpoint_load>& sums,
+               std::map<std::string, endpoint_load> const& loads)
+{
+    for (auto const& [id, load] : loads)
+    {
+        sums[id] += load;
+    }
+}
+
+} // namespace
+
+json peer_exchange::loads(bool of_data_centre) const
+{
+    std::map<std::string, endpoint_load> sums;
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        sums[id] = endpoint->load_;
+    }
+    if (of_data_centre)
+    {
+        for (auto const& [address, peer] : peers_)
+        {
+            if (is_local(peer))
+            {
+                add_loads(sums, peer.loads_);
+            }
+        }
+    }
+    json value = json::object();
+    for (auto const& [id, load] : sums)
+    {
+        if (load.requests_ > 0)
+        {
+            value[id] = {load.requests_, std::llround(load.kv_reserved_),
+                         std::llround(load.prefill_backlog_)};
+        }
+    }
+    return value;
+}
+
+json peer_exchange::senders(bool of_data_centre) const
+{
+    time_point const now = core_.clock_.now();
+    json value = json::object();
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        if (!endpoint->rate_limit_.per_s_)
+        {
+            continue;
+        }
+        std::uint32_t count = is_sender(endpoint->rate_limit_, now) ? 1 : 0;
+        for (auto const& [address, peer] : peers_)
+        {
+            auto const found = peer.senders_.find(id);
+            if (of_data_centre && is_local(peer) &&
+                found != peer.senders_.end())
+            {
+                count += found->second;
+            }
+        }
+        value[id] = count;
+    }
+    return value;
+}
+
+json peer_exchange::unresponsive_endpoints() const
+{
+    time_point const now = core_.clock_.now();
+    json value = json::array();
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        // Reports of other routers are excluded, or they would circulate
+        // forever.
+        if (endpoint->probe_failed_ > endpoint->probe_answered_ &&
+            now - endpoint->probe_failed_ < probe_failure_lifetime)
+        {
+            value.push_back(id);
+        }
+    }
+    return value;
+}
+
+void peer_exchange::apply_unresponsive(json const& state, time_point now)
+{
+    for (json const& each : state.value("avoided", json::array()))
+    {
+        auto const found =
+            each.is_string()
+                ? core_.directory_.endpoints_.find(each.get<std::string>())
+                : core_.directory_.endpoints_.end();
+        if (found == core_.directory_.endpoints_.end() ||
+            has_responded_since(*found->second, now - probe_failure_lifetime))
+        {
+            continue;
+        }
+        endpoint_health& health = found->second->health_;
+        health.avoid_until_ =
+            std::max(health.avoid_until_, now + reported_avoidance);
+    }
+}
+
+json peer_exchange::endpoints_since(json const& request) const
+{
+    auto const known_revision = request.find("endpoint_revision");
+    if (known_revision == request.end() ||
+        !known_revision->is_number_unsigned())
+    {
+        return nullptr;
+    }
+    auto const delta = changes_since(handlers_.endpoint_entries_(),
+                                     known_revision->get<std::uint64_t>());
+    if (!delta)
+    {
+        return nullptr;
+    }
+    auto const recovery_time = std::chrono::duration_cast<milliseconds>(
+        core_.directory_.list_trusted_at_ - core_.clock_.now());
+    return {{"revision", delta->revision_},
+            {"whole", delta->is_full_},
+            {"changed", delta->changed_},
+            {"removed", delta->removed_},
+            {"settling_ms", std::max<std::int64_t>(0, recovery_time.count())}};
+}
+
+std::string peer_exchange::make_state(json const& request)
+{
+    bool const is_local_request =
+        request.value("data_centre", "") == core_.options_.data_centre_;
+    json state{{"data_centre", core_.options_.data_centre_},
+               {"loads", loads(!is_local_request)},
+               {"senders", senders(!is_local_request)}};
+    std::uint64_t const version =
+        core_.routes_ == nullptr ? 0 : core_.routes_->table().version_;
+    if (version > request.value("version", std::uint64_t{0}))
+    {
+        state["configuration"] = handlers_.configuration_text_();
+    }
+    if (core_.is_stopping_)
+    {
+        auto const left = core_.stop_began_at_ + core_.options_.stop_limit_ -
+                          core_.clock_.now();
+        state["stopping_ms"] =
+            std::chrono::duration_cast<milliseconds>(left).count();
+    }
+    announced_lease const lease = handlers_.latest_lease_();
+    state["lease"] = {{"holder", lease.holder_}, {"version", lease.version_}};
+    for (auto const& [fingerprint, crashes] :
+         local_crashes(core_.crashes_, core_.clock_.now()))
+    {
+        state["crashes"].push_back({fingerprint, crashes});
+    }
+    std::uint64_t const suspicion = core_.prompt_suspicion_.revision_;
+    if (request.value("suspicion_revision", suspicion) != suspicion)
+    {
+        state["suspicion_revision"] = suspicion;
+        state["suspicion"] = write_prompt_suspicion(
+            current_update(core_.prompt_suspicion_), core_.clock_.now());
+    }
+    state["avoided"] = unresponsive_endpoints();
+    state["store"] = to_string(handlers_.store_reachability_());
+    state["endpoint_revision"] = handlers_.endpoint_entries_().revision_;
+    if (json endpoints = endpoints_since(request); !endpoints.is_null())
+    {
+        state["endpoints"] = std::move(endpoints);
+    }
+    if (request.value("peers", std::size_t{0}) < peers_.size())
+    {
+        for (auto const& [address, peer] : peers_)
+        {
+            if (peer.last_response_at_)
+            {
+                state["peers"].push_back({address, peer.data_centre_});
+            }
+        }
+    }
+    return state.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void peer_exchange::read_state(std::string const& address, peer& peer,
+                               json const& state, time_point now)
+{
+    std::string const data_centre = state.at("data_centre").get<std::string>();
+    peer.last_response_at_ = now;
+    peer.failed_polls_ = 0;
+    peer.stop_end_.reset();
+    if (auto const left = state.find("stopping_ms");
+        left != state.end() && left->is_number_integer())
+    {
+        peer.stop_end_ = now + milliseconds(left->get<std::int64_t>());
+    }
+    peer.data_centre_ = data_centre;
+    read_loads(peer, state);
+    peer.senders_ =
+        state.value("senders", std::map<std::string, std::uint32_t>());
+    read_crashes(address, state);
+    read_suspicion(state);
+    peer.known_suspicion_ =
+        state.value("suspicion_revision", peer.known_suspicion_);
+    apply_unresponsive(state, now);
+    if (auto const lease = state.find("lease");
+        lease != state.end() && lease->is_object())
+    {
+        handlers_.on_lease_({lease->value("holder", ""),
+                             lease->value("version", std::uint64_t{0})});
+    }
+    sum_loads(now);
+    sum_senders(now);
+    if (auto const text = state.find("configuration");
+        text != state.end() && text->is_string())
+    {
+        handlers_.on_configuration_(text->get<std::string>(), address);
+    }
+    peer.reachability_ = parse_store_reachability(state.value("store", ""));
+    read_endpoints(state, now);
+    read_peers(state);
+}
+
+void peer_exchange::read_endpoints(json const& state, time_point now)
+{
+    if (auto const entries = state.find("endpoints"); entries != state.end())
+    {
+        // Entries may have expired while the store was unreachable; missing
+        // ones are kept until the store has had time to recover them.
+        core_.directory_.list_trusted_at_ = std::max(
+            core_.directory_.list_trusted_at_,
+            now + milliseconds(entries->at("settling_ms").get<std::int64_t>()));
+        entries_delta delta;
+        delta.revision_ = entries->at("revision").get<std::uint64_t>();
+        delta.is_full_ = entries->at("whole").get<bool>();
+        delta.changed_ =
+            entries->at("changed").get<std::map<std::string, std::string>>();
+        delta.removed_ = entries->at("removed").get<std::vector<std::string>>();
+        handlers_.on_endpoints_(delta);
+    }
+    newest_revision_ = std::max(
+        newest_revision_, state.value("endpoint_revision", std::uint64_t{0}));
+    if (newest_revision_ <= handlers_.endpoint_entries_().revision_)
+    {
+        behind_since_.reset();
+    }
+    else if (!behind_since_)
+    {
+        behind_since_ = now;
+    }
+}
+
+void peer_exchange::read_peers(json const& state)
+{
+    for (json const& each : state.value("peers", json::array()))
+    {
+        constexpr std::size_t element_count = 2;
+        if (each.is_array() && each.size() == element_count &&
+            each[0].is_string() && each[1].is_string())
+        {
+            add_peer(each[0].get<std::string>(), each[1].get<std::string>());
+        }
+    }
+}
+
+void peer_exchange::read_loads(peer& peer, json const& state)
+{
+    peer.loads_.clear();
+    auto const loads = state.find("loads");
+    if (loads == state.end() || !loads->is_object())
+    {
+        return;
+    }
+    for (auto const& [id, load] : loads->items())
+    {
+        constexpr std::size_t element_count = 3;
+        if (load.is_array() && load.size() == element_count &&
+            load[0].is_number_unsigned() && load[1].is_number() &&
+            load[2].is_number())
+        {
+            peer.loads_[id] = {load[0].get<std::uint32_t>(),
+                               load[1].get<double>(), load[2].get<double>()};
+        }
+    }
+}
+
+void peer_exchange::read_crashes(std::string const& address, json const& state)
+{
+    crash_table table;
+    for (json const& each : state.value("crashes", json::array()))
+    {
+        constexpr std::size_t element_count = 2;
+        if (each.is_array() && each.size() == element_count &&
+            each[0].is_number_unsigned() && each[1].is_number_unsigned())
+        {
+            table[each[0].get<request_fingerprint>()] =
+                each[1].get<std::uint32_t>();
+        }
+    }
+    replace_peer_crashes(core_.crashes_, address, std::move(table));
+}
+
+void peer_exchange::read_suspicion(json const& message)
+{
+    auto const suspicion = message.find("suspicion");
+    if (suspicion == message.end())
+    {
+        return;
+    }
+    time_point const now = core_.clock_.now();
+    merge_update(core_.prompt_suspicion_,
+                 read_prompt_suspicion(*suspicion, now), now);
+}
+
+void peer_exchange::sum_loads(time_point now)
+{
+    std::map<std::string, endpoint_load> sums;
+    for (auto const& [address, peer] : peers_)
+    {
+        if (peer.last_response_at_ &&
+            now - *peer.last_response_at_ <= load_lifetime)
+        {
+            add_loads(sums, peer.loads_);
+        }
+    }
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        endpoint->other_routers_load_ = sums[id];
+    }
+}
+
+void peer_exchange::sum_senders(time_point now)
+{
+    std::map<std::string, std::uint32_t> sums;
+    for (auto const& [address, peer] : peers_)
+    {
+        bool const is_recent = peer.last_response_at_ &&
+                               now - *peer.last_response_at_ <= load_lifetime;
+        for (auto const& [id, count] : peer.senders_)
+        {
+            sums[id] += is_recent ? count : 0;
+        }
+    }
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        if (endpoint->rate_limit_.per_s_)
+        {
+            set_other_senders(endpoint->rate_limit_, sums[id], now);
+        }
+    }
+}
+
+} // namespace auburnlb
