--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -79,8 +79,12 @@
     EXPECT_EQ(platform::read_response(head).rate_limit_, std::nullopt);
     head.fields_ = {{"Server-Limit", "2.75"}};
     EXPECT_EQ(platform::read_response(head).rate_limit_, 2.75);
-    head.fields_ = {{"Server-Limit", "few"}};
-    EXPECT_EQ(platform::read_response(head).rate_limit_, std::nullopt);
+    for (char const* const value : {"few", "nan", "inf", "-1"})
+    {
+        head.fields_ = {{"Server-Limit", value}};
+        EXPECT_EQ(platform::read_response(head).rate_limit_, std::nullopt)
+            << value;
+    }
 }
 
 TEST(platform_requests, a_prompt_of_one_part_or_of_none_shares_nothing)
