Reject ages that no router sends

What callers saw: nothing yet; found in review. A foreign program at a router's control address could name a success in the future, which clears a part for good, or an age whose time overflows. Evidence: the test failed before (no exception for -1 and for the largest number), passes now.

--- a/src/router/suspicion_messages.cpp
+++ b/src/router/suspicion_messages.cpp
@@ -16,9 +16,19 @@
     return std::chrono::duration_cast<milliseconds>(now - at).count();
 }
 
+/// Ages beyond this are not of a router, which forgets sooner.
+constexpr seconds max_age{3'600};
+
 time_point time_at(json const& age, time_point now)
 {
-    return now - milliseconds(age.get<std::int64_t>());
+    constexpr int invalid_age = 501;
+    milliseconds const value(age.get<std::int64_t>());
+    if (value < milliseconds(0) || value > max_age)
+    {
+        throw json::other_error::create(
+            invalid_age, "age_ms has the value " + age.dump(), &age);
+    }
+    return now - value;
 }
 
 } // namespace
--- a/test/router/suspicion_messages_test.cpp
+++ b/test/router/suspicion_messages_test.cpp
@@ -1,4 +1,6 @@
 // Tests of prompt suspicion in the messages between routers.
+#include <string>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -21,6 +23,19 @@
         expected);
 }
 
+TEST(suspicion_messages, an_age_that_no_router_sends_is_an_error)
+{
+    for (char const* const age : {"-1", "9223372036854775807"})
+    {
+        auto const message = nlohmann::json::parse(
+            std::string(R"({"crashes": {}, "successes": {"m/1": )") + age +
+            "}}");
+        EXPECT_THROW(read_prompt_suspicion(message, time_point{}),
+                     nlohmann::json::exception)
+            << age;
+    }
+}
+
 TEST(suspicion_messages, a_foreign_value_is_an_error)
 {
     for (
