Log when the store is restored and count ignored endpoint lists

What callers saw: nothing yet. Change: E0206 names the new history and the revision up to which the old one was known; two metrics. No decision reads them.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -245,7 +245,7 @@
                     [this, beat = beats_](result<http_reply> const& reply)
                     {
                         constexpr unsigned status_ok = 200;
-                        if (reply && reply.value().status_ == status_ok &&
+                        if (reply && reply.value().head_.status_ == status_ok &&
                             beat == beats_)
                         {
                             next_registration_ = time_point::max();
--- a/include/auburnlb/router/internal_http_client.hpp
+++ b/include/auburnlb/router/internal_http_client.hpp
@@ -18,7 +18,7 @@
 /// The response to a call.
 struct http_reply
 {
-    unsigned status_ = 0;
+    http_head head_;
     std::string body_;
 
     bool operator==(http_reply const&) const = default;
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -168,6 +168,10 @@
                                        std::uint64_t expected_orders);
 
     std::string (*kind_name_)(store_kind kind);
+    /// Reads the number of the store's history from a response. It rises when
+    /// the store is restored from an older copy. Unset if the response has
+    /// none.
+    std::optional<std::uint64_t> (*read_store_epoch_)(http_head const& head);
     http_call (*write_list_call_)(std::string const& kind,
                                   std::string const& after);
     http_call (*write_watch_call_)(std::string const& kind,
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -74,6 +74,8 @@
     store_reachability current_store_reachability() const;
     void on_store_reachable(char const* kind, bool is_reachable,
                             std::string const& reason);
+    void on_store_restored(char const* kind, std::uint64_t epoch,
+                           std::uint64_t revision);
     store_feed_handlers configuration_handlers();
     store_feed_handlers endpoint_handlers();
     peer_exchange_handlers exchange_handlers();
--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
     /// The store became reachable or unreachable.
     std::function<void(bool is_reachable, std::string const& reason)>
         on_reachable_;
+    /// The store was restored from an older copy. The revision is the last one
+    /// that is known of the previous history.
+    std::function<void(std::uint64_t epoch, std::uint64_t revision)>
+        on_restored_;
 };
 
 /// Tracks one kind of store objects. Not thread-safe.
@@ -52,6 +57,7 @@
     void watch();
     void on_list_reply(result<http_reply> const& reply);
     void on_watch_reply(result<http_reply> const& reply);
+    void read_epoch(http_head const& head);
     void on_call_succeeded();
     void on_call_failed(std::string const& reason);
 
@@ -67,6 +73,8 @@
     std::uint64_t activation_ = 0;
     /// Whether a call has succeeded or failed since the activation.
     bool has_outcome_ = false;
+    /// Number of the store's history; unset before the first response.
+    std::optional<std::uint64_t> epoch_;
     /// Zero until a list is complete; the next call is then a list.
     std::uint64_t revision_ = 0;
     /// Objects of a list that is still being read.
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -43,6 +43,7 @@
     platform_reachable = 203,
     configuration_rejected = 204,
     store_watch_changed = 205,
+    store_restored = 206,
     peer_joined = 300,
     peer_leaving = 301,
     peer_lost = 302,
--- a/src/router/internal_http_client.cpp
+++ b/src/router/internal_http_client.cpp
@@ -78,7 +78,7 @@
 
     void on_response_head(http_head const& head) override
     {
-        reply_.status_ = head.status_;
+        reply_.head_ = head;
     }
 
     void on_response_body(std::string_view piece) override
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -272,7 +272,7 @@
     peer& peer = found->second;
     time_point const now = core_.clock_.now();
     peer.is_request_pending_ = false;
-    if (!reply || reply.value().status_ != status_ok)
+    if (!reply || reply.value().head_.status_ != status_ok)
     {
         ++peer.failed_polls_;
         peer.next_call_ = now + failed_poll_interval;
--- a/src/router/placement_controller.cpp
+++ b/src/router/placement_controller.cpp
@@ -214,12 +214,12 @@
         [this](result<http_reply> const& reply)
         {
             time_point const now = core_.clock_.now();
-            if (reply && reply.value().status_ == status_not_found)
+            if (reply && reply.value().head_.status_ == status_not_found)
             {
                 run(on_lease_read(lease_, 0, "", now));
                 return;
             }
-            bool const is_found = reply && reply.value().status_ == status_ok;
+            bool const is_found = reply && reply.value().head_.status_ == status_ok;
             auto const object =
                 is_found ? core_.protocol_.read_object_(reply.value().body_)
                          : result<store_object>(error{});
@@ -250,8 +250,8 @@
         {
             time_point const now = core_.clock_.now();
             bool const is_done =
-                reply && (reply.value().status_ == status_ok ||
-                          reply.value().status_ == status_created);
+                reply && (reply.value().head_.status_ == status_ok ||
+                          reply.value().head_.status_ == status_created);
             auto const written =
                 is_done ? core_.protocol_.read_object_(reply.value().body_)
                         : result<store_object>(error{});
@@ -412,9 +412,9 @@
     {
         return;
     }
-    if (!reply || reply.value().status_ != status_ok)
+    if (!reply || reply.value().head_.status_ != status_ok)
     {
-        fail_order(id, reply ? "status " + std::to_string(reply.value().status_)
+        fail_order(id, reply ? "status " + std::to_string(reply.value().head_.status_)
                              : to_string(reply.error()));
         return;
     }
@@ -452,7 +452,7 @@
     }
     time_point const now = core_.clock_.now();
     order& order = found->second;
-    unsigned const status = reply ? reply.value().status_ : 0;
+    unsigned const status = reply ? reply.value().head_.status_ : 0;
     log(log_level::info, log_event::layers_ordered,
         {{"peer", id},
          {"layers", range_text(order.layers_)},
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -185,6 +185,7 @@
 {
     if (!apply_delta(endpoint_entries_, delta))
     {
+        core_.metrics_.add("auburnlb_router_ignored_endpoint_lists_total", "");
         return;
     }
     std::vector<std::string> gone = delta.removed_;
@@ -262,6 +263,19 @@
                      : "the platform's store is unreachable");
 }
 
+void router::on_store_restored(char const* kind, std::uint64_t epoch,
+                               std::uint64_t revision)
+{
+    core_.metrics_.set_gauge("auburnlb_router_store_epoch",
+                             "kind=\"" + std::string(kind) + "\"",
+                             static_cast<double>(epoch));
+    log(log_level::warning, log_event::store_restored,
+        {{"kind", kind},
+         {"epoch", std::to_string(epoch)},
+         {"revision", std::to_string(revision)}},
+        "the platform's store was restored from an older copy");
+}
+
 store_feed_handlers router::configuration_handlers()
 {
     auto const apply =
@@ -279,6 +293,10 @@
             [this](bool is_reachable, std::string const& reason)
             {
                 on_store_reachable("configuration", is_reachable, reason);
+            },
+            [this](std::uint64_t epoch, std::uint64_t revision)
+            {
+                on_store_restored("configuration", epoch, revision);
             }};
 }
 
@@ -296,6 +314,10 @@
                 on_platform_recovered(core_.directory_, core_.clock_.now());
             }
             on_store_reachable("endpoints", is_reachable, reason);
+        },
+        [this](std::uint64_t epoch, std::uint64_t revision)
+        {
+            on_store_restored("endpoints", epoch, revision);
         }};
 }
 
@@ -367,9 +389,9 @@
             [this](result<http_reply> const& reply)
             {
                 is_registered_ =
-                    reply && (reply.value().status_ == status_ok ||
-                              reply.value().status_ == status_created ||
-                              reply.value().status_ == status_conflict);
+                    reply && (reply.value().head_.status_ == status_ok ||
+                              reply.value().head_.status_ == status_created ||
+                              reply.value().head_.status_ == status_conflict);
             });
         return;
     }
@@ -379,7 +401,7 @@
         core_.protocol_.write_list_call_(router_object_kind, ""), store_timeout,
         [this](result<http_reply> const& reply)
         {
-            if (!reply || reply.value().status_ != status_ok)
+            if (!reply || reply.value().head_.status_ != status_ok)
             {
                 return;
             }
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -116,13 +116,32 @@
         });
 }
 
+void store_feed::read_epoch(http_head const& head)
+{
+    auto const epoch = protocol_.read_store_epoch_(head);
+    if (!epoch)
+    {
+        return;
+    }
+    bool const is_restored = epoch_ && *epoch_ < *epoch;
+    epoch_ = std::max(epoch_.value_or(0), *epoch);
+    if (is_restored)
+    {
+        handlers_.on_restored_(*epoch, revision_);
+    }
+}
+
 void store_feed::on_list_reply(result<http_reply> const& reply)
 {
     is_call_pending_ = false;
-    if (!reply || reply.value().status_ != status_ok)
+    if (reply)
+    {
+        read_epoch(reply.value().head_);
+    }
+    if (!reply || reply.value().head_.status_ != status_ok)
     {
         listed_.clear();
-        on_call_failed(reply ? "status " + std::to_string(reply.value().status_)
+        on_call_failed(reply ? "status " + std::to_string(reply.value().head_.status_)
                              : to_string(reply.error()));
         return;
     }
@@ -153,15 +172,19 @@
 void store_feed::on_watch_reply(result<http_reply> const& reply)
 {
     is_call_pending_ = false;
-    if (reply && reply.value().status_ == status_gone)
+    if (reply)
+    {
+        read_epoch(reply.value().head_);
+    }
+    if (reply && reply.value().head_.status_ == status_gone)
     {
         on_call_succeeded();
         revision_ = 0;
         return;
     }
-    if (!reply || reply.value().status_ != status_ok)
+    if (!reply || reply.value().head_.status_ != status_ok)
     {
-        on_call_failed(reply ? "status " + std::to_string(reply.value().status_)
+        on_call_failed(reply ? "status " + std::to_string(reply.value().head_.status_)
                              : to_string(reply.error()));
         return;
     }
--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -227,3 +227,16 @@
     EXPECT_EQ(platform::write_list_call("kind", "a").target_,
               "/objects/kind?after=a");
 }
+
+TEST(platform_store, reads_the_number_of_the_history)
+{
+    http_head head;
+    EXPECT_EQ(platform::read_store_epoch(head), std::nullopt);
+    head.fields_ = {{"store-era", "3"}};
+    EXPECT_EQ(platform::read_store_epoch(head), 3U);
+    for (char const* const text : {"", "3x", "-1", "1.5"})
+    {
+        head.fields_ = {{"Store-Era", text}};
+        EXPECT_EQ(platform::read_store_epoch(head), std::nullopt) << text;
+    }
+}
