Reproduce what routers miss when the store comes back from a copy

What callers saw: nothing yet on the users' deployments. Stand-in: the store takes a copy, goes back to it with its revisions, and answers a watch from a revision that it does not have with 410.

--- a/fakes/asio_server.cpp
+++ b/fakes/asio_server.cpp
@@ -46,10 +46,11 @@
 }
 
 void answer_json(caller_connection& caller, unsigned status,
-                 std::string const& body)
+                 std::string const& body, std::vector<http_field> fields)
 {
     http_head head;
     head.status_ = status;
+    head.fields_ = std::move(fields);
     head.fields_.push_back({"Content-Type", "application/json"});
     caller.send_response(head, body);
 }
--- a/fakes/asio_server.hpp
+++ b/fakes/asio_server.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <asio/io_context.hpp>
 
@@ -48,7 +49,7 @@
 
 /// An answer with a JSON body.
 void answer_json(caller_connection& caller, unsigned status,
-                 std::string const& body);
+                 std::string const& body, std::vector<http_field> fields = {});
 
 /// The value of a name in a target's query, or an empty text.
 std::string query_value(std::string const& target, std::string const& name);
--- a/fakes/users_store/main.cpp
+++ b/fakes/users_store/main.cpp
@@ -4,7 +4,8 @@
 // A test may post to /fake/mode: "up"; "busy" answers 503; "many" answers 429;
 // "silent" answers nothing; "reset" closes the connection; "lose" does the
 // write and closes the connection. Calls with "operator=1" in their query are
-// served in every mode. A post to /fake/compact drops the history.
+// served in every mode. A post to /fake/compact drops the history; one to
+// /fake/save takes a copy, and one to /fake/restore goes back to it.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -18,6 +19,7 @@
 #include <nlohmann/json.hpp>
 
 #include "asio_server.hpp"
+#include "names.hpp"
 #include "program.hpp"
 
 namespace
@@ -28,7 +30,8 @@
 
 constexpr std::size_t page_size = 50;
 
-struct store
+/// What a copy of the store holds.
+struct store_content
 {
     std::uint64_t revision_ = 10;
     /// Revisions before this one are not in the history any more.
@@ -42,10 +45,31 @@
         json event_;
     };
     std::deque<change> history_;
+};
+
+struct store : store_content
+{
+    store_content copy_;
+    /// Rises when the store goes back to its copy.
+    std::uint64_t epoch_ = 1;
     std::string mode_ = "up";
     std::uint64_t calls_ = 0;
 };
 
+void restore(store& state)
+{
+    static_cast<store_content&>(state) = state.copy_;
+    ++state.epoch_;
+}
+
+void answer(store const& state, caller_connection& caller, unsigned status,
+            std::string const& body)
+{
+    fakes::answer_json(caller, status, body,
+                       {{std::string(platform::names::store_epoch),
+                         std::to_string(state.epoch_)}});
+}
+
 void note_change(store& state, std::string const& kind, json const& object,
                  bool is_deleted)
 {
@@ -109,7 +133,7 @@
                   std::uint64_t revision)
 {
     json events = json::array();
-    for (store::change const& each : state.history_)
+    for (store_content::change const& each : state.history_)
     {
         if (each.revision_ > revision && each.kind_ == kind)
         {
@@ -131,6 +155,7 @@
         , caller_(std::move(caller))
         , kind_(std::move(kind))
         , revision_(revision)
+        , epoch_(state.epoch_)
         , end_(std::chrono::steady_clock::now() + wait)
         , timer_(io)
     {
@@ -143,14 +168,21 @@
             return;
         }
         caller_->set_disconnect_handler(this);
+        if (state_.epoch_ != epoch_)
+        {
+            auto const caller = std::exchange(caller_, nullptr);
+            caller->set_disconnect_handler(nullptr);
+            caller->abort_response();
+            return;
+        }
         json const events = events_after(state_, kind_, revision_);
         bool const is_over = std::chrono::steady_clock::now() >= end_;
         if (state_.mode_ == "up" && (!events.empty() || is_over))
         {
             auto const caller = std::exchange(caller_, nullptr);
             caller->set_disconnect_handler(nullptr);
-            fakes::answer_json(
-                *caller, 200,
+            answer(
+                state_, *caller, 200,
                 json{{"events", events}, {"store-revision", state_.revision_}}
                     .dump());
             return;
@@ -167,6 +199,7 @@
     std::shared_ptr<caller_connection> caller_;
     std::string kind_;
     std::uint64_t revision_;
+    std::uint64_t epoch_;
     std::chrono::steady_clock::time_point end_;
     asio::steady_timer timer_;
 };
@@ -204,8 +237,8 @@
         }
         if (is_write)
         {
-            auto const [status, answer] = write(head, body);
-            fakes::answer_json(*caller, status, answer.dump());
+            auto const [status, object] = write(head, body);
+            answer(state_, *caller, status, object.dump());
             return;
         }
         read(caller, head);
@@ -230,8 +263,7 @@
         }
         if (state_.mode_ == "busy" || state_.mode_ == "many")
         {
-            fakes::answer_json(caller, state_.mode_ == "busy" ? 503 : 429,
-                               "{}");
+            answer(state_, caller, state_.mode_ == "busy" ? 503 : 429, "{}");
             return true;
         }
         return false;
@@ -249,7 +281,17 @@
             state_.history_.clear();
             state_.compacted_ = state_.revision_;
         }
-        fakes::answer_json(caller, 200, json{{"calls", state_.calls_}}.dump());
+        if (head.target_ == "/fake/save")
+        {
+            state_.copy_ = state_;
+        }
+        if (head.target_ == "/fake/restore")
+        {
+            restore(state_);
+        }
+        answer(state_, caller, 200,
+               json{{"calls", state_.calls_}, {"revision", state_.revision_}}
+                   .dump());
     }
 
     static std::pair<std::string, std::string> split(std::string const& target)
@@ -269,9 +311,9 @@
         if (!watch.empty())
         {
             std::uint64_t const revision = std::stoull(watch);
-            if (revision < state_.compacted_)
+            if (revision < state_.compacted_ || revision > state_.revision_)
             {
-                fakes::answer_json(*caller, 410, "{}");
+                answer(state_, *caller, 410, "{}");
                 return;
             }
             milliseconds const wait(
@@ -284,13 +326,13 @@
         if (name.empty())
         {
             std::string const after = fakes::query_value(head.target_, "after");
-            fakes::answer_json(*caller, 200, list(state_, kind, after).dump());
+            answer(state_, *caller, 200, list(state_, kind, after).dump());
             return;
         }
         auto const found = state_.kinds_[kind].find(name);
         bool const is_known = found != state_.kinds_[kind].end();
-        fakes::answer_json(*caller, is_known ? 200 : 404,
-                           is_known ? found->second.dump() : "{}");
+        answer(state_, *caller, is_known ? 200 : 404,
+               is_known ? found->second.dump() : "{}");
     }
 
     std::pair<unsigned, json> write(http_head const& head,
@@ -316,8 +358,13 @@
             return {200, put(state_, kind, name, document["spec"])};
         }
         bool const is_known = state_.kinds_[kind].contains(name);
+        bool const is_conditional = document["metadata"].contains("revision");
+        if (!is_known && is_conditional)
+        {
+            return {404, json::object()};
+        }
         bool const is_stale =
-            is_known && document["metadata"].contains("revision") &&
+            is_conditional &&
             document["metadata"]["revision"] !=
                 state_.kinds_[kind][name]["metadata"]["revision"];
         if (is_stale)
--- a/test/coordination/lease_test.cpp
+++ b/test/coordination/lease_test.cpp
@@ -18,6 +18,12 @@
     std::string holder_;
 };
 
+struct platform_content
+{
+    lease_object object_;
+    std::uint64_t revision_ = 0;
+};
+
 struct delayed_order
 {
     std::uint64_t number_ = 0;
@@ -120,7 +126,16 @@
 
     void read_number_on_companion()
     {
-        on_fencing_number_read(gate_, "plan", object_.version_);
+        on_fencing_number_read(gate_, "plan", stored_.object_.version_);
+    }
+
+    void save_copy() { copy_ = stored_; }
+
+    // The platform comes back from its copy: what was written since is lost,
+    // and its versions are given out again.
+    void restore_copy()
+    {
+        stored_ = copy_;
     }
 
     // Runs one pending call to the platform. Its response may be lost.
@@ -217,7 +232,7 @@
     {
         deliver_response(
             process,
-            [this, &process, is_lost, seen = object_]
+            [this, &process, is_lost, seen = stored_.object_]
             {
                 if (is_lost)
                 {
@@ -232,15 +247,16 @@
 
     void run_write(candidate& process, write_lease const& write, bool is_lost)
     {
-        bool const is_applied = object_.version_ == write.expected_version_;
+        lease_object& object = stored_.object_;
+        bool const is_applied = object.version_ == write.expected_version_;
         if (is_applied)
         {
-            object_ = {object_.version_ + 1, write.holder_};
+            object = {++stored_.revision_, write.holder_};
         }
         deliver_response(
             process,
             [this, &process, is_failed = is_lost || !is_applied,
-             version = object_.version_]
+             version = object.version_]
             {
                 if (is_failed)
                 {
@@ -252,7 +268,8 @@
     }
 
     std::vector<candidate> candidates_;
-    lease_object object_;
+    platform_content stored_;
+    platform_content copy_;
     std::vector<std::function<void(bool)>> calls_;
     std::vector<delayed_order> orders_;
     order_gate gate_;
@@ -305,21 +322,49 @@
     }
 }
 
-} // namespace
+// Of 64 steps about one copies the platform or goes back to the copy.
+void apply_step_or_restore(lease_simulation& simulation, std::uint32_t step)
+{
+    std::uint32_t const choice = step / 16'384;
+    switch (choice)
+    {
+    case 0:
+        simulation.save_copy();
+        break;
+    case 1:
+        simulation.restore_copy();
+        break;
+    default:
+        apply_step(simulation, step);
+    }
+}
 
-RC_GTEST_PROP(lease, one_holder_at_a_time_and_fencing_numbers_never_decrease,
-              ())
+template <class Apply>
+void check_random_steps(Apply apply)
 {
     lease_simulation simulation(*rc::gen::inRange<std::size_t>(2, 5));
     auto const steps = *rc::gen::container<std::vector<std::uint32_t>>(
         1'000, rc::gen::inRange<std::uint32_t>(0, 1U << 20U));
     for (std::uint32_t const step : steps)
     {
-        apply_step(simulation, step);
+        apply(simulation, step);
     }
     RC_ASSERT(simulation.recover());
 }
 
+} // namespace
+
+RC_GTEST_PROP(lease, one_holder_at_a_time_and_fencing_numbers_never_decrease,
+              ())
+{
+    check_random_steps(apply_step);
+}
+
+RC_GTEST_PROP(lease, one_holder_and_rising_fencing_numbers_over_a_restore, ())
+{
+    check_random_steps(apply_step_or_restore);
+}
+
 TEST(lease, a_lease_ends_for_its_holder_before_others_can_take_it)
 {
     lease_state holder;
