List the store again when it was restored from a copy

Cause: a watch names a revision of the lost history. Where the new history has passed it, the store accepts it, and changes below it are never seen. Change: a response of another history starts a new list; one of an earlier history is dropped. Evidence: test_change_below_the_last_watched_revision_is_in_force failed before (not within 5 s) and passes now. Why it works: the history's number comes with each response, so that a watch whose revision was given out again is told apart from one that goes on.

--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -57,7 +57,9 @@
     void watch();
     void on_list_reply(result<http_reply> const& reply);
     void on_watch_reply(result<http_reply> const& reply);
-    void read_epoch(http_head const& head);
+    /// Returns whether a response continues the history that this feed has
+    /// read. If the store was restored, the next call is a list.
+    bool continues_history(result<http_reply> const& reply);
     void on_call_succeeded();
     void on_call_failed(std::string const& reason);
 
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -116,27 +116,39 @@
         });
 }
 
-void store_feed::read_epoch(http_head const& head)
+bool store_feed::continues_history(result<http_reply> const& reply)
 {
-    auto const epoch = protocol_.read_store_epoch_(head);
-    if (!epoch)
+    auto const epoch = reply
+                           ? protocol_.read_store_epoch_(reply.value().head_)
+                           : std::nullopt;
+    if (!epoch || epoch == epoch_)
     {
-        return;
+        return true;
+    }
+    std::optional<std::uint64_t> const previous = epoch_;
+    epoch_ = std::max(epoch, epoch_);
+    if (!previous)
+    {
+        return true;
     }
-    bool const is_restored = epoch_ && *epoch_ < *epoch;
-    epoch_ = std::max(epoch_.value_or(0), *epoch);
-    if (is_restored)
+    next_call_ = clock_.now() + initial_backoff;
+    if (*epoch > *previous)
     {
         handlers_.on_restored_(*epoch, revision_);
+        // The new history may have given out the revisions up to revision_
+        // again, for other changes.
+        revision_ = 0;
+        listed_.clear();
     }
+    return false;
 }
 
 void store_feed::on_list_reply(result<http_reply> const& reply)
 {
     is_call_pending_ = false;
-    if (reply)
+    if (!continues_history(reply))
     {
-        read_epoch(reply.value().head_);
+        return;
     }
     if (!reply || reply.value().head_.status_ != status_ok)
     {
@@ -172,9 +184,9 @@
 void store_feed::on_watch_reply(result<http_reply> const& reply)
 {
     is_call_pending_ = false;
-    if (reply)
+    if (!continues_history(reply))
     {
-        read_epoch(reply.value().head_);
+        return;
     }
     if (reply && reply.value().head_.status_ == status_gone)
     {
