Order endpoint lists by the store's history before its revision

Cause: routers order lists and changes, their own and those of their peers, by the store's revision alone. A list of the restored store has a lower one and was dropped. Change: store_version, an epoch and a revision. A new epoch begins with a whole list; peers name both numbers and send a whole list over the boundary. The list recovery time begins with the new history too, where the outage was too short to be noticed. Why it works: two versions compare as the store's changes happened, whatever revisions the copy gives out again.

--- /dev/null
+++ b/include/auburnlb/coordination/store_version.hpp
@@ -0,0 +1,27 @@
+// Order of the changes of the platform's store, also over a restoration of the
+// store from an older copy.
+#ifndef AUBURNLB_COORDINATION_STORE_VERSION_HPP
+#define AUBURNLB_COORDINATION_STORE_VERSION_HPP
+
+#include <compare>
+#include <cstdint>
+
+namespace auburnlb
+{
+
+/// A revision within one of the store's histories. A store that is restored
+/// begins a new history, which gives out later revisions of the previous one
+/// again. Invariant: versions that differ in either member may belong to
+/// different content.
+struct store_version
+{
+    /// Rises with each restoration; 0 for a store that is never restored.
+    std::uint64_t epoch_ = 0;
+    std::uint64_t revision_ = 0;
+
+    auto operator<=>(store_version const&) const = default;
+};
+
+} // namespace auburnlb
+
+#endif
--- a/include/auburnlb/coordination/versioned_entries.hpp
+++ b/include/auburnlb/coordination/versioned_entries.hpp
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "auburnlb/coordination/store_version.hpp"
+
 namespace auburnlb
 {
 
@@ -22,25 +24,25 @@
     bool operator==(versioned_entry const&) const = default;
 };
 
-/// Invariants: no revision is above revision_; no name is in both entries_ and
-/// removed_.
+/// Invariants: all revisions are of the epoch of version_, and none is above
+/// its revision; no name is in both entries_ and removed_.
 struct versioned_entries
 {
     std::map<std::string, versioned_entry> entries_;
     /// Names of removed entries with upper bounds of the removals' revisions.
     std::map<std::string, std::uint64_t> removed_;
-    /// All changes up to this revision are applied; zero before the first list.
-    std::uint64_t revision_ = 0;
+    /// All changes up to this version are applied; zero before the first list.
+    store_version version_;
     /// Removals up to this revision may have been dropped from removed_.
     std::uint64_t compacted_revision_ = 0;
 
     bool operator==(versioned_entries const&) const = default;
 };
 
-/// Changes up to a revision, or all entries if is_full_ is set.
+/// Changes up to a version, or all entries if is_full_ is set.
 struct entries_delta
 {
-    std::uint64_t revision_ = 0;
+    store_version version_;
     bool is_full_ = false;
     std::map<std::string, std::string> changed_;
     std::vector<std::string> removed_;
@@ -52,13 +54,14 @@
 /// entries.
 inline constexpr std::size_t max_kept_removals = 256;
 
-/// Applies a delta with a newer revision. Returns false for another one, whose
-/// changes have been applied already.
+/// Applies a delta with a newer version. Returns false for another one, whose
+/// changes have been applied already, and for changes of a history whose
+/// entries are unknown.
 bool apply_delta(versioned_entries& entries, entries_delta const& delta);
 
-/// Returns the changes after a revision, or std::nullopt if there are none.
+/// Returns the changes after a version, or std::nullopt if there are none.
 std::optional<entries_delta> changes_since(versioned_entries const& entries,
-                                           std::uint64_t revision);
+                                           store_version const& version);
 
 } // namespace auburnlb
 
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -136,9 +136,9 @@
     internal_http_client& http_client_;
     peer_exchange_handlers handlers_;
     std::map<std::string, peer> peers_;
-    /// Latest revision of the endpoint list that another router has.
-    std::uint64_t newest_revision_ = 0;
-    /// Since when this router's revision has been older than that.
+    /// Latest version of the endpoint list that another router has.
+    store_version newest_version_;
+    /// Since when this router's version has been older than that.
     std::optional<time_point> behind_since_;
 };
 
--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "auburnlb/coordination/store_version.hpp"
 #include "auburnlb/coordination/store_watchers.hpp"
 #include "auburnlb/router/internal_http_client.hpp"
 #include "auburnlb/router/platform_protocol.hpp"
@@ -19,13 +20,11 @@
 /// Callbacks of a store feed.
 struct store_feed_handlers
 {
-    /// All objects of the kind, at a revision of the store.
-    std::function<void(std::vector<store_object> const&,
-                       std::uint64_t revision)>
+    /// All objects of the kind, at a version of the store.
+    std::function<void(std::vector<store_object> const&, store_version const&)>
         on_list_;
-    /// Changed and deleted objects, up to a revision of the store.
-    std::function<void(std::vector<store_object> const&,
-                       std::uint64_t revision)>
+    /// Changed and deleted objects, up to a version of the store.
+    std::function<void(std::vector<store_object> const&, store_version const&)>
         on_changes_;
     /// The store became reachable or unreachable.
     std::function<void(bool is_reachable, std::string const& reason)>
@@ -60,6 +59,8 @@
     /// Returns whether a response continues the history that this feed has
     /// read. If the store was restored, the next call is a list.
     bool continues_history(result<http_reply> const& reply);
+    /// Version up to which this feed has read the store.
+    store_version version() const;
     void on_call_succeeded();
     void on_call_failed(std::string const& reason);
 
--- a/src/coordination/versioned_entries.cpp
+++ b/src/coordination/versioned_entries.cpp
@@ -45,10 +45,22 @@
 
 bool apply_delta(versioned_entries& entries, entries_delta const& delta)
 {
-    if (delta.revision_ <= entries.revision_)
+    if (delta.version_ <= entries.version_)
     {
         return false;
     }
+    std::uint64_t const revision = delta.version_.revision_;
+    if (delta.version_.epoch_ != entries.version_.epoch_)
+    {
+        if (!delta.is_full_)
+        {
+            return false;
+        }
+        // The revisions of the previous history mean nothing in this one, and
+        // removals before this list are unknown.
+        entries = {};
+        entries.compacted_revision_ = revision;
+    }
     std::vector<std::string> removed = delta.removed_;
     if (delta.is_full_)
     {
@@ -62,32 +74,34 @@
     }
     for (std::string const& name : removed)
     {
-        remove_entry(entries, name, delta.revision_);
+        remove_entry(entries, name, revision);
     }
     for (auto const& [name, value] : delta.changed_)
     {
-        set_entry(entries, name, value, delta.revision_);
+        set_entry(entries, name, value, revision);
     }
-    if (entries.revision_ == 0)
+    if (entries.version_ == store_version{})
     {
         // Removals before the first list are unknown.
-        entries.compacted_revision_ = delta.revision_;
+        entries.compacted_revision_ = revision;
     }
-    entries.revision_ = delta.revision_;
+    entries.version_ = delta.version_;
     drop_oldest_removals(entries);
     return true;
 }
 
 std::optional<entries_delta> changes_since(versioned_entries const& entries,
-                                           std::uint64_t revision)
+                                           store_version const& version)
 {
-    if (entries.revision_ <= revision)
+    if (entries.version_ <= version)
     {
         return std::nullopt;
     }
+    std::uint64_t const revision = version.revision_;
     entries_delta delta;
-    delta.revision_ = entries.revision_;
-    delta.is_full_ = revision < entries.compacted_revision_;
+    delta.version_ = entries.version_;
+    delta.is_full_ = version.epoch_ != entries.version_.epoch_ ||
+                     revision < entries.compacted_revision_;
     for (auto const& [name, entry] : entries.entries_)
     {
         if (delta.is_full_ || entry.revision_ > revision)
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -252,7 +252,9 @@
     }
     if (should_request_endpoints(peer, now))
     {
-        request["endpoint_revision"] = handlers_.endpoint_entries_().revision_;
+        store_version const& known = handlers_.endpoint_entries_().version_;
+        request["endpoint_epoch"] = known.epoch_;
+        request["endpoint_revision"] = known.revision_;
     }
     http_client_.call(
         address, {"POST", "/exchange", request.dump()}, request_timeout,
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -136,15 +136,18 @@
     {
         return nullptr;
     }
-    auto const delta = changes_since(handlers_.endpoint_entries_(),
-                                     known_revision->get<std::uint64_t>());
+    auto const delta =
+        changes_since(handlers_.endpoint_entries_(),
+                      {request.value("endpoint_epoch", std::uint64_t{0}),
+                       known_revision->get<std::uint64_t>()});
     if (!delta)
     {
         return nullptr;
     }
     auto const recovery_time = std::chrono::duration_cast<milliseconds>(
         core_.directory_.list_trusted_at_ - core_.clock_.now());
-    return {{"revision", delta->revision_},
+    return {{"epoch", delta->version_.epoch_},
+            {"revision", delta->version_.revision_},
             {"whole", delta->is_full_},
             {"changed", delta->changed_},
             {"removed", delta->removed_},
@@ -187,7 +190,9 @@
     }
     state["avoided"] = unresponsive_endpoints();
     state["store"] = to_string(handlers_.store_reachability_());
-    state["endpoint_revision"] = handlers_.endpoint_entries_().revision_;
+    store_version const& known = handlers_.endpoint_entries_().version_;
+    state["endpoint_epoch"] = known.epoch_;
+    state["endpoint_revision"] = known.revision_;
     if (json endpoints = endpoints_since(request); !endpoints.is_null())
     {
         state["endpoints"] = std::move(endpoints);
@@ -254,16 +259,20 @@
             core_.directory_.list_trusted_at_,
             now + milliseconds(entries->at("settling_ms").get<std::int64_t>()));
         entries_delta delta;
-        delta.revision_ = entries->at("revision").get<std::uint64_t>();
+        delta.version_ = {entries->value("epoch", std::uint64_t{0}),
+                          entries->at("revision").get<std::uint64_t>()};
         delta.is_full_ = entries->at("whole").get<bool>();
         delta.changed_ =
             entries->at("changed").get<std::map<std::string, std::string>>();
         delta.removed_ = entries->at("removed").get<std::vector<std::string>>();
         handlers_.on_endpoints_(delta);
     }
-    newest_revision_ = std::max(
-        newest_revision_, state.value("endpoint_revision", std::uint64_t{0}));
-    if (newest_revision_ <= handlers_.endpoint_entries_().revision_)
+    newest_version_ =
+        std::max(newest_version_,
+                 store_version{
+                     state.value("endpoint_epoch", std::uint64_t{0}),
+                     state.value("endpoint_revision", std::uint64_t{0})});
+    if (newest_version_ <= handlers_.endpoint_entries_().version_)
     {
         behind_since_.reset();
     }
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -26,10 +26,10 @@
 constexpr char router_object_kind[] = "routers";
 
 entries_delta to_delta(std::vector<store_object> const& objects,
-                       std::uint64_t revision, bool is_whole)
+                       store_version const& version, bool is_whole)
 {
     entries_delta delta;
-    delta.revision_ = revision;
+    delta.version_ = version;
     delta.is_full_ = is_whole;
     for (store_object const& each : objects)
     {
@@ -279,7 +279,7 @@
 store_feed_handlers router::configuration_handlers()
 {
     auto const apply =
-        [this](std::vector<store_object> const& objects, std::uint64_t)
+        [this](std::vector<store_object> const& objects, store_version const&)
     {
         for (store_object const& each : objects)
         {
@@ -303,10 +303,12 @@
 store_feed_handlers router::endpoint_handlers()
 {
     return {
-        [this](std::vector<store_object> const& objects, std::uint64_t revision)
-        { on_endpoint_delta(to_delta(objects, revision, true)); },
-        [this](std::vector<store_object> const& objects, std::uint64_t revision)
-        { on_endpoint_delta(to_delta(objects, revision, false)); },
+        [this](std::vector<store_object> const& objects,
+               store_version const& version)
+        { on_endpoint_delta(to_delta(objects, version, true)); },
+        [this](std::vector<store_object> const& objects,
+               store_version const& version)
+        { on_endpoint_delta(to_delta(objects, version, false)); },
         [this](bool is_reachable, std::string const& reason)
         {
             if (is_reachable && has_endpoints_)
@@ -317,6 +319,8 @@
         },
         [this](std::uint64_t epoch, std::uint64_t revision)
         {
+            // The copy lacks endpoints that registered after it was made.
+            on_platform_recovered(core_.directory_, core_.clock_.now());
             on_store_restored("endpoints", epoch, revision);
         }};
 }
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -178,7 +178,7 @@
         return;
     }
     revision_ = listed_revision_;
-    handlers_.on_list_(std::exchange(listed_, {}), revision_);
+    handlers_.on_list_(std::exchange(listed_, {}), version());
 }
 
 void store_feed::on_watch_reply(result<http_reply> const& reply)
@@ -212,10 +212,15 @@
     if (!page.value().objects_.empty())
     {
         next_call_ = last_response_at_ + batch_pause;
-        handlers_.on_changes_(page.value().objects_, revision_);
+        handlers_.on_changes_(page.value().objects_, version());
     }
 }
 
+store_version store_feed::version() const
+{
+    return {epoch_.value_or(0), revision_};
+}
+
 void store_feed::on_call_succeeded()
 {
     consecutive_failures_ = 0;
