Keep what is known of an endpoint against records of an older copy

Cause: each record of a list was taken for news. The copy names endpoints as they were seconds ago: ready, or there at all. Change: lists after a restoration have an unknown age. They neither replace a later record of the same run, nor end its draining, nor bring back a run that was replaced or removed, unless that stays listed for 10 s (the platform removes silent endpoints sooner). What an endpoint writes again counts at once. Why it works: runs are told apart by their start, records of a run by their sequence, which the restoration does not turn back.

--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -71,10 +71,36 @@
 /// Returns the load from all routers.
 endpoint_load total_load(known_endpoint const& endpoint);
 
+/// How far a record of an endpoint can be trusted.
+enum class record_age
+{
+    /// No other record of the endpoint is newer.
+    newest,
+    /// It may be one of an older copy from which the store was restored.
+    unknown,
+};
+
+/// The last run of an endpoint that is out of the directory.
+struct removed_run
+{
+    endpoint_record record_;
+    time_point removed_at_{};
+};
+
+/// A record of unknown age that names a run which has been replaced or removed.
+/// If it is still listed later, the run is alive.
+struct doubtful_record
+{
+    endpoint_record record_;
+    time_point listed_at_{};
+};
+
 /// All endpoints, by identifier.
 struct endpoint_directory
 {
     std::map<std::string, endpoint_ptr> endpoints_;
+    std::map<std::string, removed_run> removed_;
+    std::map<std::string, doubtful_record> doubtful_;
     /// Before this time, the platform's list may be incomplete: entries may
     /// have expired while the platform was unreachable.
     time_point list_trusted_at_{};
@@ -84,6 +110,13 @@
 /// become reachable again.
 inline constexpr milliseconds list_recovery_time{2'200};
 
+/// A platform that was restored from an older copy has removed endpoints that
+/// are gone from its list after this time.
+inline constexpr milliseconds stale_listing_time{10'000};
+
+/// How long a removed run is remembered.
+inline constexpr milliseconds removed_run_retention{60'000};
+
 /// How long an engine that does not hold the layers in its record gets no
 /// requests, if its layers do not change.
 inline constexpr milliseconds missing_layers_backoff{1'500};
@@ -100,9 +133,17 @@
     removed,
 };
 
-/// Adds or updates an endpoint from its record on the platform.
+/// Adds or updates an endpoint from its record on the platform. A record of
+/// unknown age neither replaces a newer one of the same run nor ends its
+/// draining, and does not bring back a run at once that has ended.
 endpoint_change apply_record(endpoint_directory& directory,
-                             endpoint_record const& record);
+                             endpoint_record const& record,
+                             record_age age, time_point now);
+
+/// Removes and returns the doubtful records that are listed for so long that
+/// they are to be applied. Forgets old removed runs.
+std::vector<endpoint_record> take_confirmed(endpoint_directory& directory,
+                                            time_point now);
 
 /// Handles an endpoint's disappearance from the platform's list. Keeps the
 /// endpoint until the list can be trusted.
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -60,7 +60,9 @@
 
     void on_configuration(store_object const& object,
                           std::string const& source);
-    void on_endpoint(std::string const& id, std::string const& value);
+    void on_endpoint(std::string const& id, std::string const& value,
+                     record_age age);
+    void on_record(endpoint_record const& record, record_age age);
     void on_endpoint_connection_refused(known_endpoint const& endpoint);
     /// Tells the other routers at once, before the part reaches more endpoints.
     void on_prompt_crash();
@@ -106,6 +108,8 @@
     time_point next_slow_tick_{};
     time_point next_router_sync_{};
     bool has_endpoints_ = false;
+    /// The store was restored from a copy during the life of this process.
+    bool was_store_restored_ = false;
     bool is_watching_ = true;
     bool is_registered_ = false;
 };
--- a/include/auburnlb/state/endpoint_record.hpp
+++ b/include/auburnlb/state/endpoint_record.hpp
@@ -32,6 +32,8 @@
     std::uint64_t orders_ = 0;
     /// Unix time of its start in ms; 0 if unknown.
     std::uint64_t started_ms_ = 0;
+    /// Never decreases during a run, so that older records are recognized.
+    std::uint64_t sequence_ = 0;
 
     bool operator==(endpoint_record const&) const = default;
 };
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -25,6 +25,65 @@
     return left.layers_ != right.layers_;
 }
 
+/// Whether the run that a record names ended before the known one began, or has
+/// been seen to end.
+bool is_ended_run(endpoint_record const& record, endpoint_record const& known,
+                  bool is_known_removed)
+{
+    return is_same_run(record, known)
+               ? is_known_removed && record.sequence_ <= known.sequence_
+               : record.started_ms_ < known.started_ms_;
+}
+
+/// Returns the last run that is known of an endpoint, or null.
+endpoint_record const* last_run(endpoint_directory const& directory,
+                                std::string const& id)
+{
+    auto const found = directory.endpoints_.find(id);
+    if (found != directory.endpoints_.end())
+    {
+        return &found->second->record_;
+    }
+    auto const removed = directory.removed_.find(id);
+    return removed == directory.removed_.end() ? nullptr
+                                               : &removed->second.record_;
+}
+
+bool is_doubtful(endpoint_directory const& directory,
+                 endpoint_record const& record)
+{
+    endpoint_record const* const known = last_run(directory, record.id_);
+    return known != nullptr &&
+           is_ended_run(record, *known, directory.removed_.contains(record.id_));
+}
+
+/// Whether a record is older than the known one of the same run. A run does not
+/// cease to drain before its end.
+bool is_outdated(endpoint_record const& record, endpoint_record const& known)
+{
+    return record.sequence_ < known.sequence_ ||
+           (known.is_draining_ && !record.is_draining_);
+}
+
+endpoint_change update_record(known_endpoint& endpoint,
+                              endpoint_record const& record, record_age age)
+{
+    endpoint_record const& known = endpoint.record_;
+    bool const is_ignored =
+        age == record_age::unknown && is_outdated(record, known);
+    if (is_ignored || known == record)
+    {
+        return endpoint_change::none;
+    }
+    bool const leaves = record.is_draining_ && !known.is_draining_;
+    if (has_other_layers(known, record))
+    {
+        endpoint.layers_missing_until_ = time_point{};
+    }
+    endpoint.record_ = record;
+    return leaves ? endpoint_change::leaving : endpoint_change::updated;
+}
+
 double load_score(known_endpoint const& endpoint,
                   std::string const& data_centre, time_point now)
 {
@@ -55,8 +114,16 @@
 }
 
 endpoint_change apply_record(endpoint_directory& directory,
-                             endpoint_record const& record)
+                             endpoint_record const& record,
+                             record_age age, time_point now)
 {
+    if (age == record_age::unknown && is_doubtful(directory, record))
+    {
+        directory.doubtful_[record.id_] = {record, now};
+        return endpoint_change::none;
+    }
+    directory.doubtful_.erase(record.id_);
+    directory.removed_.erase(record.id_);
     endpoint_ptr& entry = directory.endpoints_[record.id_];
     if (entry == nullptr)
     {
@@ -65,30 +132,44 @@
         return endpoint_change::joined;
     }
     entry->missing_since_.reset();
-    if (!is_same_run(entry->record_, record))
-    {
-        // Requests in progress belong to the previous run and keep its object.
-        entry->is_removed_ = true;
-        entry = std::make_shared<known_endpoint>();
-        entry->record_ = record;
-        return endpoint_change::replaced;
-    }
-    if (entry->record_ == record)
-    {
-        return endpoint_change::none;
-    }
-    bool const leaves = record.is_draining_ && !entry->record_.is_draining_;
-    if (has_other_layers(entry->record_, record))
+    if (is_same_run(entry->record_, record))
     {
-        entry->layers_missing_until_ = time_point{};
+        return update_record(*entry, record, age);
     }
+    // Requests in progress belong to the previous run and keep its object.
+    entry->is_removed_ = true;
+    entry = std::make_shared<known_endpoint>();
     entry->record_ = record;
-    return leaves ? endpoint_change::leaving : endpoint_change::updated;
+    return endpoint_change::replaced;
+}
+
+std::vector<endpoint_record> take_confirmed(endpoint_directory& directory,
+                                            time_point now)
+{
+    std::vector<endpoint_record> confirmed;
+    std::erase_if(directory.doubtful_,
+                  [&](auto const& entry)
+                  {
+                      bool const is_confirmed =
+                          now - entry.second.listed_at_ >= stale_listing_time;
+                      if (is_confirmed)
+                      {
+                          confirmed.push_back(entry.second.record_);
+                      }
+                      return is_confirmed;
+                  });
+    std::erase_if(directory.removed_,
+                  [now](auto const& entry) {
+                      return now - entry.second.removed_at_ >=
+                             removed_run_retention;
+                  });
+    return confirmed;
 }
 
 endpoint_change apply_removal(endpoint_directory& directory,
                               std::string const& id, time_point now)
 {
+    directory.doubtful_.erase(id);
     auto const found = directory.endpoints_.find(id);
     if (found == directory.endpoints_.end())
     {
@@ -100,6 +181,7 @@
         return endpoint_change::none;
     }
     found->second->is_removed_ = true;
+    directory.removed_[id] = {found->second->record_, now};
     directory.endpoints_.erase(found);
     return endpoint_change::removed;
 }
@@ -125,6 +207,8 @@
                           return false;
                       }
                       entry.second->is_removed_ = true;
+                      directory.removed_[entry.first] = {entry.second->record_,
+                                                         now};
                       removed.push_back(entry.second);
                       return true;
                   });
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -226,6 +226,10 @@
             {{"peer", each->record_.id_}, {"reason", "not listed"}},
             "an endpoint is still missing after the platform's recovery");
     }
+    for (endpoint_record const& each : take_confirmed(core_.directory_, now))
+    {
+        on_record(each, record_age::newest);
+    }
     auto const connections = connections_;
     for (auto const& each : connections)
     {
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -76,7 +76,8 @@
         "a new configuration is in force");
 }
 
-void router::on_endpoint(std::string const& id, std::string const& value)
+void router::on_endpoint(std::string const& id, std::string const& value,
+                         record_age age)
 {
     auto const record = core_.protocol_.read_endpoint_(id, value);
     if (!record)
@@ -86,25 +87,30 @@
         on_endpoint_removed(id);
         return;
     }
+    on_record(record.value(), age);
+}
+
+void router::on_record(endpoint_record const& record, record_age age)
+{
     has_endpoints_ = true;
     endpoint_change const change =
-        apply_record(core_.directory_, record.value());
+        apply_record(core_.directory_, record, age, core_.clock_.now());
     switch (change)
     {
     case endpoint_change::joined:
     case endpoint_change::replaced:
-        core_.pool_.close_idle(record.value().address_);
+        core_.pool_.close_idle(record.address_);
         log(log_level::info,
             change == endpoint_change::joined ? log_event::peer_joined
                                               : log_event::peer_replaced,
-            {{"peer", id},
-             {"address", record.value().address_},
-             {"service", record.value().service_}},
+            {{"peer", record.id_},
+             {"address", record.address_},
+             {"service", record.service_}},
             "an endpoint joined");
         return;
     case endpoint_change::leaving:
         log(log_level::info, log_event::peer_leaving,
-            {{"peer", id}, {"service", record.value().service_}},
+            {{"peer", record.id_}, {"service", record.service_}},
             "an endpoint accepts no new requests");
         return;
     default:
@@ -183,11 +189,19 @@
 
 void router::on_endpoint_delta(entries_delta const& delta)
 {
+    std::uint64_t const epoch = endpoint_entries_.version_.epoch_;
     if (!apply_delta(endpoint_entries_, delta))
     {
         core_.metrics_.add("auburnlb_router_ignored_endpoint_lists_total", "");
         return;
     }
+    if (epoch > 0 && delta.version_.epoch_ > epoch)
+    {
+        was_store_restored_ = true;
+    }
+    record_age const age = was_store_restored_ && delta.is_full_
+                               ? record_age::unknown
+                               : record_age::newest;
     std::vector<std::string> gone = delta.removed_;
     for (auto const& [id, endpoint] : core_.directory_.endpoints_)
     {
@@ -202,7 +216,7 @@
     }
     for (auto const& [id, value] : delta.changed_)
     {
-        on_endpoint(id, value);
+        on_endpoint(id, value, age);
     }
 }
 
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -23,6 +23,13 @@
     return value;
 }
 
+endpoint_change apply(endpoint_directory& directory,
+                      endpoint_record const& value,
+                      record_age age = record_age::newest)
+{
+    return apply_record(directory, value, age, start);
+}
+
 std::string chosen(endpoint_directory const& directory,
                    std::vector<std::string> const& excluded = {})
 {
@@ -37,14 +44,14 @@
 {
     endpoint_directory directory;
     endpoint_record value = record("a");
-    EXPECT_EQ(apply_record(directory, value), endpoint_change::joined);
-    EXPECT_EQ(apply_record(directory, value), endpoint_change::none);
+    EXPECT_EQ(apply(directory, value), endpoint_change::joined);
+    EXPECT_EQ(apply(directory, value), endpoint_change::none);
     value.layers_ = layer_range{0, 10};
-    EXPECT_EQ(apply_record(directory, value), endpoint_change::updated);
+    EXPECT_EQ(apply(directory, value), endpoint_change::updated);
     value.is_draining_ = true;
-    EXPECT_EQ(apply_record(directory, value), endpoint_change::leaving);
+    EXPECT_EQ(apply(directory, value), endpoint_change::leaving);
     value.started_ms_ = 2'000;
-    EXPECT_EQ(apply_record(directory, value), endpoint_change::replaced);
+    EXPECT_EQ(apply(directory, value), endpoint_change::replaced);
     EXPECT_EQ(apply_removal(directory, "a", start), endpoint_change::removed);
     EXPECT_EQ(apply_removal(directory, "a", start), endpoint_change::none);
 }
@@ -52,12 +59,12 @@
 TEST(endpoint_directory, a_restarted_endpoint_has_no_load)
 {
     endpoint_directory directory;
-    apply_record(directory, record("a"));
+    apply(directory, record("a"));
     endpoint_ptr const before = directory.endpoints_["a"];
     add_load(*before, {5, 100, 10});
     endpoint_record value = record("a");
     value.started_ms_ = 2'000;
-    apply_record(directory, value);
+    apply(directory, value);
     EXPECT_TRUE(before->is_removed_);
     EXPECT_EQ(directory.endpoints_["a"]->load_, endpoint_load{});
 }
@@ -65,12 +72,12 @@
 TEST(endpoint_directory, expired_entries_are_kept_until_the_list_is_trusted)
 {
     endpoint_directory directory;
-    apply_record(directory, record("a"));
-    apply_record(directory, record("b"));
+    apply(directory, record("a"));
+    apply(directory, record("b"));
     on_platform_recovered(directory, start);
     EXPECT_EQ(apply_removal(directory, "a", start), endpoint_change::none);
     EXPECT_EQ(apply_removal(directory, "b", start), endpoint_change::none);
-    apply_record(directory, record("b"));
+    apply(directory, record("b"));
     EXPECT_TRUE(expire_missing(directory, start + seconds(1)).empty());
     EXPECT_EQ(chosen(directory), "a");
     auto const expired = expire_missing(directory, start + list_recovery_time);
@@ -79,20 +86,91 @@
     EXPECT_EQ(chosen(directory), "b");
 }
 
+TEST(endpoint_directory, an_older_record_of_a_run_changes_nothing)
+{
+    endpoint_directory directory;
+    endpoint_record value = record("a");
+    value.sequence_ = 7;
+    value.is_draining_ = true;
+    apply(directory, value);
+    endpoint_record copy = record("a");
+    copy.sequence_ = 4;
+    EXPECT_EQ(apply(directory, copy, record_age::unknown),
+              endpoint_change::none);
+    copy.sequence_ = 7;
+    EXPECT_EQ(apply(directory, copy, record_age::unknown),
+              endpoint_change::none);
+    EXPECT_EQ(chosen(directory), "");
+    EXPECT_EQ(apply(directory, copy), endpoint_change::updated);
+}
+
+TEST(endpoint_directory, a_copy_brings_back_no_run_that_was_replaced)
+{
+    endpoint_directory directory;
+    endpoint_record value = record("a");
+    value.started_ms_ = 2'000;
+    apply(directory, value);
+    EXPECT_EQ(apply(directory, record("a"), record_age::unknown),
+              endpoint_change::none);
+    EXPECT_EQ(directory.endpoints_["a"]->record_.started_ms_, 2'000U);
+    EXPECT_EQ(apply(directory, value), endpoint_change::none);
+    EXPECT_TRUE(
+        take_confirmed(directory, start + stale_listing_time).empty());
+}
+
+TEST(endpoint_directory, a_removed_run_in_a_copy_returns_if_it_stays_listed)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    apply_removal(directory, "a", start);
+    EXPECT_EQ(apply(directory, record("a"), record_age::unknown),
+              endpoint_change::none);
+    EXPECT_EQ(chosen(directory), "");
+    EXPECT_TRUE(take_confirmed(directory, start + seconds(9)).empty());
+    EXPECT_EQ(take_confirmed(directory, start + stale_listing_time),
+              std::vector<endpoint_record>{record("a")});
+    EXPECT_EQ(apply(directory, record("a")), endpoint_change::joined);
+}
+
+TEST(endpoint_directory, a_removed_run_that_writes_again_returns_at_once)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    apply_removal(directory, "a", start);
+    endpoint_record value = record("a");
+    apply(directory, value, record_age::unknown);
+    value.sequence_ = 1;
+    EXPECT_EQ(apply(directory, value, record_age::unknown),
+              endpoint_change::joined);
+    EXPECT_TRUE(
+        take_confirmed(directory, start + stale_listing_time).empty());
+}
+
+TEST(endpoint_directory, a_removed_run_that_leaves_the_list_stays_away)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    apply_removal(directory, "a", start);
+    apply(directory, record("a"), record_age::unknown);
+    EXPECT_EQ(apply_removal(directory, "a", start), endpoint_change::none);
+    EXPECT_TRUE(
+        take_confirmed(directory, start + stale_listing_time).empty());
+}
+
 TEST(endpoint_directory, draining_endpoints_get_no_requests)
 {
     endpoint_directory directory;
     endpoint_record value = record("a");
     value.is_draining_ = true;
-    apply_record(directory, value);
+    apply(directory, value);
     EXPECT_EQ(chosen(directory), "");
 }
 
 TEST(endpoint_directory, a_local_endpoint_with_low_load_is_chosen)
 {
     endpoint_directory directory;
-    apply_record(directory, record("far", "dc-2"));
-    apply_record(directory, record("near"));
+    apply(directory, record("far", "dc-2"));
+    apply(directory, record("near"));
     EXPECT_EQ(chosen(directory), "near");
     EXPECT_EQ(chosen(directory, {"near"}), "far");
     directory.endpoints_["near"]->load_.requests_ = 6;
@@ -102,8 +180,8 @@
 TEST(endpoint_directory, a_failing_endpoint_is_avoided_for_a_while)
 {
     endpoint_directory directory;
-    apply_record(directory, record("a"));
-    apply_record(directory, record("b", "dc-2"));
+    apply(directory, record("a"));
+    apply(directory, record("b", "dc-2"));
     endpoint_health& health = directory.endpoints_["a"]->health_;
     for (int failure = 0; failure < 3; ++failure)
     {
