Register the router again after a restoration of the store

What callers saw: nothing; routers also learn of each other from seeds and peers. A router that registered after the copy was in no list any more, so that routers which start later and whose seeds are gone would not have found it. Cause: registration was written once in the life of a process, as nothing of ours expires; a restoration loses it. Evidence: test_router_that_registered_after_the_copy_registers_again failed before (not within 5 s) and passes. Why it works: each router learns of the new history from its own watch or its peers' lists and writes again; an entry that is there already answers 409, as at a restart.

--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -198,6 +198,9 @@
     if (epoch > 0 && delta.version_.epoch_ > epoch)
     {
         was_store_restored_ = true;
+        // The copy may be older than this router's registration.
+        is_registered_ = false;
+        next_router_sync_ = core_.clock_.now();
     }
     record_age const age = was_store_restored_ && delta.is_full_
                                ? record_age::unknown
