Keep one lease holder over a restoration of the store

What callers saw: nothing so far; two routers could have placed layers at once. Cause: a lease was ordered and numbered by the revision of its object. Change: versions carry the history's number. The present holder writes itself into the new history; others wait for the lease's duration from when they first saw it; a write that was sent in another history gives no lease; the fencing number has the history's number above the revision. Why it works: a lease of the old history has ended by its holder's clock before anybody else may take it in the new one. Known limit: a process that starts within 3 s of a restoration whose copy has no lease object, at a store whose number is then 1 or missing, cannot tell.

--- a/include/auburnlb/coordination/lease.hpp
+++ b/include/auburnlb/coordination/lease.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "auburnlb/coordination/store_version.hpp"
 #include "auburnlb/state/clock.hpp"
 
 namespace auburnlb
@@ -44,21 +45,25 @@
     /// incarnation.
     std::string self_;
 
-    /// The object as last seen; version zero if it was absent.
-    std::uint64_t seen_version_ = 0;
+    /// The object as last seen; revision zero if it was absent.
+    store_version seen_version_;
     std::string seen_holder_;
     /// When seen_version_ was first seen; unset before the first read.
     std::optional<time_point> seen_since_;
+    /// When the epoch of seen_version_ was first seen.
+    time_point epoch_since_{};
 
-    /// Fencing number of the lease held, or zero. Valid only before
-    /// held_until_.
-    std::uint64_t fencing_number_ = 0;
+    /// Version of the lease held; revision zero if there is none. Valid only
+    /// before held_until_.
+    store_version held_version_;
     time_point held_until_{};
 
     /// Whether a call to the platform is pending.
     bool is_waiting_ = false;
-    /// When the last write was sent.
+    /// When the last write was sent, and the epoch of the version that it
+    /// expected.
     time_point write_sent_{};
+    std::uint64_t write_epoch_ = 0;
     time_point next_call_{};
     /// The current version is unknown because a call failed.
     bool needs_read_ = false;
@@ -76,7 +81,7 @@
 /// pass the new version to on_lease_written.
 struct write_lease
 {
-    std::uint64_t expected_version_ = 0;
+    store_version expected_version_;
     std::string holder_;
 
     bool operator==(write_lease const&) const = default;
@@ -88,12 +93,15 @@
 /// Starts a renewal or a read if one is due.
 lease_actions on_lease_tick(lease_state& state, time_point now);
 
-/// Handles the lease's object. Version zero means that it is absent.
-lease_actions on_lease_read(lease_state& state, std::uint64_t version,
+/// Handles the lease's object. Revision zero means that it is absent. The
+/// object of a restored store may name an earlier holder than the present one,
+/// so nobody but the present one takes the lease before its duration has passed.
+lease_actions on_lease_read(lease_state& state, store_version const& version,
                             std::string const& holder, time_point now);
 
-/// Handles a write that took effect with this version.
-void on_lease_written(lease_state& state, std::uint64_t version,
+/// Handles a write that took effect with this version. If the store was
+/// restored before the write, the lease is not held.
+void on_lease_written(lease_state& state, store_version const& version,
                       time_point now);
 
 /// Handles a read or write that failed or whose outcome is unknown. A conflict
--- a/include/auburnlb/coordination/store_version.hpp
+++ b/include/auburnlb/coordination/store_version.hpp
@@ -22,6 +22,19 @@
     auto operator<=>(store_version const&) const = default;
 };
 
+/// Epoch of a store that was never restored; 0 if it has no epochs.
+inline constexpr std::uint64_t first_epoch = 1;
+
+/// Bits of a fencing number that hold the revision. Those above hold the epoch.
+/// JSON numbers are exact up to 53 bits.
+inline constexpr unsigned fencing_revision_bits = 40;
+
+/// Returns a number that rises with the version.
+constexpr std::uint64_t to_fencing_number(store_version const& version)
+{
+    return (version.epoch_ << fencing_revision_bits) | version.revision_;
+}
+
 } // namespace auburnlb
 
 #endif
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -29,7 +29,7 @@
 {
     std::string holder_;
     /// Version of the lease's object in the store.
-    std::uint64_t version_ = 0;
+    store_version version_;
 
     bool operator==(announced_lease const&) const = default;
 };
--- a/include/auburnlb/router/placement_controller.hpp
+++ b/include/auburnlb/router/placement_controller.hpp
@@ -70,6 +70,8 @@
     };
 
     void run(lease_actions const& actions);
+    store_version version_of(http_reply const& reply,
+                             std::uint64_t revision) const;
     void read_lease_object();
     void write_lease_object(write_lease const& action);
     /// Probes the engines that this or another router avoids, to find out which
--- a/src/coordination/lease.cpp
+++ b/src/coordination/lease.cpp
@@ -11,21 +11,41 @@
 
 // Records a version of the lease's object. Does not reset seen_since_ if the
 // version is the same as before.
-void record_version(lease_state& state, std::uint64_t version,
+void record_version(lease_state& state, store_version const& version,
                     std::string const& holder, time_point now)
 {
     if (state.seen_since_ && state.seen_version_ == version)
     {
         return;
     }
+    if (!state.seen_since_ || state.seen_version_.epoch_ != version.epoch_)
+    {
+        state.epoch_since_ = now;
+    }
     state.seen_version_ = version;
     state.seen_holder_ = holder;
     state.seen_since_ = now;
 }
 
+// Whether the object may be a copy that is older than the lease in force.
+bool may_be_older_copy(lease_state const& state, time_point now)
+{
+    return state.seen_version_.epoch_ > first_epoch &&
+           now - state.epoch_since_ < state.limits_.duration_;
+}
+
 bool is_free(lease_state const& state, time_point now)
 {
-    bool const is_own = state.seen_holder_ == state.self_;
+    if (held_fencing_number(state, now))
+    {
+        return true;
+    }
+    if (may_be_older_copy(state, now))
+    {
+        return false;
+    }
+    bool const is_own = state.seen_holder_ == state.self_ &&
+                        state.write_epoch_ == state.seen_version_.epoch_;
     return state.seen_holder_.empty() || is_own ||
            now - *state.seen_since_ >= state.limits_.duration_;
 }
@@ -35,12 +55,13 @@
 {
     state.is_waiting_ = true;
     state.write_sent_ = now;
+    state.write_epoch_ = state.seen_version_.epoch_;
     return {write_lease{state.seen_version_, holder}};
 }
 
 void drop_lease(lease_state& state)
 {
-    state.fencing_number_ = 0;
+    state.held_version_ = {};
     state.held_until_ = time_point{};
 }
 
@@ -65,13 +86,20 @@
     return {read_lease{}};
 }
 
-lease_actions on_lease_read(lease_state& state, std::uint64_t version,
+lease_actions on_lease_read(lease_state& state, store_version const& version,
                             std::string const& holder, time_point now)
 {
+    if (version.epoch_ < state.seen_version_.epoch_)
+    {
+        on_lease_failed(state, now);
+        return {};
+    }
     state.is_waiting_ = false;
     state.needs_read_ = false;
     record_version(state, version, holder, now);
-    if (holder != state.self_)
+    bool const is_taken = holder != state.self_ &&
+                          version.epoch_ == state.held_version_.epoch_;
+    if (is_taken)
     {
         drop_lease(state);
     }
@@ -83,16 +111,22 @@
     return {};
 }
 
-void on_lease_written(lease_state& state, std::uint64_t version, time_point now)
+void on_lease_written(lease_state& state, store_version const& version,
+                      time_point now)
 {
     state.is_waiting_ = false;
     if (state.is_released_)
     {
         return;
     }
+    if (version.epoch_ != state.write_epoch_)
+    {
+        on_lease_failed(state, now);
+        return;
+    }
     state.next_call_ = state.write_sent_ + state.limits_.renewal_interval_;
     record_version(state, version, state.self_, now);
-    state.fencing_number_ = version;
+    state.held_version_ = version;
     state.held_until_ =
         state.write_sent_ + state.limits_.duration_ - state.limits_.margin_;
 }
@@ -107,11 +141,11 @@
 std::optional<std::uint64_t> held_fencing_number(lease_state const& state,
                                                  time_point now)
 {
-    if (state.fencing_number_ == 0 || now >= state.held_until_)
+    if (state.held_version_.revision_ == 0 || now >= state.held_until_)
     {
         return std::nullopt;
     }
-    return state.fencing_number_;
+    return to_fencing_number(state.held_version_);
 }
 
 lease_actions release_lease(lease_state& state, time_point now)
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -175,7 +175,9 @@
             std::chrono::duration_cast<milliseconds>(left).count();
     }
     announced_lease const lease = handlers_.latest_lease_();
-    state["lease"] = {{"holder", lease.holder_}, {"version", lease.version_}};
+    state["lease"] = {{"holder", lease.holder_},
+                      {"epoch", lease.version_.epoch_},
+                      {"version", lease.version_.revision_}};
     for (auto const& [fingerprint, crashes] :
          local_crashes(core_.crashes_, core_.clock_.now()))
     {
@@ -235,7 +237,8 @@
         lease != state.end() && lease->is_object())
     {
         handlers_.on_lease_({lease->value("holder", ""),
-                             lease->value("version", std::uint64_t{0})});
+                             {lease->value("epoch", std::uint64_t{0}),
+                              lease->value("version", std::uint64_t{0})}});
     }
     sum_loads(now);
     sum_senders(now);
--- a/src/router/placement_controller.cpp
+++ b/src/router/placement_controller.cpp
@@ -61,6 +61,12 @@
     return std::to_string(layers.first_) + "-" + std::to_string(layers.end_);
 }
 
+std::string fence_text(lease_state const& lease)
+{
+    return std::to_string(lease.held_version_.epoch_) + "/" +
+           std::to_string(lease.held_version_.revision_);
+}
+
 std::string read_holder(std::string const& value)
 {
     auto const document = nlohmann::json::parse(value, nullptr, false);
@@ -123,7 +129,7 @@
         log(log_level::info,
             is_now_leader ? log_event::duty_taken : log_event::duty_lost,
             {{"duty", lease_name},
-             {"fence", std::to_string(lease_.fencing_number_)},
+             {"fence", fence_text(lease_)},
              {"holder", lease_.seen_holder_}},
             is_now_leader
                 ? "this router is now the leader for the placement of layers"
@@ -205,6 +211,13 @@
     }
 }
 
+store_version placement_controller::version_of(http_reply const& reply,
+                                               std::uint64_t revision) const
+{
+    return {core_.protocol_.read_store_epoch_(reply.head_).value_or(0),
+            revision};
+}
+
 void placement_controller::read_lease_object()
 {
     http_client_.call(
@@ -216,7 +229,8 @@
             time_point const now = core_.clock_.now();
             if (reply && reply.value().head_.status_ == status_not_found)
             {
-                run(on_lease_read(lease_, 0, "", now));
+                run(on_lease_read(lease_, version_of(reply.value(), 0), "",
+                                  now));
                 return;
             }
             bool const is_found = reply && reply.value().head_.status_ == status_ok;
@@ -228,8 +242,9 @@
                 on_lease_failed(lease_, now);
                 return;
             }
-            run(on_lease_read(lease_, object.value().revision_,
-                              read_holder(object.value().value_), now));
+            run(on_lease_read(
+                lease_, version_of(reply.value(), object.value().revision_),
+                read_holder(object.value().value_), now));
         });
 }
 
@@ -237,7 +252,7 @@
 {
     store_object object;
     object.name_ = lease_name;
-    object.revision_ = action.expected_version_;
+    object.revision_ = action.expected_version_.revision_;
     object.value_ = nlohmann::json{
         {"holder", action.holder_},
         {"renewals",
@@ -260,7 +275,9 @@
                 on_lease_failed(lease_, now);
                 return;
             }
-            on_lease_written(lease_, written.value().revision_, now);
+            on_lease_written(
+                lease_, version_of(reply.value(), written.value().revision_),
+                now);
         });
 }
 
@@ -456,7 +473,7 @@
     log(log_level::info, log_event::layers_ordered,
         {{"peer", id},
          {"layers", range_text(order.layers_)},
-         {"fence", std::to_string(lease_.fencing_number_)},
+         {"fence", fence_text(lease_)},
          {"status", std::to_string(status)}},
         reply ? "an engine was ordered to hold layers"
               : to_string(reply.error()));
--- a/test/coordination/lease_test.cpp
+++ b/test/coordination/lease_test.cpp
@@ -14,7 +14,7 @@
 
 struct lease_object
 {
-    std::uint64_t version_ = 0;
+    std::uint64_t revision_ = 0;
     std::string holder_;
 };
 
@@ -126,7 +126,8 @@
 
     void read_number_on_companion()
     {
-        on_fencing_number_read(gate_, "plan", stored_.object_.version_);
+        on_fencing_number_read(gate_, "plan",
+                               to_fencing_number(stored_version()));
     }
 
     void save_copy() { copy_ = stored_; }
@@ -136,6 +137,7 @@
     void restore_copy()
     {
         stored_ = copy_;
+        ++epoch_;
     }
 
     // Runs one pending call to the platform. Its response may be lost.
@@ -177,6 +179,11 @@
     }
 
 private:
+    store_version stored_version() const
+    {
+        return {epoch_, stored_.object_.revision_};
+    }
+
     time_point clock(candidate const& process) const
     {
         return time_point{} +
@@ -232,7 +239,8 @@
     {
         deliver_response(
             process,
-            [this, &process, is_lost, seen = stored_.object_]
+            [this, &process, is_lost, version = stored_version(),
+             holder = stored_.object_.holder_]
             {
                 if (is_lost)
                 {
@@ -240,15 +248,16 @@
                     return;
                 }
                 start_calls(process,
-                            on_lease_read(process.state_, seen.version_,
-                                          seen.holder_, clock(process)));
+                            on_lease_read(process.state_, version, holder,
+                                          clock(process)));
             });
     }
 
     void run_write(candidate& process, write_lease const& write, bool is_lost)
     {
         lease_object& object = stored_.object_;
-        bool const is_applied = object.version_ == write.expected_version_;
+        bool const is_applied =
+            object.revision_ == write.expected_version_.revision_;
         if (is_applied)
         {
             object = {++stored_.revision_, write.holder_};
@@ -256,7 +265,7 @@
         deliver_response(
             process,
             [this, &process, is_failed = is_lost || !is_applied,
-             version = object.version_]
+             version = stored_version()]
             {
                 if (is_failed)
                 {
@@ -270,6 +279,7 @@
     std::vector<candidate> candidates_;
     platform_content stored_;
     platform_content copy_;
+    std::uint64_t epoch_ = first_epoch;
     std::vector<std::function<void(bool)>> calls_;
     std::vector<delayed_order> orders_;
     order_gate gate_;
@@ -322,6 +332,11 @@
     }
 }
 
+std::uint64_t fence(std::uint64_t revision)
+{
+    return to_fencing_number({first_epoch, revision});
+}
+
 // Of 64 steps about one copies the platform or goes back to the copy.
 void apply_step_or_restore(lease_simulation& simulation, std::uint32_t step)
 {
@@ -371,18 +386,18 @@
     holder.self_ = "a";
     time_point const begin{seconds(1)};
     ASSERT_EQ(on_lease_tick(holder, begin), lease_actions{read_lease{}});
-    ASSERT_EQ(on_lease_read(holder, 0, "", begin),
-              lease_actions{(write_lease{0, "a"})});
-    on_lease_written(holder, 7, begin + milliseconds(300));
-    EXPECT_EQ(held_fencing_number(holder, begin + milliseconds(4'999)), 7U);
+    ASSERT_EQ(on_lease_read(holder, {1, 0}, "", begin),
+              lease_actions{(write_lease{{1, 0}, "a"})});
+    on_lease_written(holder, {1, 7}, begin + milliseconds(300));
+    EXPECT_EQ(held_fencing_number(holder, begin + milliseconds(4'999)), fence(7));
     EXPECT_FALSE(held_fencing_number(holder, begin + milliseconds(5'000)));
     lease_state waiting;
     waiting.self_ = "b";
-    EXPECT_TRUE(on_lease_read(waiting, 7, "a", begin).empty());
+    EXPECT_TRUE(on_lease_read(waiting, {1, 7}, "a", begin).empty());
     EXPECT_TRUE(
-        on_lease_read(waiting, 7, "a", begin + milliseconds(5'999)).empty());
-    EXPECT_EQ(on_lease_read(waiting, 7, "a", begin + milliseconds(6'000)),
-              lease_actions{(write_lease{7, "b"})});
+        on_lease_read(waiting, {1, 7}, "a", begin + milliseconds(5'999)).empty());
+    EXPECT_EQ(on_lease_read(waiting, {1, 7}, "a", begin + milliseconds(6'000)),
+              lease_actions{(write_lease{{1, 7}, "b"})});
 }
 
 TEST(lease, a_released_lease_is_free_at_once_and_not_taken_again)
@@ -391,17 +406,17 @@
     holder.self_ = "a";
     time_point const begin{seconds(1)};
     on_lease_tick(holder, begin);
-    on_lease_read(holder, 0, "", begin);
-    on_lease_written(holder, 7, begin);
+    on_lease_read(holder, {1, 0}, "", begin);
+    on_lease_written(holder, {1, 7}, begin);
     ASSERT_EQ(release_lease(holder, begin),
-              lease_actions{(write_lease{7, ""})});
-    on_lease_written(holder, 8, begin);
+              lease_actions{(write_lease{{1, 7}, ""})});
+    on_lease_written(holder, {1, 8}, begin);
     EXPECT_FALSE(held_fencing_number(holder, begin));
     EXPECT_TRUE(on_lease_tick(holder, begin + seconds(60)).empty());
     lease_state waiting;
     waiting.self_ = "b";
-    EXPECT_EQ(on_lease_read(waiting, 8, "", begin),
-              lease_actions{(write_lease{8, "b"})});
+    EXPECT_EQ(on_lease_read(waiting, {1, 8}, "", begin),
+              lease_actions{(write_lease{{1, 8}, "b"})});
 }
 
 TEST(lease, a_renewal_with_lost_response_is_read_back_and_keeps_the_lease)
@@ -410,16 +425,61 @@
     holder.self_ = "a";
     time_point const begin{seconds(1)};
     on_lease_tick(holder, begin);
-    on_lease_read(holder, 0, "", begin);
-    on_lease_written(holder, 7, begin);
+    on_lease_read(holder, {1, 0}, "", begin);
+    on_lease_written(holder, {1, 7}, begin);
     ASSERT_EQ(on_lease_tick(holder, begin + milliseconds(2'000)),
-              lease_actions{(write_lease{7, "a"})});
+              lease_actions{(write_lease{{1, 7}, "a"})});
     on_lease_failed(holder, begin + milliseconds(2'500));
     ASSERT_EQ(on_lease_tick(holder, begin + milliseconds(3'500)),
               lease_actions{read_lease{}});
-    EXPECT_EQ(on_lease_read(holder, 8, "a", begin + milliseconds(3'500)),
-              lease_actions{(write_lease{8, "a"})});
-    EXPECT_EQ(held_fencing_number(holder, begin + milliseconds(3'600)), 7U);
+    EXPECT_EQ(on_lease_read(holder, {1, 8}, "a", begin + milliseconds(3'500)),
+              lease_actions{(write_lease{{1, 8}, "a"})});
+    EXPECT_EQ(held_fencing_number(holder, begin + milliseconds(3'600)), fence(7));
+}
+
+TEST(lease, a_holder_named_by_an_older_copy_waits_for_the_present_one)
+{
+    lease_state former;
+    former.self_ = "a";
+    time_point const begin{seconds(1)};
+    on_lease_tick(former, begin);
+    on_lease_read(former, {1, 5}, "", begin);
+    on_lease_written(former, {1, 6}, begin);
+    on_lease_read(former, {1, 9}, "b", begin + seconds(8));
+    time_point const restored = begin + seconds(9);
+    EXPECT_TRUE(on_lease_read(former, {2, 6}, "a", restored).empty());
+    EXPECT_FALSE(on_lease_read(former, {2, 6}, "a", restored + seconds(6))
+                     .empty());
+}
+
+TEST(lease, the_present_holder_keeps_its_lease_over_a_restore)
+{
+    lease_state holder;
+    holder.self_ = "a";
+    time_point const begin{seconds(1)};
+    on_lease_tick(holder, begin);
+    on_lease_read(holder, {1, 5}, "", begin);
+    on_lease_written(holder, {1, 9}, begin);
+    EXPECT_EQ(on_lease_read(holder, {2, 3}, "b", begin + seconds(2)),
+              lease_actions{(write_lease{{2, 3}, "a"})});
+    std::uint64_t const before =
+        held_fencing_number(holder, begin + seconds(2)).value();
+    on_lease_written(holder, {2, 4}, begin + seconds(2));
+    EXPECT_LT(before, held_fencing_number(holder, begin + seconds(2)));
+}
+
+TEST(lease, a_write_from_before_a_restore_that_takes_effect_late_gives_no_lease)
+{
+    lease_state late;
+    late.self_ = "a";
+    time_point const begin{seconds(1)};
+    on_lease_tick(late, begin);
+    on_lease_read(late, {1, 6}, "", begin);
+    on_lease_failed(late, begin + seconds(1));
+    on_lease_read(late, {2, 6}, "b", begin + seconds(2));
+    time_point const now = begin + seconds(9);
+    EXPECT_TRUE(on_lease_read(late, {2, 9}, "a", now).empty());
+    EXPECT_FALSE(on_lease_read(late, {2, 9}, "a", now + seconds(6)).empty());
 }
 
 TEST(order_gate, a_restarted_companion_refuses_orders_until_it_has_read)
