--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -87,6 +87,8 @@
                                          time_point now) const;
     double expected_output_tokens() const;
 
+    /// Counts responses that announce a stop or ask for a rest.
+    void count_notices();
     /// Applies the rate limit that the response names.
     void read_rate_limit(time_point now);
     void on_events(std::string_view piece);
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -40,6 +40,7 @@
     response_ = core_.protocol_.read_response_(head);
     response_began_at_ = core_.clock_.now();
     read_rate_limit(response_began_at_);
+    count_notices();
     is_streaming_ =
         is_stream() && is_success(head.status_) && response_.is_signed_;
     if (is_streaming_ && !caller_->has_begun_response())
@@ -48,6 +49,18 @@
     }
 }
 
+void forwarded_request::count_notices()
+{
+    if (response_.is_leaving_)
+    {
+        core_.metrics_.add("auburnlb_router_leaving_responses_total");
+    }
+    if (response_.rest_)
+    {
+        core_.metrics_.add("auburnlb_router_rest_responses_total");
+    }
+}
+
 void forwarded_request::read_rate_limit(time_point now)
 {
     bool const is_of_endpoint =
