Reproduce endpoints that get requests while they rest or leave

What callers saw: a Retry-After of 0.03 s where the endpoints had asked for 6 s. Three requests of one router reach an endpoint within its rest of 6 s (two are tolerated); 42 and 50 more requests in 2 s reach an endpoint that has said for 2 s that it leaves. Stand-in: an engine can ask for rest with its refusals, and say that it leaves.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -8,8 +8,9 @@
 // another request's id first; "unframed" sends neither length nor chunks, and
 // "torn" breaks off within an event of such a stream; "mute" never answers;
 // "early" answers before a body is read. A post to /fake/limit sets the rate
-// limit that responses name, an empty one ends it. GET /fake/runs gives the
-// runs by id.
+// limit that responses name, an empty one ends it. A post to /fake/rest sets
+// the seconds of rest that "shed" asks for. A post to /fake/leave makes all
+// responses say that the engine leaves. GET /fake/runs gives the runs by id.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -44,6 +45,7 @@
 constexpr milliseconds registration_retry{500};
 /// How long work that depends on a lost engine stalls.
 constexpr milliseconds stall_limit{3'000};
+constexpr unsigned unavailable = 503;
 
 struct engine_state
 {
@@ -56,8 +58,14 @@
     std::map<std::string, int> cancelled_;
     /// Value of the rate limit that all responses name; empty for none.
     std::string rate_limit_;
-    /// Arrivals of requests since the start.
+    /// Seconds of rest that refusals ask for; empty for none.
+    std::string rest_;
+    /// All responses say that the engine leaves.
+    bool is_leaving_ = false;
+    /// Arrivals of requests since the start, and those of them that were
+    /// refused.
     std::vector<std::int64_t> arrivals_ms_;
+    std::vector<std::int64_t> refusals_ms_;
     std::uint64_t born_ = 0;
     /// Streams whose caller is there.
     std::uint32_t streams_ = 0;
@@ -76,6 +84,10 @@
     head.status_ = status;
     head.fields_ = {{std::string(names::request_id), request_id},
                     {std::string(names::signature), "signed-" + request_id}};
+    if (state.is_leaving_)
+    {
+        head.fields_.push_back({std::string(names::leaving), "1"});
+    }
     if (!state.rate_limit_.empty())
     {
         head.fields_.push_back(
@@ -285,6 +297,14 @@
         {
             state_.rate_limit_ = body;
         }
+        if (head.target_ == "/fake/rest")
+        {
+            state_.rest_ = body;
+        }
+        if (head.target_ == "/fake/leave")
+        {
+            state_.is_leaving_ = true;
+        }
         if (head.target_ == "/fake/drain")
         {
             state_.is_draining_ = true;
@@ -294,6 +314,7 @@
                            json{{"runs", state_.runs_},
                                 {"cancelled", state_.cancelled_},
                                 {"arrivals_ms", state_.arrivals_ms_},
+                                {"refusals_ms", state_.refusals_ms_},
                                 {"streams", state_.streams_}}
                                .dump());
     }
@@ -340,6 +361,15 @@
         http_head head;
         head.status_ = status;
         head.fields_ = {{std::string(names::not_run), "1"}};
+        if (state_.is_leaving_)
+        {
+            head.fields_.push_back({std::string(names::leaving), "1"});
+        }
+        if (!state_.rest_.empty() && status == unavailable)
+        {
+            head.fields_.push_back(
+                {std::string(names::retry_after), state_.rest_});
+        }
         caller.send_response(head, "");
     }
 
@@ -349,19 +379,19 @@
         std::string const* const id = head.find(names::request_id);
         std::string const* const instance = head.find(names::expect_instance);
         constexpr unsigned misdirected = 421;
-        constexpr unsigned unavailable = 503;
         if (id == nullptr || (instance != nullptr && *instance != options_.id_))
         {
             refuse(*caller, misdirected);
             return;
         }
+        auto const now_ms = clock_.now().time_since_epoch() / milliseconds(1);
+        state_.arrivals_ms_.push_back(now_ms);
         if (state_.fault_ == "shed")
         {
+            state_.refusals_ms_.push_back(now_ms);
             refuse(*caller, unavailable);
             return;
         }
-        state_.arrivals_ms_.push_back(clock_.now().time_since_epoch() /
-                                      milliseconds(1));
         ++state_.runs_[*id];
         record_ << options_.id_ << ' ' << *id << '\n' << std::flush;
         if (options_.kind_.empty())
