Send no requests to endpoints that have asked for a rest

What callers saw: a Retry-After of 0.03 s while all endpoints of a service rested for 6 s; else streams that were refused once more on their way. Cause: Retry-After of an endpoint's refusal was not read. The avoidance after a refusal begins at 0.15 s, and each success of a stream that still runs there sets it back, so that up to eleven requests came within 3 s (half of the engines resting). Change: the endpoint takes no requests of this router until its rest ends; the rest outlasts an entry that lapses. A request is refused at once if all endpoints it may still be sent to rest for longer than it can wait, and told when the first one ends. Evidence: three process tests failed before and pass.

--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -44,6 +44,9 @@
     /// Load from all other routers.
     endpoint_load other_routers_load_;
     rate_limit rate_limit_;
+    /// The endpoint wants no requests from this router before this time. Other
+    /// engines may still pass work on to it.
+    time_point rests_until_{};
     /// Last time that a request at the endpoint made progress.
     time_point last_progress_{};
     /// Times of the last answered and the last failed probe.
@@ -83,7 +86,7 @@
 /// The last run of an endpoint that is out of the directory.
 struct removed_run
 {
-    endpoint_record record_;
+    endpoint_ptr endpoint_;
     time_point removed_at_{};
 };
 
@@ -162,9 +165,26 @@
 std::vector<endpoint_ptr> endpoints_of(endpoint_directory const& directory,
                                        std::string const& service);
 
-/// Returns whether a new request may be sent to the endpoint now.
+/// Returns whether a new request may be executed by the endpoint now.
 bool accepts_requests(known_endpoint const& endpoint, time_point now);
 
+/// Returns whether the endpoint takes requests from this router now. One that
+/// does not may still be a later engine of a path.
+bool may_be_sent_to(known_endpoint const& endpoint, time_point now);
+
+/// Handles a refusal by which the endpoint asks for a rest.
+void record_rest(known_endpoint& endpoint, milliseconds rest, time_point now);
+
+/// Returns the earliest time at which one of the endpoints does not rest; now if
+/// there are none.
+time_point rest_end(std::vector<endpoint_ptr> const& endpoints, time_point now);
+
+/// Returns the engines that hold the first layer, at which paths may begin.
+/// @param allowed_ids the only engines to return; empty for all
+std::vector<endpoint_ptr>
+path_begins(std::vector<endpoint_ptr> const& engines,
+            std::vector<std::string> const& allowed_ids);
+
 /// Returns whether a request at the endpoint has made progress, or the endpoint
 /// has answered a probe, since the given time.
 bool has_responded_since(known_endpoint const& endpoint, time_point since);
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -87,8 +87,8 @@
                                          time_point now) const;
     double expected_output_tokens() const;
 
-    /// Counts responses that announce a stop or ask for a rest.
-    void count_notices();
+    /// Applies what the response says about the endpoint's availability.
+    void read_notices(time_point now);
     /// Applies the rate limit that the response names.
     void read_rate_limit(time_point now);
     void on_events(std::string_view piece);
@@ -125,6 +125,10 @@
     void check_stall(time_point now);
     milliseconds stall_timeout() const;
     bool has_alternative(time_point now) const;
+    /// Returns the earliest time at which the endpoints that a new attempt may
+    /// be sent to do not all rest.
+    /// @param is_new_request whether the attempts so far do not count
+    time_point rest_end(bool is_new_request, time_point now) const;
     /// Returns the Retry-After time for a refused caller.
     milliseconds retry_delay();
 
@@ -134,6 +138,8 @@
     void end_request(char const* outcome, unsigned status);
     void release_reservations();
     bool is_stream() const { return route_->kind_ == route_kind::stream; }
+    /// Whether the service is a model that is split over engines.
+    bool is_model() const;
     bool is_retryable() const;
     service_runtime& service() { return core_.services_[service_name_]; }
 
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -2,6 +2,7 @@
 #include "auburnlb/coordination/endpoint_directory.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace auburnlb
@@ -35,6 +36,20 @@
                : record.started_ms_ < known.started_ms_;
 }
 
+bool is_among(std::vector<std::string> const& ids, std::string const& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+/// Keeps what a run has said about itself while it was out of the list.
+void keep_notices(known_endpoint const& before, known_endpoint& after)
+{
+    if (is_same_run(before.record_, after.record_))
+    {
+        after.rests_until_ = before.rests_until_;
+    }
+}
+
 /// Returns the last run that is known of an endpoint, or null.
 endpoint_record const* last_run(endpoint_directory const& directory,
                                 std::string const& id)
@@ -46,7 +61,7 @@
     }
     auto const removed = directory.removed_.find(id);
     return removed == directory.removed_.end() ? nullptr
-                                               : &removed->second.record_;
+                                               : &removed->second.endpoint_->record_;
 }
 
 bool is_doubtful(endpoint_directory const& directory,
@@ -123,12 +138,16 @@
         return endpoint_change::none;
     }
     directory.doubtful_.erase(record.id_);
-    directory.removed_.erase(record.id_);
+    auto const removed = directory.removed_.extract(record.id_);
     endpoint_ptr& entry = directory.endpoints_[record.id_];
     if (entry == nullptr)
     {
         entry = std::make_shared<known_endpoint>();
         entry->record_ = record;
+        if (!removed.empty())
+        {
+            keep_notices(*removed.mapped().endpoint_, *entry);
+        }
         return endpoint_change::joined;
     }
     entry->missing_since_.reset();
@@ -181,7 +200,7 @@
         return endpoint_change::none;
     }
     found->second->is_removed_ = true;
-    directory.removed_[id] = {found->second->record_, now};
+    directory.removed_[id] = {found->second, now};
     directory.endpoints_.erase(found);
     return endpoint_change::removed;
 }
@@ -207,8 +226,7 @@
                           return false;
                       }
                       entry.second->is_removed_ = true;
-                      directory.removed_[entry.first] = {entry.second->record_,
-                                                         now};
+                      directory.removed_[entry.first] = {entry.second, now};
                       removed.push_back(entry.second);
                       return true;
                   });
@@ -236,6 +254,44 @@
            is_available(endpoint.health_, now);
 }
 
+bool may_be_sent_to(known_endpoint const& endpoint, time_point now)
+{
+    return now >= endpoint.rests_until_ &&
+           may_send(endpoint.rate_limit_, now);
+}
+
+void record_rest(known_endpoint& endpoint, milliseconds rest, time_point now)
+{
+    endpoint.rests_until_ = std::max(endpoint.rests_until_, now + rest);
+}
+
+time_point rest_end(std::vector<endpoint_ptr> const& endpoints, time_point now)
+{
+    std::optional<time_point> first;
+    for (endpoint_ptr const& each : endpoints)
+    {
+        first =
+            std::min(first.value_or(each->rests_until_), each->rests_until_);
+    }
+    return std::max(first.value_or(now), now);
+}
+
+std::vector<endpoint_ptr>
+path_begins(std::vector<endpoint_ptr> const& engines,
+            std::vector<std::string> const& allowed_ids)
+{
+    std::vector<endpoint_ptr> begins;
+    std::copy_if(engines.begin(), engines.end(), std::back_inserter(begins),
+                 [&allowed_ids](endpoint_ptr const& each)
+                 {
+                     auto const& layers = each->record_.layers_;
+                     return layers && layers->first_ == 0 &&
+                            (allowed_ids.empty() ||
+                             is_among(allowed_ids, each->record_.id_));
+                 });
+    return begins;
+}
+
 bool has_responded_since(known_endpoint const& endpoint, time_point since)
 {
     return std::max(endpoint.last_progress_, endpoint.probe_answered_) >= since;
@@ -293,7 +349,7 @@
     engine.streams_ = total.requests_;
     engine.slots_ = endpoint.record_.slots_;
     engine.prefill_backlog_ = total.prefill_backlog_;
-    engine.may_be_first_ = may_send(endpoint.rate_limit_, now);
+    engine.may_be_first_ = may_be_sent_to(endpoint, now);
     engine.cost_factor_ = cost_factor(endpoint.health_, now);
     engine.is_usable_ = layer_count > 0 &&
                         accelerator != model.accelerators_.end() &&
@@ -311,14 +367,12 @@
     double lowest_score = std::numeric_limits<double>::infinity();
     for (endpoint_ptr const& each : endpoints)
     {
-        bool const is_excluded =
-            std::find(excluded_ids.begin(), excluded_ids.end(),
-                      each->record_.id_) != excluded_ids.end();
+        bool const is_excluded = is_among(excluded_ids, each->record_.id_);
         bool const is_full =
             each->load_.requests_ >=
             max_requests_per_slot * static_cast<double>(each->record_.slots_);
         if (is_excluded || is_full || !accepts_requests(*each, now) ||
-            !may_send(each->rate_limit_, now))
+            !may_be_sent_to(*each, now))
         {
             continue;
         }
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -220,7 +220,16 @@
 {
     waiting_request const entry = make_queue_entry(now);
     service_runtime& runtime = service();
-    if (would_expire(runtime.queue_, entry))
+    // A request without another endpoint left does better as a new one than
+    // late at an endpoint that rests.
+    bool const is_last_endpoint = sent_to_.ids_.size() >= route_->max_attempts_;
+    time_point const latest_start =
+        is_last_endpoint
+            ? std::min(entry.latest_on_time_start_, entry.expires_at_)
+            : entry.expires_at_;
+    time_point const rest = rest_end(false, now);
+    if (would_expire(runtime.queue_, entry) ||
+        (rest > now && rest >= latest_start))
     {
         refuse_waiting(now);
         return;
@@ -286,11 +295,38 @@
                left + restart_time);
 }
 
+time_point forwarded_request::rest_end(bool is_new_request,
+                                       time_point now) const
+{
+    auto endpoints = endpoints_of(core_.directory_, service_name_);
+    std::vector<std::string> const attempted =
+        is_new_request ? std::vector<std::string>() : sent_to_.ids_;
+    if (is_model())
+    {
+        bool const is_limited = attempted.size() >= route_->max_attempts_;
+        return auburnlb::rest_end(
+            path_begins(endpoints, is_limited ? attempted
+                                              : std::vector<std::string>()),
+            now);
+    }
+    std::erase_if(endpoints,
+                  [&attempted](endpoint_ptr const& each)
+                  {
+                      return std::find(attempted.begin(), attempted.end(),
+                                       each->record_.id_) != attempted.end();
+                  });
+    return auburnlb::rest_end(endpoints, now);
+}
+
 milliseconds forwarded_request::retry_delay()
 {
     // A short call may reach another endpoint at once; a stream has to wait for
     // capacity.
-    return is_stream() ? retry_after(service().queue_) : plain_retry_delay;
+    milliseconds const delay =
+        is_stream() ? retry_after(service().queue_) : plain_retry_delay;
+    time_point const now = core_.clock_.now();
+    return std::max(
+        delay, std::chrono::ceil<milliseconds>(rest_end(true, now) - now));
 }
 
 void forwarded_request::on_tick(time_point now)
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -40,7 +40,7 @@
     response_ = core_.protocol_.read_response_(head);
     response_began_at_ = core_.clock_.now();
     read_rate_limit(response_began_at_);
-    count_notices();
+    read_notices(response_began_at_);
     is_streaming_ =
         is_stream() && is_success(head.status_) && response_.is_signed_;
     if (is_streaming_ && !caller_->has_begun_response())
@@ -49,8 +49,13 @@
     }
 }
 
-void forwarded_request::count_notices()
+void forwarded_request::read_notices(time_point now)
 {
+    if (reservations_.empty())
+    {
+        return;
+    }
+    known_endpoint& endpoint = *reservations_.front().endpoint_;
     if (response_.is_leaving_)
     {
         core_.metrics_.add("auburnlb_router_leaving_responses_total");
@@ -58,6 +63,11 @@
     if (response_.rest_)
     {
         core_.metrics_.add("auburnlb_router_rest_responses_total");
+        record_rest(endpoint, *response_.rest_, now);
+        log(log_level::info, log_event::endpoint_rests,
+            {{"peer", endpoint.record_.id_},
+             {"rest_ms", std::to_string(response_.rest_->count())}},
+            "an endpoint wants no requests for a while");
     }
 }
 
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -45,10 +45,8 @@
         refuse_prompt();
         return true;
     }
-    bool const is_model = service_entry_ != nullptr && service_entry_->model_ &&
-                          service_entry_->model_->layers_ > 1;
     bool const is_started =
-        is_model ? start_on_path(now) : start_on_endpoint(now);
+        is_model() ? start_on_path(now) : start_on_endpoint(now);
     if (is_started)
     {
         core_.metrics_.observe("auburnlb_router_wait_seconds",
@@ -182,6 +180,12 @@
     return true;
 }
 
+bool forwarded_request::is_model() const
+{
+    return service_entry_ != nullptr && service_entry_->model_ &&
+           service_entry_->model_->layers_ > 1;
+}
+
 bool forwarded_request::is_retryable() const
 {
     return route_->kind_ == route_kind::idempotent ||
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -157,6 +157,64 @@
         take_confirmed(directory, start + stale_listing_time).empty());
 }
 
+TEST(endpoint_directory, an_endpoint_that_rests_gets_no_requests)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    apply(directory, record("b", "dc-2"));
+    known_endpoint& resting = *directory.endpoints_["a"];
+    record_rest(resting, seconds(3), start);
+    record_rest(resting, seconds(1), start);
+    EXPECT_EQ(chosen(directory), "b");
+    EXPECT_FALSE(may_be_sent_to(resting, start + milliseconds(2'999)));
+    EXPECT_TRUE(may_be_sent_to(resting, start + seconds(3)));
+    auto const all = endpoints_of(directory, "service");
+    EXPECT_EQ(rest_end(all, start), start);
+    record_rest(*directory.endpoints_["b"], seconds(2), start);
+    EXPECT_EQ(rest_end(all, start), start + seconds(2));
+    EXPECT_EQ(rest_end({}, start), start);
+}
+
+TEST(endpoint_directory, a_rest_lasts_while_the_endpoint_is_out_of_the_list)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    record_rest(*directory.endpoints_["a"], seconds(3), start);
+    apply_removal(directory, "a", start);
+    apply(directory, record("a"));
+    EXPECT_EQ(chosen(directory), "");
+    endpoint_record next_run = record("a");
+    next_run.started_ms_ = 2'000;
+    apply(directory, next_run);
+    EXPECT_EQ(chosen(directory), "a");
+}
+
+TEST(endpoint_directory, an_engine_that_rests_may_go_on_as_a_later_one)
+{
+    endpoint_directory directory;
+    auto const add = [&](std::string const& id, layer_range const& layers)
+    {
+        endpoint_record value = record(id);
+        value.layers_ = layers;
+        value.accelerator_ = "card";
+        apply(directory, value);
+    };
+    add("a", {0, 4});
+    add("b", {4, 8});
+    add("c", {0, 8});
+    auto const all = endpoints_of(directory, "service");
+    EXPECT_EQ(path_begins(all, {}).size(), 2U);
+    EXPECT_EQ(path_begins(all, {"a", "b"}).size(), 1U);
+    known_endpoint& later = *directory.endpoints_["b"];
+    record_rest(later, seconds(3), start);
+    model_profile model;
+    model.layers_ = 8;
+    model.accelerators_["card"] = {};
+    path_engine const engine = to_path_engine(later, model, start);
+    EXPECT_TRUE(engine.is_usable_);
+    EXPECT_FALSE(engine.may_be_first_);
+}
+
 TEST(endpoint_directory, draining_endpoints_get_no_requests)
 {
     endpoint_directory directory;
