Send nothing more to endpoints that say they leave in their responses

What callers saw: nothing in the tests; on the users' platform an endpoint that leaves without a word in the list is gone with what it was sent last. Cause: Server-Leaving was not read; only the list's draining state counted. Change: a run that has announced its stop in any response, a report among them, counts as leaving until it ends, whatever the list says, also over a lapse of its entry. It gets no layers either. Left: other routers learn it from their own responses or the list.

--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -47,6 +47,9 @@
     /// The endpoint wants no requests from this router before this time. Other
     /// engines may still pass work on to it.
     time_point rests_until_{};
+    /// A response of this run has said that it will stop. The platform's list
+    /// may say so later, or never.
+    bool has_announced_stop_ = false;
     /// Last time that a request at the endpoint made progress.
     time_point last_progress_{};
     /// Times of the last answered and the last failed probe.
@@ -172,6 +175,9 @@
 /// does not may still be a later engine of a path.
 bool may_be_sent_to(known_endpoint const& endpoint, time_point now);
 
+/// Returns whether the endpoint finishes its requests and takes no new ones.
+bool is_leaving(known_endpoint const& endpoint);
+
 /// Handles a refusal by which the endpoint asks for a rest.
 void record_rest(known_endpoint& endpoint, milliseconds rest, time_point now);
 
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -47,6 +47,7 @@
     if (is_same_run(before.record_, after.record_))
     {
         after.rests_until_ = before.rests_until_;
+        after.has_announced_stop_ = before.has_announced_stop_;
     }
 }
 
@@ -239,8 +240,7 @@
     std::vector<endpoint_ptr> endpoints;
     for (auto const& [id, endpoint] : directory.endpoints_)
     {
-        if (endpoint->record_.service_ == service &&
-            !endpoint->record_.is_draining_)
+        if (endpoint->record_.service_ == service && !is_leaving(*endpoint))
         {
             endpoints.push_back(endpoint);
         }
@@ -250,7 +250,7 @@
 
 bool accepts_requests(known_endpoint const& endpoint, time_point now)
 {
-    return !endpoint.is_removed_ && !endpoint.record_.is_draining_ &&
+    return !endpoint.is_removed_ && !is_leaving(endpoint) &&
            is_available(endpoint.health_, now);
 }
 
@@ -260,6 +260,11 @@
            may_send(endpoint.rate_limit_, now);
 }
 
+bool is_leaving(known_endpoint const& endpoint)
+{
+    return endpoint.record_.is_draining_ || endpoint.has_announced_stop_;
+}
+
 void record_rest(known_endpoint& endpoint, milliseconds rest, time_point now)
 {
     endpoint.rests_until_ = std::max(endpoint.rests_until_, now + rest);
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -1,6 +1,7 @@
 // Probes and the evaluation of their results.
 #include "auburnlb/router/endpoint_prober.hpp"
 
+#include "auburnlb/router/endpoint_notices.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -65,6 +66,8 @@
         return;
     }
     endpoint->probe_answered_ = now;
+    apply_notices(*endpoint, protocol_.read_response_(reply.value().head_),
+                  now);
     // A plain service responds without a report; the response alone shows that
     // it is alive.
     auto const report = protocol_.read_report_(reply.value().body_);
--- a/src/router/placement_controller.cpp
+++ b/src/router/placement_controller.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "auburnlb/router/endpoint_notices.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/log.hpp"
 
@@ -161,7 +162,7 @@
             !is_available(endpoint->health_, now) ||
             has_failed_since(*endpoint, endpoint->silent_since_);
         if (is_suspect && endpoint->record_.layers_ &&
-            !endpoint->record_.is_draining_ &&
+            !is_leaving(*endpoint) &&
             !has_responded_since(*endpoint, now - suspect_probe_interval) &&
             now - endpoint->probe_sent_ >= suspect_probe_interval)
         {
@@ -419,6 +420,20 @@
         { on_report(id, reply, load_time); });
 }
 
+bool placement_controller::is_stop_announced(std::string const& id,
+                                             http_reply const& reply,
+                                             time_point now)
+{
+    auto const found = core_.directory_.endpoints_.find(id);
+    if (found == core_.directory_.endpoints_.end())
+    {
+        return false;
+    }
+    known_endpoint& endpoint = *found->second;
+    apply_notices(endpoint, core_.protocol_.read_response_(reply.head_), now);
+    return is_leaving(endpoint);
+}
+
 void placement_controller::on_report(std::string const& id,
                                      result<http_reply> const& reply,
                                      milliseconds load_time)
@@ -429,6 +444,11 @@
     {
         return;
     }
+    if (reply && is_stop_announced(id, reply.value(), now))
+    {
+        fail_order(id, "the engine is leaving");
+        return;
+    }
     if (!reply || reply.value().head_.status_ != status_ok)
     {
         fail_order(id, reply ? "status " + std::to_string(reply.value().head_.status_)
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "auburnlb/router/endpoint_notices.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/log.hpp"
 
@@ -55,7 +56,6 @@
     {
         return;
     }
-    known_endpoint& endpoint = *reservations_.front().endpoint_;
     if (response_.is_leaving_)
     {
         core_.metrics_.add("auburnlb_router_leaving_responses_total");
@@ -63,12 +63,8 @@
     if (response_.rest_)
     {
         core_.metrics_.add("auburnlb_router_rest_responses_total");
-        record_rest(endpoint, *response_.rest_, now);
-        log(log_level::info, log_event::endpoint_rests,
-            {{"peer", endpoint.record_.id_},
-             {"rest_ms", std::to_string(response_.rest_->count())}},
-            "an endpoint wants no requests for a while");
     }
+    apply_notices(*reservations_.front().endpoint_, response_, now);
 }
 
 void forwarded_request::read_rate_limit(time_point now)
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -189,6 +189,24 @@
     EXPECT_EQ(chosen(directory), "a");
 }
 
+TEST(endpoint_directory, a_run_that_announced_its_stop_gets_no_requests)
+{
+    endpoint_directory directory;
+    endpoint_record value = record("a");
+    apply(directory, value);
+    directory.endpoints_["a"]->has_announced_stop_ = true;
+    EXPECT_EQ(chosen(directory), "");
+    value.sequence_ = 9;
+    apply(directory, value);
+    EXPECT_EQ(chosen(directory), "");
+    apply_removal(directory, "a", start);
+    apply(directory, value);
+    EXPECT_EQ(chosen(directory), "");
+    value.started_ms_ = 2'000;
+    apply(directory, value);
+    EXPECT_EQ(chosen(directory), "a");
+}
+
 TEST(endpoint_directory, an_engine_that_rests_may_go_on_as_a_later_one)
 {
     endpoint_directory directory;
