Evaluate suspected prompt parts once a change and count close crashes once

What callers saw: nothing measured. Cause: the search for parts close to being refused ran for each failed attempt over all crashes, counted endpoints lost at the same moment one by one, and took a sound part beside a refused one for a suspect, which ended its retries. The rule when a response may have crashed its endpoint stood in the router's callbacks. Change: suspects follow from the same evaluation as refusals, with an index by part; the two rules on the progress of a response are free functions with tests.

--- a/include/auburnlb/coordination/prompt_suspicion.hpp
+++ b/include/auburnlb/coordination/prompt_suspicion.hpp
@@ -49,14 +49,18 @@
     bool operator==(prompt_suspicion_update const&) const = default;
 };
 
+/// What all routers together know.
 struct prompt_suspicion
 {
     std::map<std::string, prompt_crash> crashes_;
-    /// Latest time at which a response to a prompt with the part went well.
+    /// Time of the latest success of each part: a response to a prompt with it
+    /// that continued for some time or is complete.
     std::map<std::string, time_point> successes_;
     /// Prompts that contain all parts of one of these are refused. Invariant:
     /// follows from the members above.
     std::vector<prompt_parts> refused_;
+    /// Parts that are not refused, but close to it. Invariant: as above.
+    std::set<std::string> suspects_;
     /// Changes whenever other routers have something new to learn.
     std::uint64_t revision_ = 0;
 
@@ -77,8 +81,8 @@
     };
 
     std::vector<run> runs_;
-    /// When each endpoint's run was found to have ended.
-    std::map<std::string, time_point> lost_;
+    /// When each endpoint's run was found to be lost.
+    std::map<std::string, time_point> lost_at_;
 
     bool operator==(interrupted_prompts const&) const = default;
 };
@@ -103,7 +107,22 @@
                           interrupted_prompts& interrupted,
                           std::string const& endpoint_run, time_point now);
 
-/// Records that a response to a prompt with these parts goes well.
+/// Progress of the response to one attempt.
+struct response_progress
+{
+    time_point began_at_{};
+    std::uint32_t events_ = 0;
+
+    bool operator==(response_progress const&) const = default;
+};
+
+/// Returns whether the prompt may be why the endpoint has crashed now.
+bool may_have_crashed(response_progress const& progress, time_point now);
+
+/// Returns whether an unfinished response shows that its prompt is sound.
+bool is_success(response_progress const& progress, time_point now);
+
+/// Records a success of a prompt with these parts.
 void record_prompt_success(prompt_suspicion& state, prompt_parts const& parts,
                            time_point now);
 
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -112,11 +112,8 @@
     /// time.
     void probe_unresponsive(time_point since);
     void record_refusal(time_point now);
-    /// Whether the attempt has just begun to answer, so that its prompt may be
-    /// what crashes the endpoint.
-    bool has_just_begun(time_point now) const;
     void record_interrupted_run(time_point now);
-    void record_prompt_sound(time_point now);
+    void record_success_of_prompt(time_point now);
     /// Refuses a prompt that is known to crash endpoints.
     void refuse_prompt();
     /// Ends a request that may have run, so that it cannot be refused. Returns
@@ -175,10 +172,8 @@
     bool is_streaming_ = false;
     time_point sent_at_{};
     time_point last_progress_at_{};
-    time_point response_began_at_{};
-    std::uint32_t attempt_events_ = 0;
-    /// Whether this attempt has shown that its prompt crashes nothing.
-    bool is_prompt_sound_ = false;
+    response_progress progress_;
+    bool is_prompt_success_recorded_ = false;
     /// Moving average of the time between two events.
     nanoseconds mean_event_gap_{0};
     milliseconds stall_extension_{0};
--- a/src/coordination/prompt_suspicion.cpp
+++ b/src/coordination/prompt_suspicion.cpp
@@ -1,4 +1,4 @@
-// Counts crashes by the parts of prompts and blames the fewest parts that
+// Counts crashes by the parts of prompts and refuses the fewest parts that
 // explain them.
 #include "auburnlb/coordination/prompt_suspicion.hpp"
 
@@ -15,13 +15,19 @@
 namespace
 {
 
-/// How long a crash or a success is remembered.
-constexpr seconds memory{600};
+/// How long a crash or a success is kept.
+constexpr seconds retention{600};
 /// How long after or before the cut of a run its endpoint may be found lost.
 constexpr milliseconds confirmation_time{1'000};
 /// Crashes that are this close together may have another cause in common, such
 /// as a lost link, so they count as one.
 constexpr milliseconds common_cause_time{50};
+/// An endpoint that crashes on a prompt does so before this many events, or
+/// before this time.
+constexpr std::uint32_t max_events_before_crash = 2;
+constexpr milliseconds max_time_before_crash{300};
+/// A response that has continued for this long is a success.
+constexpr milliseconds min_success_time{1'000};
 constexpr std::size_t max_crashes_kept = 128;
 constexpr std::size_t max_successes_kept = 4'096;
 constexpr std::size_t max_part_id_length = 64;
@@ -40,30 +46,35 @@
                          parts.end());
 }
 
-prompt_parts all_parts(prompt_crash const& crash)
+bool has_part(prompt_crash const& crash, std::string const& part)
 {
-    prompt_parts parts;
-    for (prompt_parts const& prompt : crash.prompts_)
-    {
-        parts.insert(prompt.begin(), prompt.end());
-    }
-    return parts;
+    return std::any_of(crash.prompts_.begin(), crash.prompts_.end(),
+                       [&part](prompt_parts const& prompt)
+                       { return prompt.contains(part); });
 }
 
-/// Returns the crashes since the part's last success.
-crash_list crashes_with(prompt_suspicion const& state,
-                        crash_list const& crashes, std::string const& part)
+/// Returns the crashes of each part since its last success.
+std::map<std::string, crash_list> index_by_part(prompt_suspicion const& state,
+                                                crash_list const& crashes)
 {
-    crash_list found;
-    time_point const success = last_success(state, part);
-    for (prompt_crash const* const each : crashes)
+    std::map<std::string, crash_list> index;
+    for (prompt_crash const* const crash : crashes)
     {
-        if (each->at_ > success && all_parts(*each).contains(part))
+        for (prompt_parts const& prompt : crash->prompts_)
         {
-            found.push_back(each);
+            for (std::string const& part : prompt)
+            {
+                crash_list& of_part = index[part];
+                bool const is_listed =
+                    !of_part.empty() && of_part.back() == crash;
+                if (!is_listed && crash->at_ > last_success(state, part))
+                {
+                    of_part.push_back(crash);
+                }
+            }
         }
     }
-    return found;
+    return index;
 }
 
 /// Counts crashes with a common cause once.
@@ -111,16 +122,6 @@
     return common.value_or(prompt_parts{});
 }
 
-prompt_parts parts_of(crash_list const& crashes)
-{
-    prompt_parts parts;
-    for (prompt_crash const* const each : crashes)
-    {
-        parts.merge(all_parts(*each));
-    }
-    return parts;
-}
-
 /// Returns the number of different prompts with the part.
 std::size_t count_prompts(crash_list const& crashes, std::string const& part)
 {
@@ -135,25 +136,32 @@
     return prompts.size();
 }
 
-/// Returns the part to blame next: one that has never gone well before one that
-/// has, then the one with the most crashes, then the one in the fewest prompts.
-/// Empty if none has enough.
-std::string most_suspect(prompt_suspicion const& state,
-                         crash_list const& crashes)
+/// A part and its crashes.
+using part_crashes = std::pair<std::string, crash_list>;
+
+/// Returns the part to refuse next: one that has never succeeded before one
+/// that has, then the one with the most crashes, then the one in the fewest
+/// prompts. Returns std::nullopt if none has enough crashes.
+std::optional<part_crashes>
+most_suspect(prompt_suspicion const& state,
+             std::map<std::string, crash_list> const& index)
 {
-    std::string worst;
+    std::optional<part_crashes> worst;
     std::tuple<bool, std::size_t, std::size_t> worst_rank;
-    for (std::string const& part : parts_of(crashes))
+    for (auto const& [part, crashes] : index)
     {
-        crash_list const own = crashes_with(state, crashes, part);
-        std::size_t const count = count_moments(own);
+        std::size_t const count = count_moments(crashes);
+        if (count < refused_part_crashes)
+        {
+            continue;
+        }
         constexpr std::size_t most_prompts =
             std::numeric_limits<std::size_t>::max();
         std::tuple const rank(!state.successes_.contains(part), count,
-                              most_prompts - count_prompts(own, part));
-        if (count >= refused_part_crashes && rank > worst_rank)
+                              most_prompts - count_prompts(crashes, part));
+        if (rank > worst_rank)
         {
-            worst = part;
+            worst = part_crashes(part, crashes);
             worst_rank = rank;
         }
     }
@@ -167,24 +175,34 @@
                        { return contains_all(prompt, parts); });
 }
 
-/// Blames parts until no crash is left unexplained, so that a sound part is not
-/// blamed for standing beside a crashing one.
+/// Refuses parts until no part has enough unexplained crashes. A crash that one
+/// part explains does not count against the sound parts beside it.
 void evaluate(prompt_suspicion& state)
 {
     state.refused_.clear();
+    state.suspects_.clear();
     crash_list crashes;
     for (auto const& [run, crash] : state.crashes_)
     {
         crashes.push_back(&crash);
     }
-    for (std::string part = most_suspect(state, crashes); !part.empty();
-         part = most_suspect(state, crashes))
+    auto index = index_by_part(state, crashes);
+    for (auto worst = most_suspect(state, index); worst;
+         worst = most_suspect(state, index))
+    {
+        prompt_parts const common = common_parts(worst->second, worst->first);
+        std::erase_if(crashes, [&common](prompt_crash const* each)
+                      { return is_explained(*each, common); });
+        state.refused_.push_back(common);
+        index = index_by_part(state, crashes);
+    }
+    for (auto const& [part, of_part] : index)
     {
-        prompt_parts const blamed =
-            common_parts(crashes_with(state, crashes, part), part);
-        state.refused_.push_back(blamed);
-        std::erase_if(crashes, [&blamed](prompt_crash const* each)
-                      { return is_explained(*each, blamed); });
+        if (!state.successes_.contains(part) &&
+            count_moments(of_part) >= suspect_part_crashes)
+        {
+            state.suspects_.insert(part);
+        }
     }
 }
 
@@ -238,9 +256,9 @@
         std::any_of(state.crashes_.begin(), state.crashes_.end(),
                     [&](auto const& entry)
                     {
-                        return entry.second.at_ > previous &&
-                               entry.second.at_ < at &&
-                               all_parts(entry.second).contains(part);
+                        prompt_crash const& crash = entry.second;
+                        return crash.at_ > previous && crash.at_ < at &&
+                               has_part(crash, part);
                     });
     state.successes_[part] = at;
     return is_clearing;
@@ -297,8 +315,8 @@
         return false;
     }
     interrupted.runs_.push_back({endpoint_run, parts, now});
-    auto const lost = interrupted.lost_.find(endpoint_run);
-    return lost != interrupted.lost_.end() &&
+    auto const lost = interrupted.lost_at_.find(endpoint_run);
+    return lost != interrupted.lost_at_.end() &&
            now - lost->second <= confirmation_time &&
            confirm_prompt_crash(state, interrupted, endpoint_run, now);
 }
@@ -307,7 +325,7 @@
                           interrupted_prompts& interrupted,
                           std::string const& endpoint_run, time_point now)
 {
-    interrupted.lost_.try_emplace(endpoint_run, now);
+    interrupted.lost_at_.try_emplace(endpoint_run, now);
     prompt_crash crash{now, {}};
     std::erase_if(interrupted.runs_,
                   [&](interrupted_prompts::run const& run)
@@ -354,32 +372,34 @@
 
 bool is_suspect_prompt(prompt_suspicion const& state, prompt_parts const& parts)
 {
-    crash_list crashes;
-    for (auto const& [run, crash] : state.crashes_)
-    {
-        crashes.push_back(&crash);
-    }
-    return std::any_of(parts.begin(), parts.end(),
-                       [&](std::string const& part)
-                       {
-                           return !state.successes_.contains(part) &&
-                                  crashes_with(state, crashes, part).size() >=
-                                      suspect_part_crashes;
-                       });
+    return is_refused_prompt(state, parts) ||
+           std::any_of(parts.begin(), parts.end(),
+                       [&state](std::string const& part)
+                       { return state.suspects_.contains(part); });
+}
+
+bool may_have_crashed(response_progress const& progress, time_point now)
+{
+    return progress.events_ <= max_events_before_crash ||
+           now - progress.began_at_ <= max_time_before_crash;
+}
+
+bool is_success(response_progress const& progress, time_point now)
+{
+    return !may_have_crashed(progress, now) &&
+           now - progress.began_at_ >= min_success_time;
 }
 
 prompt_suspicion_update current_update(prompt_suspicion const& state)
 {
     prompt_suspicion_update update{state.crashes_, {}};
-    for (auto const& [run, crash] : state.crashes_)
+    for (auto const& [part, at] : state.successes_)
     {
-        for (std::string const& part : all_parts(crash))
+        if (std::any_of(state.crashes_.begin(), state.crashes_.end(),
+                        [&part](auto const& entry)
+                        { return has_part(entry.second, part); }))
         {
-            if (auto const success = state.successes_.find(part);
-                success != state.successes_.end())
-            {
-                update.successes_.insert(*success);
-            }
+            update.successes_.emplace(part, at);
         }
     }
     return update;
@@ -391,7 +411,7 @@
     bool is_changed = false;
     for (auto const& [run, crash] : update.crashes_)
     {
-        if (now - crash.at_ <= memory)
+        if (now - crash.at_ <= retention)
         {
             is_changed = add_crash(state, run, crash) || is_changed;
         }
@@ -411,13 +431,13 @@
 {
     std::erase_if(interrupted.runs_, [now](interrupted_prompts::run const& run)
                   { return now - run.at_ > confirmation_time; });
-    std::erase_if(interrupted.lost_, [now](auto const& entry)
+    std::erase_if(interrupted.lost_at_, [now](auto const& entry)
                   { return now - entry.second > confirmation_time; });
     std::erase_if(state.successes_, [now](auto const& entry)
-                  { return now - entry.second > memory; });
+                  { return now - entry.second > retention; });
     drop_oldest(state.successes_, max_successes_kept, time_of_success);
     if (std::erase_if(state.crashes_, [now](auto const& entry)
-                      { return now - entry.second.at_ > memory; }) > 0)
+                      { return now - entry.second.at_ > retention; }) > 0)
     {
         on_changed(state);
     }
--- a/src/coordination/rate_limit.cpp
+++ b/src/coordination/rate_limit.cpp
@@ -14,11 +14,11 @@
 constexpr double used_share = 0.9;
 /// A bucket holds the requests of this time, one at least.
 constexpr std::chrono::duration<double> bucket_time{0.5};
-/// A limit of nothing is tried at this rate, or its end would not be seen.
+/// A lower limit still allows this rate, or its end would never be noticed.
 constexpr double min_per_s = 0.1;
 /// A router counts as a sender for this long after a request, or for this many
-/// times the interval between the requests that its share allows: one that
-/// waits for its turn goes on to need its share.
+/// intervals between the requests that its share allows, whichever is longer: a
+/// router that waits for a token still needs its share.
 constexpr std::chrono::duration<double> sender_time{4};
 constexpr double sender_intervals = 2;
 
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -185,7 +185,7 @@
     endpoint_record const& record = reservations_.front().endpoint_->record_;
     auburnlb::record_interrupted_run(core_.crashes_, record.address_,
                                      fingerprint_, now);
-    if (has_just_begun(now) &&
+    if (is_streaming_ && may_have_crashed(progress_, now) &&
         record_interrupted_prompt(
             core_.prompt_suspicion_, core_.interrupted_prompts_,
             endpoint_run_id(record.id_, record.started_ms_), prompt_parts_,
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -20,13 +20,6 @@
 /// Weight of the latest gap in the moving average.
 constexpr double gap_weight = 0.2;
 
-/// An endpoint that crashes on a prompt does so before this many events, or
-/// before this time.
-constexpr std::uint32_t max_events_of_crash = 2;
-constexpr milliseconds max_time_of_crash{300};
-/// A response that has gone on for this long shows that its prompt is sound.
-constexpr milliseconds min_sound_time{1'000};
-
 } // namespace
 
 bool forwarded_request::is_matching_response(http_head const& head)
@@ -39,9 +32,9 @@
 {
     response_head_ = head;
     response_ = core_.protocol_.read_response_(head);
-    response_began_at_ = core_.clock_.now();
-    read_rate_limit(response_began_at_);
-    read_notices(response_began_at_);
+    progress_.began_at_ = core_.clock_.now();
+    read_rate_limit(progress_.began_at_);
+    read_notices(progress_.began_at_);
     is_streaming_ =
         is_stream() && is_success(head.status_) && response_.is_signed_;
     if (is_streaming_ && !caller_->has_begun_response())
@@ -140,11 +133,10 @@
     on_first_event(now);
     last_progress_at_ = now;
     event_count_ += events;
-    attempt_events_ += events;
-    if (!is_prompt_sound_ && now - response_began_at_ >= min_sound_time &&
-        attempt_events_ > max_events_of_crash)
+    progress_.events_ += events;
+    if (!is_prompt_success_recorded_ && is_success(progress_, now))
     {
-        record_prompt_sound(now);
+        record_success_of_prompt(now);
     }
     for (reservation const& each : reservations_)
     {
@@ -152,15 +144,9 @@
     }
 }
 
-bool forwarded_request::has_just_begun(time_point now) const
-{
-    return is_streaming_ && (attempt_events_ <= max_events_of_crash ||
-                             now - response_began_at_ <= max_time_of_crash);
-}
-
-void forwarded_request::record_prompt_sound(time_point now)
+void forwarded_request::record_success_of_prompt(time_point now)
 {
-    is_prompt_sound_ = true;
+    is_prompt_success_recorded_ = true;
     record_prompt_success(core_.prompt_suspicion_, prompt_parts_, now);
 }
 
@@ -198,7 +184,7 @@
         return;
     }
     clear_crashes(core_.crashes_, fingerprint_);
-    record_prompt_sound(core_.clock_.now());
+    record_success_of_prompt(core_.clock_.now());
     caller_->end_response();
     end_request("complete", response_head_.status_);
 }
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -215,8 +215,8 @@
     record_attempt(sent_to_, request.endpoint_id_);
     sent_at_ = now;
     last_progress_at_ = now;
-    attempt_events_ = 0;
-    is_prompt_sound_ = false;
+    progress_ = {};
+    is_prompt_success_recorded_ = false;
     mean_event_gap_ = nanoseconds(0);
     stall_extension_ = milliseconds(0);
     is_streaming_ = false;
--- a/test/coordination/prompt_suspicion_test.cpp
+++ b/test/coordination/prompt_suspicion_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the search for parts of prompts that crash endpoints.
+#include <chrono>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -28,6 +30,18 @@
     {
         record_prompt_success(suspicion_, parts, at);
     }
+    /// One crash a second; each cuts all these prompts.
+    void crash_each_second(int count, std::vector<prompt_parts> const& prompts)
+    {
+        for (int number = 0; number < count; ++number)
+        {
+            for (prompt_parts const& each : prompts)
+            {
+                crash("run" + std::to_string(number), each,
+                      start + seconds(number));
+            }
+        }
+    }
     bool refuses(prompt_parts const& parts) const
     {
         return is_refused_prompt(suspicion_, parts);
@@ -67,11 +81,7 @@
 TEST(prompt_suspicion, one_more_crash_tells_parts_apart_that_came_together)
 {
     observer router;
-    for (int number = 0; number < 3; ++number)
-    {
-        router.crash("run" + std::to_string(number), {"m/bad", "m/first"},
-                     start + seconds(number));
-    }
+    router.crash_each_second(3, {{"m/bad", "m/first"}});
     EXPECT_TRUE(router.refuses({"m/bad", "m/first"}));
     EXPECT_FALSE(router.refuses({"m/bad", "m/second"}));
     router.crash("run3", {"m/bad", "m/second"}, start + seconds(4));
@@ -82,13 +92,7 @@
 TEST(prompt_suspicion, prompts_cut_by_the_crash_of_another_are_not_refused)
 {
     observer router;
-    for (int number = 0; number < 4; ++number)
-    {
-        std::string const run = "run" + std::to_string(number);
-        time_point const at = start + seconds(number);
-        router.crash(run, {"m/popular"}, at);
-        router.crash(run, crashing_alone, at);
-    }
+    router.crash_each_second(4, {{"m/popular"}, crashing_alone});
     router.success({"m/popular"}, start + milliseconds(3'500));
     EXPECT_TRUE(router.refuses(crashing_alone));
     EXPECT_FALSE(router.refuses({"m/popular"}));
@@ -97,13 +101,7 @@
 TEST(prompt_suspicion, a_new_sound_part_in_every_crash_is_not_refused)
 {
     observer router;
-    for (int number = 0; number < 4; ++number)
-    {
-        std::string const run = "run" + std::to_string(number);
-        time_point const at = start + seconds(number);
-        router.crash(run, {"m/a_first"}, at);
-        router.crash(run, {"m/a_first", "m/bad"}, at);
-    }
+    router.crash_each_second(4, {{"m/a_first"}, {"m/a_first", "m/bad"}});
     EXPECT_TRUE(router.refuses({"m/a_first", "m/bad"}));
     EXPECT_FALSE(router.refuses({"m/a_first"}));
 }
@@ -142,11 +140,7 @@
 {
     observer first;
     observer second;
-    for (int number = 0; number < 3; ++number)
-    {
-        first.crash("run" + std::to_string(number), crashing_alone,
-                    start + seconds(number));
-    }
+    first.crash_each_second(3, {crashing_alone});
     time_point const now = start + seconds(3);
     merge_update(second.suspicion_, current_update(first.suspicion_), now);
     first = {};
@@ -158,11 +152,7 @@
 {
     observer first;
     observer second;
-    for (int number = 0; number < 3; ++number)
-    {
-        first.crash("run" + std::to_string(number), {"m/popular"},
-                    start + seconds(number));
-    }
+    first.crash_each_second(3, {{"m/popular"}});
     time_point const now = start + seconds(3);
     merge_update(second.suspicion_, current_update(first.suspicion_), now);
     EXPECT_TRUE(second.refuses({"m/popular"}));
@@ -207,7 +197,57 @@
                             start + seconds(1'000));
     EXPECT_FALSE(router.refuses(crashing_alone));
     EXPECT_TRUE(router.suspicion_.crashes_.empty());
-    EXPECT_TRUE(router.interrupted_.lost_.empty());
+    EXPECT_TRUE(router.interrupted_.lost_at_.empty());
+}
+
+TEST(prompt_suspicion, endpoints_lost_at_the_same_moment_do_not_end_retries)
+{
+    observer router;
+    for (int number = 0; number < 5; ++number)
+    {
+        router.crash("run" + std::to_string(number), {"m/popular"},
+                     start + milliseconds(number));
+    }
+    EXPECT_FALSE(is_suspect_prompt(router.suspicion_, {"m/popular"}));
+}
+
+TEST(prompt_suspicion, a_sound_part_beside_the_refused_one_keeps_its_retries)
+{
+    observer router;
+    router.crash_each_second(4, {{"m/a_first"}, {"m/a_first", "m/bad"}});
+    EXPECT_TRUE(is_suspect_prompt(router.suspicion_, {"m/a_first", "m/bad"}));
+    EXPECT_FALSE(is_suspect_prompt(router.suspicion_, {"m/a_first"}));
+}
+
+TEST(prompt_suspicion, only_a_response_that_has_just_begun_may_have_crashed)
+{
+    response_progress const begun{start, 1};
+    EXPECT_TRUE(may_have_crashed(begun, start + seconds(5)));
+    EXPECT_FALSE(is_success(begun, start + seconds(5)));
+    response_progress const fast{start, 50};
+    EXPECT_TRUE(may_have_crashed(fast, start + milliseconds(100)));
+    EXPECT_FALSE(may_have_crashed(fast, start + milliseconds(500)));
+    EXPECT_FALSE(is_success(fast, start + milliseconds(500)));
+    EXPECT_TRUE(is_success(fast, start + seconds(1)));
+}
+
+TEST(prompt_suspicion,
+     an_evaluation_of_all_kept_crashes_stays_within_the_budget)
+{
+    constexpr milliseconds budget{34};
+    constexpr int crashes = 200;
+    constexpr int prompts = 10;
+    observer router;
+    auto const began = std::chrono::steady_clock::now();
+    for (int number = 0; number < crashes * prompts; ++number)
+    {
+        router.crash("run" + std::to_string(number / prompts),
+                     {"m/bad", "m/" + std::to_string(number)},
+                     start + seconds(number / prompts));
+    }
+    auto const taken = std::chrono::steady_clock::now() - began;
+    EXPECT_TRUE(router.refuses(crashing_alone));
+    EXPECT_LT(taken / (crashes * prompts), budget);
 }
 
 TEST(prompt_suspicion, parts_of_different_services_differ)
