--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -10,7 +10,8 @@
 // "early" answers before a body is read. A post to /fake/limit sets the rate
 // limit that responses name, an empty one ends it. A post to /fake/rest sets
 // the seconds of rest that "shed" asks for. A post to /fake/leave makes all
-// responses say that the engine leaves. GET /fake/runs gives the runs by id.
+// responses say that the engine leaves, one to /fake/register writes its entry
+// again. GET /fake/runs gives the runs by id.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -305,6 +306,10 @@
         {
             state_.is_leaving_ = true;
         }
+        if (head.target_ == "/fake/register")
+        {
+            register_entry();
+        }
         if (head.target_ == "/fake/drain")
         {
             state_.is_draining_ = true;
--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -143,8 +143,8 @@
 /// unknown age neither replaces a newer one of the same run nor ends its
 /// draining, and does not bring back a run at once that has ended.
 endpoint_change apply_record(endpoint_directory& directory,
-                             endpoint_record const& record,
-                             record_age age, time_point now);
+                             endpoint_record const& record, record_age age,
+                             time_point now);
 
 /// Removes and returns the doubtful records that are listed for so long that
 /// they are to be applied. Forgets old removed runs.
@@ -181,8 +181,8 @@
 /// Handles a refusal by which the endpoint asks for a rest.
 void record_rest(known_endpoint& endpoint, milliseconds rest, time_point now);
 
-/// Returns the earliest time at which one of the endpoints does not rest; now if
-/// there are none.
+/// Returns the earliest time at which one of the endpoints does not rest; now
+/// if there are none.
 time_point rest_end(std::vector<endpoint_ptr> const& endpoints, time_point now);
 
 /// Returns the engines that hold the first layer, at which paths may begin.
--- a/include/auburnlb/coordination/lease.hpp
+++ b/include/auburnlb/coordination/lease.hpp
@@ -97,7 +97,8 @@
 
 /// Handles the lease's object. Revision zero means that it is absent. The
 /// object of a restored store may name an earlier holder than the present one,
-/// so nobody but the present one takes the lease before its duration has passed.
+/// so nobody but the present one takes the lease before its duration has
+/// passed.
 lease_actions on_lease_read(lease_state& state, store_version const& version,
                             std::string const& holder, time_point now);
 
--- a/include/auburnlb/coordination/store_version.hpp
+++ b/include/auburnlb/coordination/store_version.hpp
@@ -19,6 +19,7 @@
     std::uint64_t epoch_ = 0;
     std::uint64_t revision_ = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): a false positive.
     auto operator<=>(store_version const&) const = default;
 };
 
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -61,8 +61,9 @@
         return &found->second->record_;
     }
     auto const removed = directory.removed_.find(id);
-    return removed == directory.removed_.end() ? nullptr
-                                               : &removed->second.endpoint_->record_;
+    return removed == directory.removed_.end()
+               ? nullptr
+               : &removed->second.endpoint_->record_;
 }
 
 bool is_doubtful(endpoint_directory const& directory,
@@ -70,7 +71,8 @@
 {
     endpoint_record const* const known = last_run(directory, record.id_);
     return known != nullptr &&
-           is_ended_run(record, *known, directory.removed_.contains(record.id_));
+           is_ended_run(record, *known,
+                        directory.removed_.contains(record.id_));
 }
 
 /// Whether a record is older than the known one of the same run. A run does not
@@ -130,8 +132,8 @@
 }
 
 endpoint_change apply_record(endpoint_directory& directory,
-                             endpoint_record const& record,
-                             record_age age, time_point now)
+                             endpoint_record const& record, record_age age,
+                             time_point now)
 {
     if (age == record_age::unknown && is_doubtful(directory, record))
     {
@@ -178,11 +180,9 @@
                       }
                       return is_confirmed;
                   });
-    std::erase_if(directory.removed_,
-                  [now](auto const& entry) {
-                      return now - entry.second.removed_at_ >=
-                             removed_run_retention;
-                  });
+    std::erase_if(
+        directory.removed_, [now](auto const& entry)
+        { return now - entry.second.removed_at_ >= removed_run_retention; });
     return confirmed;
 }
 
@@ -256,8 +256,7 @@
 
 bool may_be_sent_to(known_endpoint const& endpoint, time_point now)
 {
-    return now >= endpoint.rests_until_ &&
-           may_send(endpoint.rate_limit_, now);
+    return now >= endpoint.rests_until_ && may_send(endpoint.rate_limit_, now);
 }
 
 bool is_leaving(known_endpoint const& endpoint)
--- a/src/coordination/lease.cpp
+++ b/src/coordination/lease.cpp
@@ -97,8 +97,8 @@
     state.is_waiting_ = false;
     state.needs_read_ = false;
     record_version(state, version, holder, now);
-    bool const is_taken = holder != state.self_ &&
-                          version.epoch_ == state.held_version_.epoch_;
+    bool const is_taken =
+        holder != state.self_ && version.epoch_ == state.held_version_.epoch_;
     if (is_taken)
     {
         drop_lease(state);
@@ -135,9 +135,9 @@
 {
     state.is_waiting_ = false;
     state.needs_read_ = true;
-    state.next_call_ = now + (held_fencing_number(state, now)
-                                  ? state.limits_.retry_interval_
-                                  : state.limits_.poll_interval_);
+    state.next_call_ =
+        now + (held_fencing_number(state, now) ? state.limits_.retry_interval_
+                                               : state.limits_.poll_interval_);
 }
 
 std::optional<std::uint64_t> held_fencing_number(lease_state const& state,
--- a/src/coordination/prompt_suspicion.cpp
+++ b/src/coordination/prompt_suspicion.cpp
@@ -393,13 +393,13 @@
 prompt_suspicion_update current_update(prompt_suspicion const& state)
 {
     prompt_suspicion_update update{state.crashes_, {}};
-    for (auto const& [part, at] : state.successes_)
+    for (auto const& success : state.successes_)
     {
         if (std::any_of(state.crashes_.begin(), state.crashes_.end(),
-                        [&part](auto const& entry)
-                        { return has_part(entry.second, part); }))
+                        [&success](auto const& entry)
+                        { return has_part(entry.second, success.first); }))
         {
-            update.successes_.emplace(part, at);
+            update.successes_.insert(success);
         }
     }
     return update;
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -305,8 +305,8 @@
     {
         bool const is_limited = attempted.size() >= route_->max_attempts_;
         return auburnlb::rest_end(
-            path_begins(endpoints, is_limited ? attempted
-                                              : std::vector<std::string>()),
+            path_begins(endpoints,
+                        is_limited ? attempted : std::vector<std::string>()),
             now);
     }
     std::erase_if(endpoints,
@@ -325,8 +325,8 @@
     milliseconds const delay =
         is_stream() ? retry_after(service().queue_) : plain_retry_delay;
     time_point const now = core_.clock_.now();
-    return std::max(
-        delay, std::chrono::ceil<milliseconds>(rest_end(true, now) - now));
+    return std::max(delay,
+                    std::chrono::ceil<milliseconds>(rest_end(true, now) - now));
 }
 
 void forwarded_request::on_tick(time_point now)
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -270,11 +270,10 @@
         delta.removed_ = entries->at("removed").get<std::vector<std::string>>();
         handlers_.on_endpoints_(delta);
     }
-    newest_version_ =
-        std::max(newest_version_,
-                 store_version{
-                     state.value("endpoint_epoch", std::uint64_t{0}),
-                     state.value("endpoint_revision", std::uint64_t{0})});
+    newest_version_ = std::max(
+        newest_version_,
+        store_version{state.value("endpoint_epoch", std::uint64_t{0}),
+                      state.value("endpoint_revision", std::uint64_t{0})});
     if (newest_version_ <= handlers_.endpoint_entries_().version_)
     {
         behind_since_.reset();
--- a/src/router/placement_controller.cpp
+++ b/src/router/placement_controller.cpp
@@ -161,8 +161,7 @@
         bool const is_suspect =
             !is_available(endpoint->health_, now) ||
             has_failed_since(*endpoint, endpoint->silent_since_);
-        if (is_suspect && endpoint->record_.layers_ &&
-            !is_leaving(*endpoint) &&
+        if (is_suspect && endpoint->record_.layers_ && !is_leaving(*endpoint) &&
             !has_responded_since(*endpoint, now - suspect_probe_interval) &&
             now - endpoint->probe_sent_ >= suspect_probe_interval)
         {
@@ -234,7 +233,8 @@
                                   now));
                 return;
             }
-            bool const is_found = reply && reply.value().head_.status_ == status_ok;
+            bool const is_found =
+                reply && reply.value().head_.status_ == status_ok;
             auto const object =
                 is_found ? core_.protocol_.read_object_(reply.value().body_)
                          : result<store_object>(error{});
@@ -451,7 +451,8 @@
     }
     if (!reply || reply.value().head_.status_ != status_ok)
     {
-        fail_order(id, reply ? "status " + std::to_string(reply.value().head_.status_)
+        fail_order(id, reply ? "status " +
+                                   std::to_string(reply.value().head_.status_)
                              : to_string(reply.error()));
         return;
     }
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -308,9 +308,7 @@
     };
     return {apply, apply,
             [this](bool is_reachable, std::string const& reason)
-            {
-                on_store_reachable("configuration", is_reachable, reason);
-            },
+            { on_store_reachable("configuration", is_reachable, reason); },
             [this](std::uint64_t epoch, std::uint64_t revision)
             {
                 on_store_restored("configuration", epoch, revision);
@@ -319,27 +317,26 @@
 
 store_feed_handlers router::endpoint_handlers()
 {
-    return {
-        [this](std::vector<store_object> const& objects,
-               store_version const& version)
-        { on_endpoint_delta(to_delta(objects, version, true)); },
-        [this](std::vector<store_object> const& objects,
-               store_version const& version)
-        { on_endpoint_delta(to_delta(objects, version, false)); },
-        [this](bool is_reachable, std::string const& reason)
-        {
-            if (is_reachable && has_endpoints_)
+    return {[this](std::vector<store_object> const& objects,
+                   store_version const& version)
+            { on_endpoint_delta(to_delta(objects, version, true)); },
+            [this](std::vector<store_object> const& objects,
+                   store_version const& version)
+            { on_endpoint_delta(to_delta(objects, version, false)); },
+            [this](bool is_reachable, std::string const& reason)
+            {
+                if (is_reachable && has_endpoints_)
+                {
+                    on_platform_recovered(core_.directory_, core_.clock_.now());
+                }
+                on_store_reachable("endpoints", is_reachable, reason);
+            },
+            [this](std::uint64_t epoch, std::uint64_t revision)
             {
+                // The copy lacks endpoints that registered after it was made.
                 on_platform_recovered(core_.directory_, core_.clock_.now());
-            }
-            on_store_reachable("endpoints", is_reachable, reason);
-        },
-        [this](std::uint64_t epoch, std::uint64_t revision)
-        {
-            // The copy lacks endpoints that registered after it was made.
-            on_platform_recovered(core_.directory_, core_.clock_.now());
-            on_store_restored("endpoints", epoch, revision);
-        }};
+                on_store_restored("endpoints", epoch, revision);
+            }};
 }
 
 peer_exchange_handlers router::exchange_handlers()
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -118,9 +118,8 @@
 
 bool store_feed::continues_history(result<http_reply> const& reply)
 {
-    auto const epoch = reply
-                           ? protocol_.read_store_epoch_(reply.value().head_)
-                           : std::nullopt;
+    auto const epoch =
+        reply ? protocol_.read_store_epoch_(reply.value().head_) : std::nullopt;
     if (!epoch || epoch == epoch_)
     {
         return true;
@@ -153,7 +152,8 @@
     if (!reply || reply.value().head_.status_ != status_ok)
     {
         listed_.clear();
-        on_call_failed(reply ? "status " + std::to_string(reply.value().head_.status_)
+        on_call_failed(reply ? "status " +
+                                   std::to_string(reply.value().head_.status_)
                              : to_string(reply.error()));
         return;
     }
@@ -196,7 +196,8 @@
     }
     if (!reply || reply.value().head_.status_ != status_ok)
     {
-        on_call_failed(reply ? "status " + std::to_string(reply.value().head_.status_)
+        on_call_failed(reply ? "status " +
+                                   std::to_string(reply.value().head_.status_)
                              : to_string(reply.error()));
         return;
     }
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -114,8 +114,7 @@
               endpoint_change::none);
     EXPECT_EQ(directory.endpoints_["a"]->record_.started_ms_, 2'000U);
     EXPECT_EQ(apply(directory, value), endpoint_change::none);
-    EXPECT_TRUE(
-        take_confirmed(directory, start + stale_listing_time).empty());
+    EXPECT_TRUE(take_confirmed(directory, start + stale_listing_time).empty());
 }
 
 TEST(endpoint_directory, a_removed_run_in_a_copy_returns_if_it_stays_listed)
@@ -142,8 +141,7 @@
     value.sequence_ = 1;
     EXPECT_EQ(apply(directory, value, record_age::unknown),
               endpoint_change::joined);
-    EXPECT_TRUE(
-        take_confirmed(directory, start + stale_listing_time).empty());
+    EXPECT_TRUE(take_confirmed(directory, start + stale_listing_time).empty());
 }
 
 TEST(endpoint_directory, a_removed_run_that_leaves_the_list_stays_away)
@@ -153,8 +151,7 @@
     apply_removal(directory, "a", start);
     apply(directory, record("a"), record_age::unknown);
     EXPECT_EQ(apply_removal(directory, "a", start), endpoint_change::none);
-    EXPECT_TRUE(
-        take_confirmed(directory, start + stale_listing_time).empty());
+    EXPECT_TRUE(take_confirmed(directory, start + stale_listing_time).empty());
 }
 
 TEST(endpoint_directory, an_endpoint_that_rests_gets_no_requests)
--- a/test/coordination/lease_test.cpp
+++ b/test/coordination/lease_test.cpp
@@ -247,9 +247,8 @@
                     on_lease_failed(process.state_, clock(process));
                     return;
                 }
-                start_calls(process,
-                            on_lease_read(process.state_, version, holder,
-                                          clock(process)));
+                start_calls(process, on_lease_read(process.state_, version,
+                                                   holder, clock(process)));
             });
     }
 
@@ -389,13 +388,14 @@
     ASSERT_EQ(on_lease_read(holder, {1, 0}, "", begin),
               lease_actions{(write_lease{{1, 0}, "a"})});
     on_lease_written(holder, {1, 7}, begin + milliseconds(300));
-    EXPECT_EQ(held_fencing_number(holder, begin + milliseconds(4'999)), fence(7));
+    EXPECT_EQ(held_fencing_number(holder, begin + milliseconds(4'999)),
+              fence(7));
     EXPECT_FALSE(held_fencing_number(holder, begin + milliseconds(5'000)));
     lease_state waiting;
     waiting.self_ = "b";
     EXPECT_TRUE(on_lease_read(waiting, {1, 7}, "a", begin).empty());
-    EXPECT_TRUE(
-        on_lease_read(waiting, {1, 7}, "a", begin + milliseconds(5'999)).empty());
+    EXPECT_TRUE(on_lease_read(waiting, {1, 7}, "a", begin + milliseconds(5'999))
+                    .empty());
     EXPECT_EQ(on_lease_read(waiting, {1, 7}, "a", begin + milliseconds(6'000)),
               lease_actions{(write_lease{{1, 7}, "b"})});
 }
@@ -434,7 +434,8 @@
               lease_actions{read_lease{}});
     EXPECT_EQ(on_lease_read(holder, {1, 8}, "a", begin + milliseconds(3'500)),
               lease_actions{(write_lease{{1, 8}, "a"})});
-    EXPECT_EQ(held_fencing_number(holder, begin + milliseconds(3'600)), fence(7));
+    EXPECT_EQ(held_fencing_number(holder, begin + milliseconds(3'600)),
+              fence(7));
 }
 
 TEST(lease, a_holder_reaches_the_platform_again_before_its_lease_ends)
@@ -465,8 +466,8 @@
     on_lease_read(former, {1, 9}, "b", begin + seconds(8));
     time_point const restored = begin + seconds(9);
     EXPECT_TRUE(on_lease_read(former, {2, 6}, "a", restored).empty());
-    EXPECT_FALSE(on_lease_read(former, {2, 6}, "a", restored + seconds(6))
-                     .empty());
+    EXPECT_FALSE(
+        on_lease_read(former, {2, 6}, "a", restored + seconds(6)).empty());
 }
 
 TEST(lease, the_present_holder_keeps_its_lease_over_a_restore)
--- a/test/coordination/versioned_entries_test.cpp
+++ b/test/coordination/versioned_entries_test.cpp
@@ -122,9 +122,8 @@
             send_changes(source, indirect);
             break;
         case 3:
-            version = {version.epoch_ + 1,
-                       *rc::gen::inRange<std::uint64_t>(
-                           1, version.revision_ + 1)};
+            version = {version.epoch_ + 1, *rc::gen::inRange<std::uint64_t>(
+                                               1, version.revision_ + 1)};
             apply_delta(source, {version, true, values_of(copy), {}});
             break;
         case 4:
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -115,8 +115,7 @@
         EXPECT_EQ(platform::read_response(head).rest_, std::nullopt) << value;
     }
     head.fields_ = {{"Retry-After", "1e300"}};
-    EXPECT_EQ(platform::read_response(head).rest_,
-              std::chrono::hours(24));
+    EXPECT_EQ(platform::read_response(head).rest_, std::chrono::hours(24));
 }
 
 TEST(platform_requests, a_prompt_of_one_part_or_of_none_shares_nothing)
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -83,12 +83,14 @@
     if not member.is_running() or member.is_paused:
         return None
     request(member.process.port, "POST", "/fake/drain", "")
-    return lambda: end_drained(world, member)
+    return lambda run=member.incarnation: end_drained(world, member, run)
 
 
-def end_drained(world, member):
-    """Nothing may run any more at an engine whose drain was told long ago."""
-    if member.is_running() and not member.is_paused and not member.is_end_expected:
+def end_drained(world, member, run):
+    """Nothing may run any more at an engine whose drain was told long ago; another drain
+    may have ended that run."""
+    is_same_run = member.incarnation == run and not member.is_end_expected
+    if is_same_run and member.is_running() and not member.is_paused:
         world.drained.append((member.name, world.streams_at(member)))
         member.kill(0.5)
         world.remove_entry(member.name)
@@ -147,11 +149,48 @@
     world.add_route()
 
 
+def restore_store(world, _fault):
+    world.save_copy()
+    return world.restore_copy
+
+
+def rest_engine(world, fault):
+    member, rest = pick(world.engines_by_name.values(), fault.choice)
+    if not member.is_running() or member.is_paused:
+        return None
+    port = member.process.port
+    request(port, "POST", "/fake/rest", f"{0.5 + 3 * rest:.2f}")
+    request(port, "POST", "/fake/fault", "shed")
+
+    def undo():
+        if member.is_running() and not member.is_paused and member.process.port == port:
+            request(port, "POST", "/fake/fault", "none")
+    return undo
+
+
+def leave_engine(world, fault):
+    """The engine says that it leaves in its responses alone."""
+    member, _ = pick(world.engines_by_name.values(), fault.choice)
+    if not member.is_running() or member.is_paused:
+        return None
+    port = member.process.port
+    request(port, "POST", "/fake/leave", "")
+
+    def undo():
+        if member.is_running() and not member.is_paused and member.process.port == port:
+            member.kill(0.5)
+            world.remove_entry(member.name)
+    return undo
+
+
 KINDS = {each.__name__: each for each in (
     kill_router, kill_all_routers, stop_router, hang_up, pause_router, pause_engine,
     kill_engine, drain_engine, spoil_engine, harm_engine_link, harm_store_link, harm_store,
     forget_history, change_configuration)}
 PLANNED = ("stop_router", "hang_up", "drain_engine", "change_configuration")
+# Drawn beside the others, so that the schedules of earlier seeds stay as they were.
+LATER_KINDS = {each.__name__: each for each in (restore_store, rest_engine, leave_engine)}
+ALL_KINDS = KINDS | LATER_KINDS
 # Drawn less often, so that something is served in between.
 RARE = ("kill_all_routers",)
 
@@ -168,4 +207,16 @@
         for_s = DRAIN_S + 0.3 if kind == "drain_engine" else rng.uniform(0.2, 3.0)
         schedule.append(Fault(at_s, kind, for_s, rng.random()))
         at_s += rng.uniform(1.5, 3.0) if is_planned else rng.uniform(0.1, 1.6)
+    return schedule if is_planned else sorted(
+        schedule + draw_later_kinds(seed, seconds), key=lambda fault: fault.at_s)
+
+
+def draw_later_kinds(seed, seconds):
+    rng = random.Random(f"later-{seed}")
+    schedule = []
+    at_s = rng.uniform(0.5, 2.0)
+    while at_s < seconds:
+        kind = rng.choice(list(LATER_KINDS))
+        schedule.append(Fault(at_s, kind, rng.uniform(0.2, 3.0), rng.random()))
+        at_s += rng.uniform(1.0, 3.0)
     return schedule
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -91,7 +91,7 @@
                 self.run_undo()
                 time.sleep(POLL_S)
             print(f"{time.monotonic() - began:6.2f} {fault}")
-            undo = faults.KINDS[fault.kind](self.world, fault)
+            undo = faults.ALL_KINDS[fault.kind](self.world, fault)
             if undo:
                 self.undo.append((time.monotonic() + fault.for_s, undo))
 
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -170,6 +170,22 @@
         self.configure(routes=self.extra_routes)
         self.newest_route = number
 
+    def save_copy(self):
+        assert request(self.store.port, "POST", "/fake/save", "")[0] == 200
+
+    def restore_copy(self):
+        """The store goes back to its copy; operators and engines write again what they
+        had written, and the entries of engines that are gone lapse."""
+        assert request(self.store.port, "POST", "/fake/restore", "")[0] == 200
+        if self.version > 1:
+            self.version -= 1
+            self.configure(routes=self.extra_routes)
+        for member in self.engines_by_name.values():
+            if not member.is_running():
+                self.remove_entry(member.name)
+            elif not member.is_paused:
+                request(member.process.port, "POST", "/fake/register", "")
+
     @staticmethod
     def streams_at(member):
         """Streams that an engine still writes."""
