Let streams that have begun wait for endpoints that rest

What callers saw: nothing measured; found in review. A stream that had events, or may have run, and whose engines all rested would have been broken off at once instead of going on within the caller's patience; an entry that lapsed while its run drained would have come back as ready. Change: only a request that has not run is sent back early. A removed run that was leaving stays so.

--- a/include/auburnlb/coordination/wait_queue.hpp
+++ b/include/auburnlb/coordination/wait_queue.hpp
@@ -68,6 +68,13 @@
 /// it is better refused at once.
 bool would_expire(wait_queue const& queue, waiting_request const& request);
 
+/// Returns whether a request is to be refused rather than wait until the first
+/// of its endpoints ends its rest.
+/// @param may_come_back whether the caller may send it again, so that it need
+/// not be late
+bool is_rest_too_long(waiting_request const& request, time_point rest_end,
+                      bool may_come_back);
+
 /// Returns after which time a refused caller should retry: when the requests
 /// that wait now are expected to have been started.
 milliseconds retry_after(wait_queue const& queue);
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -47,7 +47,7 @@
     if (is_same_run(before.record_, after.record_))
     {
         after.rests_until_ = before.rests_until_;
-        after.has_announced_stop_ = before.has_announced_stop_;
+        after.has_announced_stop_ = is_leaving(before);
     }
 }
 
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -220,16 +220,12 @@
 {
     waiting_request const entry = make_queue_entry(now);
     service_runtime& runtime = service();
-    // A request without another endpoint left does better as a new one than
-    // late at an endpoint that rests.
-    bool const is_last_endpoint = sent_to_.ids_.size() >= route_->max_attempts_;
-    time_point const latest_start =
-        is_last_endpoint
-            ? std::min(entry.latest_on_time_start_, entry.expires_at_)
-            : entry.expires_at_;
-    time_point const rest = rest_end(false, now);
+    // A request that has not run and has no other endpoint left does better as
+    // a new one.
+    bool const may_come_back = sent_to_.ids_.size() >= route_->max_attempts_ &&
+                               !may_have_run_ && event_count_ == 0;
     if (would_expire(runtime.queue_, entry) ||
-        (rest > now && rest >= latest_start))
+        is_rest_too_long(entry, rest_end(false, now), may_come_back))
     {
         refuse_waiting(now);
         return;
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -144,6 +144,17 @@
     EXPECT_TRUE(take_confirmed(directory, start + stale_listing_time).empty());
 }
 
+TEST(endpoint_directory, a_run_removed_while_it_drained_gets_no_requests_again)
+{
+    endpoint_directory directory;
+    endpoint_record value = record("a");
+    value.is_draining_ = true;
+    apply(directory, value);
+    apply_removal(directory, "a", start);
+    apply(directory, record("a"));
+    EXPECT_EQ(chosen(directory), "");
+}
+
 TEST(endpoint_directory, a_removed_run_that_leaves_the_list_stays_away)
 {
     endpoint_directory directory;
