Split streams from the stand-in engine and the lease from the placement

What callers saw: nothing; functions are moved, and the lease's name and what a stream uses of its engine are declared where both sides see them.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -32,6 +32,7 @@
 #include "program.hpp"
 #include "protocol.hpp"
 #include "users_engine_options.hpp"
+#include "users_engine_stream.hpp"
 
 namespace
 {
@@ -40,63 +41,11 @@
 using nlohmann::json;
 namespace names = platform::names;
 
-constexpr milliseconds event_interval{20};
 constexpr milliseconds tick_interval{5};
 constexpr milliseconds call_timeout{300};
 constexpr milliseconds registration_retry{500};
-/// How long work that depends on a lost engine stalls.
-constexpr milliseconds stall_limit{3'000};
 constexpr unsigned unavailable = 503;
 
-struct engine_state
-{
-    std::optional<layer_range> layers_;
-    std::uint64_t orders_ = 0;
-    bool is_busy_ = false;
-    bool is_draining_ = false;
-    std::string fault_ = "none";
-    std::map<std::string, int> runs_;
-    std::map<std::string, int> cancelled_;
-    /// Value of the rate limit that all responses name; empty for none.
-    std::string rate_limit_;
-    /// Seconds of rest that refusals ask for; empty for none.
-    std::string rest_;
-    /// All responses say that the engine leaves.
-    bool is_leaving_ = false;
-    /// Arrivals of requests since the start, and those of them that were
-    /// refused.
-    std::vector<std::int64_t> arrivals_ms_;
-    std::vector<std::int64_t> refusals_ms_;
-    std::uint64_t born_ = 0;
-    /// Streams whose caller is there.
-    std::uint32_t streams_ = 0;
-};
-
-std::string event_text(std::uint64_t id)
-{
-    return "id: " + std::to_string(id) + "\ndata: piece-" + std::to_string(id) +
-           "\n\n";
-}
-
-http_head completion_metadata(unsigned status, std::string const& request_id,
-                              engine_state const& state)
-{
-    http_head head;
-    head.status_ = status;
-    head.fields_ = {{std::string(names::request_id), request_id},
-                    {std::string(names::signature), "signed-" + request_id}};
-    if (state.is_leaving_)
-    {
-        head.fields_.push_back({std::string(names::leaving), "1"});
-    }
-    if (!state.rate_limit_.empty())
-    {
-        head.fields_.push_back(
-            {std::string(names::rate_limit), state.rate_limit_});
-    }
-    return head;
-}
-
 /// Addresses of a path's other parts.
 std::vector<std::string> other_parts(http_head const& head)
 {
@@ -126,55 +75,6 @@
     return std::find(parts.begin(), parts.end(), id) != parts.end();
 }
 
-class engine;
-
-/// One stream that this engine writes.
-class running_stream final
-    : public std::enable_shared_from_this<running_stream>,
-      public disconnect_handler
-{
-public:
-    running_stream(asio::io_context& io, engine& owner,
-                   std::shared_ptr<caller_connection> caller, std::string id,
-                   std::uint64_t next, std::vector<std::string> parts,
-                   bool is_crashing)
-        : owner_(owner)
-        , caller_(std::move(caller))
-        , id_(std::move(id))
-        , next_(next)
-        , parts_(std::move(parts))
-        , is_crashing_(is_crashing)
-        , timer_(io)
-    {
-    }
-
-    void begin();
-    void on_caller_left() override;
-
-private:
-    void step();
-    void check_part(std::size_t index);
-    void write_event();
-    void write(std::string_view text);
-    /// Ends the response as its framing asks for.
-    void finish();
-    void wait(milliseconds pause);
-    /// Ends the stream; gives the caller whose answer is to be ended.
-    std::shared_ptr<caller_connection> release_caller();
-
-    engine& owner_;
-    std::shared_ptr<caller_connection> caller_;
-    std::string id_;
-    std::uint64_t next_;
-    std::vector<std::string> parts_;
-    /// The process ends instead of writing an event.
-    bool is_crashing_;
-    asio::steady_timer timer_;
-    milliseconds stalled_{0};
-    /// The response ends with its connection.
-    bool is_unframed_ = false;
-};
-
 class engine
 {
 public:
@@ -196,9 +96,6 @@
     }
 
     std::uint16_t port() const { return server_.port(); }
-    engine_state& state() { return state_; }
-    fakes::users_engine_options const& options() const { return options_; }
-    internal_http_client& calls() { return calls_; }
 
 private:
     void tick()
@@ -410,14 +307,15 @@
         }
         if (state_.fault_ == "error")
         {
-            caller->send_response(completion_metadata(500, *id, state_),
+            caller->send_response(fakes::completion_metadata(500, *id, state_),
                                   "failed");
             return;
         }
         std::string const* const last = head.find(names::last_event_id);
         std::uint64_t const next = last == nullptr ? 1 : std::stoull(*last) + 1;
-        std::make_shared<running_stream>(
-            io_, *this, caller, *id, next, other_parts(head),
+        std::make_shared<fakes::running_stream>(
+            io_, fakes::stream_owner{state_, options_, calls_}, caller, *id,
+            next, other_parts(head),
             has_shared_part(head, options_.crash_part_))
             ->begin();
     }
@@ -448,9 +346,9 @@
             caller.abort_response();
             return;
         }
-        caller.send_response(
-            completion_metadata(fault == "error" ? 500 : 200, id, state_),
-            "ran " + id);
+        caller.send_response(fakes::completion_metadata(
+                                 fault == "error" ? 500 : 200, id, state_),
+                             "ran " + id);
         if (fault == "extra")
         {
             caller.send_raw(
@@ -461,7 +359,7 @@
     asio::io_context& io_;
     boot_clock clock_;
     fakes::users_engine_options options_;
-    engine_state state_;
+    fakes::engine_state state_;
     std::uint64_t beats_ = 0;
     /// When the entry is written again unless the store takes it before.
     time_point next_registration_ = time_point::max();
@@ -471,129 +369,6 @@
     fakes::asio_server server_;
 };
 
-void running_stream::begin()
-{
-    caller_->set_disconnect_handler(this);
-    ++owner_.state().streams_;
-    http_head head = completion_metadata(200, id_, owner_.state());
-    head.fields_.push_back({"Content-Type", "text/event-stream"});
-    std::string const& fault = owner_.state().fault_;
-    is_unframed_ = fault == "unframed" || fault == "torn";
-    if (is_unframed_)
-    {
-        std::string text = "HTTP/1.1 200 OK\r\n";
-        for (http_field const& field : head.fields_)
-        {
-            append_field(text, field.name_, field.value_);
-        }
-        caller_->send_raw(text + "\r\n");
-    }
-    else
-    {
-        caller_->begin_response(head);
-    }
-    if (is_crashing_)
-    {
-        timer_.expires_after(event_interval);
-        timer_.async_wait([](asio::error_code const&)
-                          { std::_Exit(EXIT_FAILURE); });
-        return;
-    }
-    step();
-}
-
-void running_stream::on_caller_left()
-{
-    ++owner_.state().cancelled_[id_];
-    release_caller();
-}
-
-std::shared_ptr<caller_connection> running_stream::release_caller()
-{
-    --owner_.state().streams_;
-    caller_->set_disconnect_handler(nullptr);
-    return std::exchange(caller_, nullptr);
-}
-
-void running_stream::wait(milliseconds pause)
-{
-    timer_.expires_after(pause);
-    timer_.async_wait([self = shared_from_this()](asio::error_code const&)
-                      { self->step(); });
-}
-
-void running_stream::step()
-{
-    if (caller_ != nullptr)
-    {
-        check_part(0);
-    }
-}
-
-/// Each token passes all parts, so it waits until all of them answer.
-void running_stream::check_part(std::size_t index)
-{
-    if (caller_ == nullptr)
-    {
-        return;
-    }
-    if (index == parts_.size())
-    {
-        stalled_ = milliseconds(0);
-        write_event();
-        return;
-    }
-    owner_.calls().call(
-        parts_[index], {"GET", "/report", ""}, call_timeout,
-        [self = shared_from_this(), index](result<http_reply> const& reply)
-        {
-            if (reply)
-            {
-                self->check_part(index + 1);
-                return;
-            }
-            self->stalled_ += event_interval;
-            if (self->stalled_ >= stall_limit && self->caller_ != nullptr)
-            {
-                self->release_caller()->abort_response();
-                return;
-            }
-            self->wait(event_interval);
-        });
-}
-
-void running_stream::write(std::string_view text)
-{
-    is_unframed_ ? caller_->send_raw(text) : caller_->send_body(text);
-}
-
-void running_stream::finish()
-{
-    auto const caller = release_caller();
-    is_unframed_ ? caller->abort_response() : caller->end_response();
-}
-
-void running_stream::write_event()
-{
-    std::string const text = event_text(next_);
-    std::string const& fault = owner_.state().fault_;
-    bool const is_half = (fault == "half" || fault == "torn") &&
-                         next_ == owner_.options().events_ / 2;
-    if (is_half)
-    {
-        write(text.substr(0, text.size() / 2));
-        release_caller()->abort_response();
-        return;
-    }
-    write(text);
-    if (next_++ >= owner_.options().events_)
-    {
-        finish();
-        return;
-    }
-    wait(event_interval);
-}
-
 } // namespace
 
 int main(int argc, char** argv)
--- /dev/null
+++ b/fakes/users_engine_stream.cpp
@@ -0,0 +1,172 @@
+// Streams of the stand-in of the users' engines.
+#include "users_engine_stream.hpp"
+
+#include <cstdlib>
+#include <utility>
+
+#include "names.hpp"
+
+namespace auburnlb::fakes
+{
+
+namespace names = platform::names;
+
+namespace
+{
+
+constexpr milliseconds event_interval{20};
+constexpr milliseconds call_timeout{300};
+/// How long work that depends on a lost engine stalls.
+constexpr milliseconds stall_limit{3'000};
+
+std::string event_text(std::uint64_t id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece-" + std::to_string(id) +
+           "\n\n";
+}
+
+} // namespace
+
+http_head completion_metadata(unsigned status, std::string const& request_id,
+                              engine_state const& state)
+{
+    http_head head;
+    head.status_ = status;
+    head.fields_ = {{std::string(names::request_id), request_id},
+                    {std::string(names::signature), "signed-" + request_id}};
+    if (state.is_leaving_)
+    {
+        head.fields_.push_back({std::string(names::leaving), "1"});
+    }
+    if (!state.rate_limit_.empty())
+    {
+        head.fields_.push_back(
+            {std::string(names::rate_limit), state.rate_limit_});
+    }
+    return head;
+}
+
+void running_stream::begin()
+{
+    caller_->set_disconnect_handler(this);
+    ++owner_.state_.streams_;
+    http_head head = completion_metadata(200, id_, owner_.state_);
+    head.fields_.push_back({"Content-Type", "text/event-stream"});
+    std::string const& fault = owner_.state_.fault_;
+    is_unframed_ = fault == "unframed" || fault == "torn";
+    if (is_unframed_)
+    {
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        for (http_field const& field : head.fields_)
+        {
+            append_field(text, field.name_, field.value_);
+        }
+        caller_->send_raw(text + "\r\n");
+    }
+    else
+    {
+        caller_->begin_response(head);
+    }
+    if (is_crashing_)
+    {
+        timer_.expires_after(event_interval);
+        timer_.async_wait([](asio::error_code const&)
+                          { std::_Exit(EXIT_FAILURE); });
+        return;
+    }
+    step();
+}
+
+void running_stream::on_caller_left()
+{
+    ++owner_.state_.cancelled_[id_];
+    release_caller();
+}
+
+std::shared_ptr<caller_connection> running_stream::release_caller()
+{
+    --owner_.state_.streams_;
+    caller_->set_disconnect_handler(nullptr);
+    return std::exchange(caller_, nullptr);
+}
+
+void running_stream::wait(milliseconds pause)
+{
+    timer_.expires_after(pause);
+    timer_.async_wait([self = shared_from_this()](asio::error_code const&)
+                      { self->step(); });
+}
+
+void running_stream::step()
+{
+    if (caller_ != nullptr)
+    {
+        check_part(0);
+    }
+}
+
+/// Each token passes all parts, so it waits until all of them answer.
+void running_stream::check_part(std::size_t index)
+{
+    if (caller_ == nullptr)
+    {
+        return;
+    }
+    if (index == parts_.size())
+    {
+        stalled_ = milliseconds(0);
+        write_event();
+        return;
+    }
+    owner_.calls_.call(
+        parts_[index], {"GET", "/report", ""}, call_timeout,
+        [self = shared_from_this(), index](result<http_reply> const& reply)
+        {
+            if (reply)
+            {
+                self->check_part(index + 1);
+                return;
+            }
+            self->stalled_ += event_interval;
+            if (self->stalled_ >= stall_limit && self->caller_ != nullptr)
+            {
+                self->release_caller()->abort_response();
+                return;
+            }
+            self->wait(event_interval);
+        });
+}
+
+void running_stream::write(std::string_view text)
+{
+    is_unframed_ ? caller_->send_raw(text) : caller_->send_body(text);
+}
+
+void running_stream::finish()
+{
+    auto const caller = release_caller();
+    is_unframed_ ? caller->abort_response() : caller->end_response();
+}
+
+void running_stream::write_event()
+{
+    std::string const text = event_text(next_);
+    std::string const& fault = owner_.state_.fault_;
+    bool const is_half = (fault == "half" || fault == "torn") &&
+                         next_ == owner_.options_.events_ / 2;
+    if (is_half)
+    {
+        write(text.substr(0, text.size() / 2));
+        release_caller()->abort_response();
+        return;
+    }
+    write(text);
+    if (next_++ >= owner_.options_.events_)
+    {
+        finish();
+        return;
+    }
+    wait(event_interval);
+}
+
+} // namespace auburnlb::fakes
--- /dev/null
+++ b/fakes/users_engine_stream.hpp
@@ -0,0 +1,109 @@
+// A stream that the stand-in of the users' engines writes, and the state that
+// its responses depend on.
+#ifndef AUBURNLB_FAKES_USERS_ENGINE_STREAM_HPP
+#define AUBURNLB_FAKES_USERS_ENGINE_STREAM_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "auburnlb/router/caller_connection.hpp"
+#include "auburnlb/router/internal_http_client.hpp"
+#include "users_engine_options.hpp"
+
+namespace auburnlb::fakes
+{
+
+struct engine_state
+{
+    std::optional<layer_range> layers_;
+    std::uint64_t orders_ = 0;
+    bool is_busy_ = false;
+    bool is_draining_ = false;
+    std::string fault_ = "none";
+    std::map<std::string, int> runs_;
+    std::map<std::string, int> cancelled_;
+    /// Value of the rate limit that all responses name; empty for none.
+    std::string rate_limit_;
+    /// Seconds of rest that refusals ask for; empty for none.
+    std::string rest_;
+    /// All responses say that the engine leaves.
+    bool is_leaving_ = false;
+    /// Arrivals of requests since the start, and those of them that were
+    /// refused.
+    std::vector<std::int64_t> arrivals_ms_;
+    std::vector<std::int64_t> refusals_ms_;
+    std::uint64_t born_ = 0;
+    /// Streams whose caller is there.
+    std::uint32_t streams_ = 0;
+};
+
+/// Returns the head of a response to a request that was run.
+http_head completion_metadata(unsigned status, std::string const& request_id,
+                              engine_state const& state);
+
+/// What a stream uses of its engine, which outlives it.
+struct stream_owner
+{
+    engine_state& state_;
+    users_engine_options const& options_;
+    internal_http_client& calls_;
+};
+
+/// One stream that this engine writes.
+class running_stream final
+    : public std::enable_shared_from_this<running_stream>,
+      public disconnect_handler
+{
+public:
+    running_stream(asio::io_context& io, stream_owner const& owner,
+                   std::shared_ptr<caller_connection> caller, std::string id,
+                   std::uint64_t next, std::vector<std::string> parts,
+                   bool is_crashing)
+        : owner_(owner)
+        , caller_(std::move(caller))
+        , id_(std::move(id))
+        , next_(next)
+        , parts_(std::move(parts))
+        , is_crashing_(is_crashing)
+        , timer_(io)
+    {
+    }
+
+    void begin();
+    void on_caller_left() override;
+
+private:
+    void step();
+    void check_part(std::size_t index);
+    void write_event();
+    void write(std::string_view text);
+    /// Ends the response as its framing asks for.
+    void finish();
+    void wait(milliseconds pause);
+    /// Ends the stream; gives the caller whose answer is to be ended.
+    std::shared_ptr<caller_connection> release_caller();
+
+    stream_owner owner_;
+    std::shared_ptr<caller_connection> caller_;
+    std::string id_;
+    std::uint64_t next_;
+    std::vector<std::string> parts_;
+    /// The process ends instead of writing an event.
+    bool is_crashing_;
+    asio::steady_timer timer_;
+    milliseconds stalled_{0};
+    /// The response ends with its connection.
+    bool is_unframed_ = false;
+};
+
+} // namespace auburnlb::fakes
+
+#endif
--- a/include/auburnlb/router/placement_controller.hpp
+++ b/include/auburnlb/router/placement_controller.hpp
@@ -18,6 +18,9 @@
 namespace auburnlb
 {
 
+/// Name of the leader-only task.
+inline constexpr char placement_lease_name[] = "placement";
+
 /// Competes for the leader lease in the store. While it holds the lease, it
 /// plans the placement and sends orders to engines. Not thread-safe.
 class placement_controller
