Keep connections whose request has arrived while the router stops

Change: a connection with unread bytes is not idle, for a stop and for the idle timeout, and the process ends once no connection is left. Evidence: caller_connection.a_request_that_is_not_read_yet_is_not_cut_as_idle failed before. A process test pauses the router with SIGSTOP over that moment; it passed before as well (three runs), as the reads come first when the process goes on.

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -84,9 +84,12 @@
 
     /// Whether any part of a response was sent.
     bool has_begun_response() const { return has_begun_response_; }
+    /// Whether no request is in progress. One that has arrived counts, even if
+    /// it has not been read: the process may have been paused.
     bool is_idle() const
     {
-        return !is_serving_ && !reader_.is_inside_message();
+        return !is_serving_ && !reader_.is_inside_message() &&
+               !channel_->has_unread_bytes();
     }
     /// Bytes that are not yet written to the socket.
     std::size_t unsent_bytes() const { return channel_->unsent_bytes(); }
--- a/include/auburnlb/router/tcp_channel.hpp
+++ b/include/auburnlb/router/tcp_channel.hpp
@@ -73,6 +73,8 @@
     bool is_open() const { return socket_.is_open(); }
     /// Number of buffered bytes.
     std::size_t unsent_bytes() const { return unsent_.size(); }
+    /// Whether bytes have arrived that the receiver has not been given.
+    bool has_unread_bytes() const;
     /// Whether no bytes are buffered.
     bool is_drained() const { return unsent_.empty(); }
     bool has_sent_anything() const { return has_sent_; }
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -303,7 +303,7 @@
     caller_limits const limits = service_.limits();
     if (!reader_.is_inside_message())
     {
-        if (now - phase_began_at_ > limits.idle_timeout_)
+        if (now - phase_began_at_ > limits.idle_timeout_ && is_idle())
         {
             close(false);
         }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -154,8 +154,8 @@
             each->close_if_idle();
         }
     }
-    bool const is_done =
-        elapsed > balancer_notice_time && core_.active_.empty();
+    bool const is_done = elapsed > balancer_notice_time &&
+                         core_.active_.empty() && connections_.empty();
     if (is_done || elapsed > core_.options_.stop_limit_ - process_exit_reserve)
     {
         log(log_level::info, log_event::process_stopped,
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -143,6 +143,12 @@
                        });
 }
 
+bool tcp_channel::has_unread_bytes() const
+{
+    asio::error_code failure;
+    return socket_.available(failure) > 0 && !failure;
+}
+
 void tcp_channel::read_available()
 {
     asio::error_code failure;
--- a/test/process/router_test.py
+++ b/test/process/router_test.py
@@ -305,6 +305,28 @@
             self.assertGreater(float(long.headers["retry-after"]), 0)
             held.result()
 
+    def test_request_that_a_paused_stopping_router_has_not_read_is_answered(self):
+        with calm() as system:
+            router = system.routers[0]
+            kept = http.client.HTTPConnection("127.0.0.1", router.callers, timeout=5)
+
+            def ask(request_id):
+                kept.request("GET", "/look/x", headers={
+                    "Host": HOST, "Authorization": f"Token {KEY}",
+                    "Auburnlb-Request-Id": request_id, "Auburnlb-Deadline-Ms": "3000"})
+            ask("kept-1")
+            self.assertEqual(kept.getresponse().read(), b"ran kept-1")
+            router.send(signal.SIGTERM)
+            time.sleep(2.7)
+            router.send(signal.SIGSTOP)
+            time.sleep(0.1)
+            ask("kept-2")
+            # Past the time from which the router closes idle connections.
+            time.sleep(0.5)
+            router.send(signal.SIGCONT)
+            self.assertEqual(kept.getresponse().read(), b"ran kept-2")
+            self.assertEqual(router.child.wait(20), 0)
+
     def test_all_routers_killed_find_the_placement_again(self):
         with calm(routers=2) as system:
             for router in system.routers:
