Call the time that endpoints ask for a backoff

Cause: read as a newcomer, "rest" is the users' picture, not the field's term, and it stood in an event, a metric, a log field and functions that land with this change. One state had two names, an announced stop and leaving. Two tests repeated their set-up. No decision is changed.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -8,8 +8,8 @@
 // another request's id first; "unframed" sends neither length nor chunks, and
 // "torn" breaks off within an event of such a stream; "mute" never answers;
 // "early" answers before a body is read. A post to /fake/limit sets the rate
-// limit that responses name, an empty one ends it. A post to /fake/rest sets
-// the seconds of rest that "shed" asks for. A post to /fake/leave makes all
+// limit that responses name, an empty one ends it. A post to /fake/backoff sets
+// the backoff in seconds that "shed" asks for. A post to /fake/leave makes all
 // responses say that the engine leaves, one to /fake/register writes its entry
 // again. GET /fake/runs gives the runs by id.
 #include <algorithm>
@@ -195,9 +195,9 @@
         {
             state_.rate_limit_ = body;
         }
-        if (head.target_ == "/fake/rest")
+        if (head.target_ == "/fake/backoff")
         {
-            state_.rest_ = body;
+            state_.backoff_ = body;
         }
         if (head.target_ == "/fake/leave")
         {
@@ -267,10 +267,10 @@
         {
             head.fields_.push_back({std::string(names::leaving), "1"});
         }
-        if (!state_.rest_.empty() && status == unavailable)
+        if (!state_.backoff_.empty() && status == unavailable)
         {
             head.fields_.push_back(
-                {std::string(names::retry_after), state_.rest_});
+                {std::string(names::retry_after), state_.backoff_});
         }
         caller.send_response(head, "");
     }
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -32,8 +32,8 @@
     std::map<std::string, int> cancelled_;
     /// Value of the rate limit that all responses name; empty for none.
     std::string rate_limit_;
-    /// Seconds of rest that refusals ask for; empty for none.
-    std::string rest_;
+    /// Backoff in seconds that refusals ask for; empty for none.
+    std::string backoff_;
     /// All responses say that the engine leaves.
     bool is_leaving_ = false;
     /// Arrivals of requests since the start, and those of them that were
--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -46,10 +46,10 @@
     rate_limit rate_limit_;
     /// The endpoint wants no requests from this router before this time. Other
     /// engines may still pass work on to it.
-    time_point rests_until_{};
+    time_point backoff_until_{};
     /// A response of this run has said that it will stop. The platform's list
     /// may say so later, or never.
-    bool has_announced_stop_ = false;
+    bool has_announced_leaving_ = false;
     /// Last time that a request at the endpoint made progress.
     time_point last_progress_{};
     /// Times of the last answered and the last failed probe.
@@ -178,12 +178,14 @@
 /// Returns whether the endpoint finishes its requests and takes no new ones.
 bool is_leaving(known_endpoint const& endpoint);
 
-/// Handles a refusal by which the endpoint asks for a rest.
-void record_rest(known_endpoint& endpoint, milliseconds rest, time_point now);
+/// Handles a refusal by which the endpoint asks this router to back off.
+void record_backoff(known_endpoint& endpoint, milliseconds backoff,
+                    time_point now);
 
-/// Returns the earliest time at which one of the endpoints does not rest; now
-/// if there are none.
-time_point rest_end(std::vector<endpoint_ptr> const& endpoints, time_point now);
+/// Returns the earliest time at which the backoff of one of the endpoints has
+/// ended; now if there are none.
+time_point backoff_end(std::vector<endpoint_ptr> const& endpoints,
+                       time_point now);
 
 /// Returns the engines that hold the first layer, at which paths may begin.
 /// @param allowed_ids the only engines to return; empty for all
--- a/include/auburnlb/coordination/wait_queue.hpp
+++ b/include/auburnlb/coordination/wait_queue.hpp
@@ -69,11 +69,11 @@
 bool would_expire(wait_queue const& queue, waiting_request const& request);
 
 /// Returns whether a request is to be refused rather than wait until the first
-/// of its endpoints ends its rest.
+/// of its endpoints' backoffs ends.
 /// @param may_come_back whether the caller may send it again, so that it need
 /// not be late
-bool is_rest_too_long(waiting_request const& request, time_point rest_end,
-                      bool may_come_back);
+bool is_backoff_too_long(waiting_request const& request, time_point backoff_end,
+                         bool may_come_back);
 
 /// Returns after which time a refused caller should retry: when the requests
 /// that wait now are expected to have been started.
--- a/include/auburnlb/router/endpoint_notices.hpp
+++ b/include/auburnlb/router/endpoint_notices.hpp
@@ -8,8 +8,8 @@
 namespace auburnlb
 {
 
-/// Applies the rest that a response asks for, and the stop that it announces,
-/// and logs them.
+/// Applies the backoff that a response asks for, or that its endpoint is
+/// leaving, and logs them.
 void apply_notices(known_endpoint& endpoint, endpoint_response const& response,
                    time_point now);
 
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -122,10 +122,10 @@
     void check_stall(time_point now);
     milliseconds stall_timeout() const;
     bool has_alternative(time_point now) const;
-    /// Returns the earliest time at which the endpoints that a new attempt may
-    /// be sent to do not all rest.
+    /// Returns when the first backoff ends of the endpoints that a new attempt
+    /// may be sent to.
     /// @param is_new_request whether the attempts so far do not count
-    time_point rest_end(bool is_new_request, time_point now) const;
+    time_point backoff_end(bool is_new_request, time_point now) const;
     /// Returns the Retry-After time for a refused caller.
     milliseconds retry_delay();
 
--- a/include/auburnlb/router/placement_controller.hpp
+++ b/include/auburnlb/router/placement_controller.hpp
@@ -89,9 +89,10 @@
     void expire_orders(time_point now);
     void begin_order(plan_step const& step, model_profile const& model,
                      time_point now);
-    /// Whether an engine leaves, as its response says or is known already.
-    bool is_stop_announced(std::string const& id, http_reply const& reply,
-                           time_point now);
+    /// Applies what a response to a report call says about the engine. Returns
+    /// whether the engine is leaving.
+    bool apply_report_notices(std::string const& id, http_reply const& reply,
+                              time_point now);
     void on_report(std::string const& id, result<http_reply> const& reply,
                    milliseconds load_time);
     void on_order_reply(std::string const& id, result<http_reply> const& reply,
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -73,11 +73,11 @@
     /// Requests per second that the endpoint takes from all routers; unset if
     /// it names no limit.
     std::optional<double> rate_limit_;
-    /// The endpoint will stop soon and wants no more requests.
+    /// The endpoint is leaving and wants no more requests.
     bool is_leaving_ = false;
     /// With a refusal: how long the endpoint wants no requests from this
     /// router.
-    std::optional<milliseconds> rest_;
+    std::optional<milliseconds> backoff_;
     /// Address of the engine in the path that caused a refusal, or empty.
     std::string faulty_address_;
 
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -51,7 +51,7 @@
     peer_silent = 304,
     frame_rejected = 305,
     rate_limit_changed = 306,
-    endpoint_rests = 307,
+    endpoint_backoff = 307,
     request_refused = 400,
     stream_resumed = 401,
     stream_failed = 402,
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -46,8 +46,8 @@
 {
     if (is_same_run(before.record_, after.record_))
     {
-        after.rests_until_ = before.rests_until_;
-        after.has_announced_stop_ = is_leaving(before);
+        after.backoff_until_ = before.backoff_until_;
+        after.has_announced_leaving_ = is_leaving(before);
     }
 }
 
@@ -256,26 +256,29 @@
 
 bool may_be_sent_to(known_endpoint const& endpoint, time_point now)
 {
-    return now >= endpoint.rests_until_ && may_send(endpoint.rate_limit_, now);
+    return now >= endpoint.backoff_until_ &&
+           may_send(endpoint.rate_limit_, now);
 }
 
 bool is_leaving(known_endpoint const& endpoint)
 {
-    return endpoint.record_.is_draining_ || endpoint.has_announced_stop_;
+    return endpoint.record_.is_draining_ || endpoint.has_announced_leaving_;
 }
 
-void record_rest(known_endpoint& endpoint, milliseconds rest, time_point now)
+void record_backoff(known_endpoint& endpoint, milliseconds backoff,
+                    time_point now)
 {
-    endpoint.rests_until_ = std::max(endpoint.rests_until_, now + rest);
+    endpoint.backoff_until_ = std::max(endpoint.backoff_until_, now + backoff);
 }
 
-time_point rest_end(std::vector<endpoint_ptr> const& endpoints, time_point now)
+time_point backoff_end(std::vector<endpoint_ptr> const& endpoints,
+                       time_point now)
 {
     std::optional<time_point> first;
     for (endpoint_ptr const& each : endpoints)
     {
-        first =
-            std::min(first.value_or(each->rests_until_), each->rests_until_);
+        first = std::min(first.value_or(each->backoff_until_),
+                         each->backoff_until_);
     }
     return std::max(first.value_or(now), now);
 }
--- a/src/coordination/wait_queue.cpp
+++ b/src/coordination/wait_queue.cpp
@@ -114,15 +114,15 @@
            request.expires_at_;
 }
 
-bool is_rest_too_long(waiting_request const& request, time_point rest_end,
-                      bool may_come_back)
+bool is_backoff_too_long(waiting_request const& request, time_point backoff_end,
+                         bool may_come_back)
 {
-    if (rest_end <= request.arrived_)
+    if (backoff_end <= request.arrived_)
     {
         return false;
     }
-    return rest_end >= request.expires_at_ ||
-           (may_come_back && rest_end > request.latest_on_time_start_);
+    return backoff_end >= request.expires_at_ ||
+           (may_come_back && backoff_end > request.latest_on_time_start_);
 }
 
 milliseconds retry_after(wait_queue const& queue)
--- a/src/router/endpoint_notices.cpp
+++ b/src/router/endpoint_notices.cpp
@@ -1,4 +1,4 @@
-// Rests and stops that endpoints announce.
+// Backoffs that endpoints ask for, and their announcements to leave.
 #include "auburnlb/router/endpoint_notices.hpp"
 
 #include "auburnlb/state/log.hpp"
@@ -9,17 +9,17 @@
 namespace
 {
 
-void record_announced_stop(known_endpoint& endpoint)
+void record_announced_leaving(known_endpoint& endpoint)
 {
     if (is_leaving(endpoint))
     {
         return;
     }
-    endpoint.has_announced_stop_ = true;
+    endpoint.has_announced_leaving_ = true;
     log(log_level::info, log_event::peer_leaving,
         {{"peer", endpoint.record_.id_},
          {"service", endpoint.record_.service_}},
-        "an endpoint has announced in a response that it will stop");
+        "an endpoint has announced in a response that it is leaving");
 }
 
 } // namespace
@@ -29,15 +29,15 @@
 {
     if (response.is_leaving_)
     {
-        record_announced_stop(endpoint);
+        record_announced_leaving(endpoint);
     }
-    if (response.rest_)
+    if (response.backoff_)
     {
-        record_rest(endpoint, *response.rest_, now);
-        log(log_level::info, log_event::endpoint_rests,
+        record_backoff(endpoint, *response.backoff_, now);
+        log(log_level::info, log_event::endpoint_backoff,
             {{"peer", endpoint.record_.id_},
-             {"rest_ms", std::to_string(response.rest_->count())}},
-            "an endpoint wants no requests for a while");
+             {"backoff_ms", std::to_string(response.backoff_->count())}},
+            "an endpoint asked this router to back off");
     }
 }
 
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -225,7 +225,7 @@
     bool const may_come_back = sent_to_.ids_.size() >= route_->max_attempts_ &&
                                !may_have_run_ && event_count_ == 0;
     if (would_expire(runtime.queue_, entry) ||
-        is_rest_too_long(entry, rest_end(false, now), may_come_back))
+        is_backoff_too_long(entry, backoff_end(false, now), may_come_back))
     {
         refuse_waiting(now);
         return;
@@ -291,8 +291,8 @@
                left + restart_time);
 }
 
-time_point forwarded_request::rest_end(bool is_new_request,
-                                       time_point now) const
+time_point forwarded_request::backoff_end(bool is_new_request,
+                                          time_point now) const
 {
     auto endpoints = endpoints_of(core_.directory_, service_name_);
     std::vector<std::string> const attempted =
@@ -300,7 +300,7 @@
     if (is_model())
     {
         bool const is_limited = attempted.size() >= route_->max_attempts_;
-        return auburnlb::rest_end(
+        return auburnlb::backoff_end(
             path_begins(endpoints,
                         is_limited ? attempted : std::vector<std::string>()),
             now);
@@ -311,7 +311,7 @@
                       return std::find(attempted.begin(), attempted.end(),
                                        each->record_.id_) != attempted.end();
                   });
-    return auburnlb::rest_end(endpoints, now);
+    return auburnlb::backoff_end(endpoints, now);
 }
 
 milliseconds forwarded_request::retry_delay()
@@ -321,8 +321,8 @@
     milliseconds const delay =
         is_stream() ? retry_after(service().queue_) : plain_retry_delay;
     time_point const now = core_.clock_.now();
-    return std::max(delay,
-                    std::chrono::ceil<milliseconds>(rest_end(true, now) - now));
+    return std::max(
+        delay, std::chrono::ceil<milliseconds>(backoff_end(true, now) - now));
 }
 
 void forwarded_request::on_tick(time_point now)
--- a/src/router/placement_controller.cpp
+++ b/src/router/placement_controller.cpp
@@ -298,9 +298,9 @@
         { on_report(id, reply, load_time); });
 }
 
-bool placement_controller::is_stop_announced(std::string const& id,
-                                             http_reply const& reply,
-                                             time_point now)
+bool placement_controller::apply_report_notices(std::string const& id,
+                                                http_reply const& reply,
+                                                time_point now)
 {
     auto const found = core_.directory_.endpoints_.find(id);
     if (found == core_.directory_.endpoints_.end())
@@ -322,7 +322,7 @@
     {
         return;
     }
-    if (reply && is_stop_announced(id, reply.value(), now))
+    if (reply && apply_report_notices(id, reply.value(), now))
     {
         fail_order(id, "the engine is leaving");
         return;
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -139,8 +139,9 @@
          {"reason", to_string(outcome)},
          {"events", std::to_string(event_count_)},
          {"began", is_streaming_ ? "true" : "false"},
-         {"rest_ms",
-          response_.rest_ ? std::to_string(response_.rest_->count()) : ""},
+         {"backoff_ms", response_.backoff_
+                            ? std::to_string(response_.backoff_->count())
+                            : ""},
          {"leaving", response_.is_leaving_ ? "true" : "false"},
          {"parts", to_string(prompt_parts_)},
          {"path", to_string(path_.path_)}},
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -53,9 +53,9 @@
     {
         core_.metrics_.add("auburnlb_router_leaving_responses_total");
     }
-    if (response_.rest_)
+    if (response_.backoff_)
     {
-        core_.metrics_.add("auburnlb_router_rest_responses_total");
+        core_.metrics_.add("auburnlb_router_backoff_responses_total");
     }
     apply_notices(*reservations_.front().endpoint_, response_, now);
 }
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -57,7 +57,7 @@
     {log_event::peer_silent, "peer_silent"},
     {log_event::frame_rejected, "frame_rejected"},
     {log_event::rate_limit_changed, "rate_limit_changed"},
-    {log_event::endpoint_rests, "endpoint_rests"},
+    {log_event::endpoint_backoff, "endpoint_backoff"},
     {log_event::request_refused, "request_refused"},
     {log_event::stream_resumed, "stream_resumed"},
     {log_event::stream_failed, "stream_failed"},
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -165,29 +165,29 @@
     EXPECT_TRUE(take_confirmed(directory, start + stale_listing_time).empty());
 }
 
-TEST(endpoint_directory, an_endpoint_that_rests_gets_no_requests)
+TEST(endpoint_directory, an_endpoint_gets_no_requests_during_its_backoff)
 {
     endpoint_directory directory;
     apply(directory, record("a"));
     apply(directory, record("b", "dc-2"));
-    known_endpoint& resting = *directory.endpoints_["a"];
-    record_rest(resting, seconds(3), start);
-    record_rest(resting, seconds(1), start);
+    known_endpoint& refusing = *directory.endpoints_["a"];
+    record_backoff(refusing, seconds(3), start);
+    record_backoff(refusing, seconds(1), start);
     EXPECT_EQ(chosen(directory), "b");
-    EXPECT_FALSE(may_be_sent_to(resting, start + milliseconds(2'999)));
-    EXPECT_TRUE(may_be_sent_to(resting, start + seconds(3)));
+    EXPECT_FALSE(may_be_sent_to(refusing, start + milliseconds(2'999)));
+    EXPECT_TRUE(may_be_sent_to(refusing, start + seconds(3)));
     auto const all = endpoints_of(directory, "service");
-    EXPECT_EQ(rest_end(all, start), start);
-    record_rest(*directory.endpoints_["b"], seconds(2), start);
-    EXPECT_EQ(rest_end(all, start), start + seconds(2));
-    EXPECT_EQ(rest_end({}, start), start);
+    EXPECT_EQ(backoff_end(all, start), start);
+    record_backoff(*directory.endpoints_["b"], seconds(2), start);
+    EXPECT_EQ(backoff_end(all, start), start + seconds(2));
+    EXPECT_EQ(backoff_end({}, start), start);
 }
 
-TEST(endpoint_directory, a_rest_lasts_while_the_endpoint_is_out_of_the_list)
+TEST(endpoint_directory, a_backoff_lasts_while_the_endpoint_is_out_of_the_list)
 {
     endpoint_directory directory;
     apply(directory, record("a"));
-    record_rest(*directory.endpoints_["a"], seconds(3), start);
+    record_backoff(*directory.endpoints_["a"], seconds(3), start);
     apply_removal(directory, "a", start);
     apply(directory, record("a"));
     EXPECT_EQ(chosen(directory), "");
@@ -197,12 +197,12 @@
     EXPECT_EQ(chosen(directory), "a");
 }
 
-TEST(endpoint_directory, a_run_that_announced_its_stop_gets_no_requests)
+TEST(endpoint_directory, a_run_that_announced_its_leaving_gets_no_requests)
 {
     endpoint_directory directory;
     endpoint_record value = record("a");
     apply(directory, value);
-    directory.endpoints_["a"]->has_announced_stop_ = true;
+    directory.endpoints_["a"]->has_announced_leaving_ = true;
     EXPECT_EQ(chosen(directory), "");
     value.sequence_ = 9;
     apply(directory, value);
@@ -215,7 +215,7 @@
     EXPECT_EQ(chosen(directory), "a");
 }
 
-TEST(endpoint_directory, an_engine_that_rests_may_go_on_as_a_later_one)
+TEST(endpoint_directory, an_engine_may_be_a_later_one_during_its_backoff)
 {
     endpoint_directory directory;
     auto const add = [&](std::string const& id, layer_range const& layers)
@@ -232,7 +232,7 @@
     EXPECT_EQ(path_begins(all, {}).size(), 2U);
     EXPECT_EQ(path_begins(all, {"a", "b"}).size(), 1U);
     known_endpoint& later = *directory.endpoints_["b"];
-    record_rest(later, seconds(3), start);
+    record_backoff(later, seconds(3), start);
     model_profile model;
     model.layers_ = 8;
     model.accelerators_["card"] = {};
--- a/test/coordination/lease_test.cpp
+++ b/test/coordination/lease_test.cpp
@@ -336,6 +336,17 @@
     return to_fencing_number({first_epoch, revision});
 }
 
+/// A process "a" that has taken a free lease.
+lease_state make_holder(store_version const& version, time_point now)
+{
+    lease_state holder;
+    holder.self_ = "a";
+    on_lease_tick(holder, now);
+    on_lease_read(holder, {version.epoch_, 0}, "", now);
+    on_lease_written(holder, version, now);
+    return holder;
+}
+
 // Of 64 steps about one copies the platform or goes back to the copy.
 void apply_step_or_restore(lease_simulation& simulation, std::uint32_t step)
 {
@@ -402,12 +413,8 @@
 
 TEST(lease, a_released_lease_is_free_at_once_and_not_taken_again)
 {
-    lease_state holder;
-    holder.self_ = "a";
     time_point const begin{seconds(1)};
-    on_lease_tick(holder, begin);
-    on_lease_read(holder, {1, 0}, "", begin);
-    on_lease_written(holder, {1, 7}, begin);
+    lease_state holder = make_holder({1, 7}, begin);
     ASSERT_EQ(release_lease(holder, begin),
               lease_actions{(write_lease{{1, 7}, ""})});
     on_lease_written(holder, {1, 8}, begin);
@@ -421,12 +428,8 @@
 
 TEST(lease, a_renewal_with_lost_response_is_read_back_and_keeps_the_lease)
 {
-    lease_state holder;
-    holder.self_ = "a";
     time_point const begin{seconds(1)};
-    on_lease_tick(holder, begin);
-    on_lease_read(holder, {1, 0}, "", begin);
-    on_lease_written(holder, {1, 7}, begin);
+    lease_state holder = make_holder({1, 7}, begin);
     ASSERT_EQ(on_lease_tick(holder, begin + milliseconds(2'000)),
               lease_actions{(write_lease{{1, 7}, "a"})});
     on_lease_failed(holder, begin + milliseconds(2'500));
@@ -440,12 +443,8 @@
 
 TEST(lease, a_holder_reaches_the_platform_again_before_its_lease_ends)
 {
-    lease_state holder;
-    holder.self_ = "a";
     time_point const begin{seconds(1)};
-    on_lease_tick(holder, begin);
-    on_lease_read(holder, {1, 0}, "", begin);
-    on_lease_written(holder, {1, 7}, begin);
+    lease_state holder = make_holder({1, 7}, begin);
     time_point const failed = begin + milliseconds(4'300);
     on_lease_tick(holder, failed);
     on_lease_failed(holder, failed);
@@ -457,12 +456,8 @@
 
 TEST(lease, a_holder_named_by_an_older_copy_waits_for_the_present_one)
 {
-    lease_state former;
-    former.self_ = "a";
     time_point const begin{seconds(1)};
-    on_lease_tick(former, begin);
-    on_lease_read(former, {1, 5}, "", begin);
-    on_lease_written(former, {1, 6}, begin);
+    lease_state former = make_holder({1, 6}, begin);
     on_lease_read(former, {1, 9}, "b", begin + seconds(8));
     time_point const restored = begin + seconds(9);
     EXPECT_TRUE(on_lease_read(former, {2, 6}, "a", restored).empty());
@@ -472,12 +467,8 @@
 
 TEST(lease, the_present_holder_keeps_its_lease_over_a_restore)
 {
-    lease_state holder;
-    holder.self_ = "a";
     time_point const begin{seconds(1)};
-    on_lease_tick(holder, begin);
-    on_lease_read(holder, {1, 5}, "", begin);
-    on_lease_written(holder, {1, 9}, begin);
+    lease_state holder = make_holder({1, 9}, begin);
     EXPECT_EQ(on_lease_read(holder, {2, 3}, "b", begin + seconds(2)),
               lease_actions{(write_lease{{2, 3}, "a"})});
     std::uint64_t const before =
--- a/test/coordination/wait_queue_test.cpp
+++ b/test/coordination/wait_queue_test.cpp
@@ -128,12 +128,12 @@
     EXPECT_GT(count_on_time(ordered), 5 * count_on_time(by_arrival));
 }
 
-TEST(wait_queue, a_request_waits_for_endpoints_that_rest_while_it_has_time)
+TEST(wait_queue, a_request_waits_for_the_end_of_a_backoff_while_it_has_time)
 {
     waiting_request const waiting = request(1, 0, 0);
-    EXPECT_FALSE(is_rest_too_long(waiting, at(0), true));
-    EXPECT_FALSE(is_rest_too_long(waiting, at(333), true));
-    EXPECT_TRUE(is_rest_too_long(waiting, at(334), true));
-    EXPECT_FALSE(is_rest_too_long(waiting, at(1'399), false));
-    EXPECT_TRUE(is_rest_too_long(waiting, at(1'400), false));
+    EXPECT_FALSE(is_backoff_too_long(waiting, at(0), true));
+    EXPECT_FALSE(is_backoff_too_long(waiting, at(333), true));
+    EXPECT_TRUE(is_backoff_too_long(waiting, at(334), true));
+    EXPECT_FALSE(is_backoff_too_long(waiting, at(1'399), false));
+    EXPECT_TRUE(is_backoff_too_long(waiting, at(1'400), false));
 }
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -98,24 +98,25 @@
     EXPECT_FALSE(platform::read_response(head).is_leaving_);
 }
 
-TEST(platform_requests, reads_the_rest_that_a_refusal_asks_for)
+TEST(platform_requests, reads_the_backoff_that_a_refusal_asks_for)
 {
     http_head head;
     head.status_ = 503;
-    EXPECT_EQ(platform::read_response(head).rest_, std::nullopt);
+    EXPECT_EQ(platform::read_response(head).backoff_, std::nullopt);
     head.fields_ = {{"Retry-After", "2.5"}};
-    EXPECT_EQ(platform::read_response(head).rest_, milliseconds(2'500));
+    EXPECT_EQ(platform::read_response(head).backoff_, milliseconds(2'500));
     head.status_ = 429;
-    EXPECT_EQ(platform::read_response(head).rest_, std::nullopt);
+    EXPECT_EQ(platform::read_response(head).backoff_, std::nullopt);
     head.status_ = 503;
     for (char const* const value :
          {"", "soon", "-1", "nan", "inf", "Fri, 04 Dec 2026 12:00:00 GMT"})
     {
         head.fields_ = {{"Retry-After", value}};
-        EXPECT_EQ(platform::read_response(head).rest_, std::nullopt) << value;
+        EXPECT_EQ(platform::read_response(head).backoff_, std::nullopt)
+            << value;
     }
     head.fields_ = {{"Retry-After", "1e300"}};
-    EXPECT_EQ(platform::read_response(head).rest_, std::chrono::hours(24));
+    EXPECT_EQ(platform::read_response(head).backoff_, std::chrono::hours(24));
 }
 
 TEST(platform_requests, a_prompt_of_one_part_or_of_none_shares_nothing)
--- a/test/process/endpoint_notices_test.py
+++ b/test/process/endpoint_notices_test.py
@@ -1,4 +1,4 @@
-"""Endpoints that ask for a rest, or say that they leave, in their responses."""
+"""Endpoints that ask for a backoff, or say that they leave, in their responses."""
 
 import json
 import time
@@ -7,13 +7,13 @@
 from cluster import request
 from platform_cluster import calm, in_background
 
-# The target: from this time after a refusal until the end of the rest that it
-# asks for, this many requests of one router reach the endpoint.
+# The target: from this time after a refusal until the end of the backoff that
+# it asks for, this many requests of one router reach the endpoint.
 SETTLE_S = 0.5
 TOLERATED = 2
 # The target: an endpoint that leaves gets nothing from this time on.
 DRAIN_S = 2.0
-REST_S = 6.0
+BACKOFF_S = 6.0
 WATCHED_S = 8.0
 PER_S = 25
 
@@ -45,30 +45,30 @@
         return max((name for name in system.engines if name.startswith("engine")),
                    key=lambda name: len(self.counts(system, name)[0]))
 
-    def check_rest(self, send_name, find):
+    def check_backoff(self, send_name, find):
         with calm() as system:
             name = find(system)
-            self.tell(system, name, "rest", str(REST_S))
+            self.tell(system, name, "backoff", str(BACKOFF_S))
             self.tell(system, name, "fault", "shed")
             answers = self.press(getattr(system, send_name), system.routers[0], WATCHED_S)
             arrivals, refusals = self.counts(system, name)
             self.assertTrue(refusals)
             for refused in refusals:
                 within = [at for at in arrivals
-                          if refused + SETTLE_S <= at < refused + REST_S]
+                          if refused + SETTLE_S <= at < refused + BACKOFF_S]
                 self.assertLessEqual(len(within), TOLERATED)
             self.assertTrue(all(answer.status == 200 for answer in answers))
 
-    def test_model_endpoint_gets_nothing_while_it_rests(self):
-        self.check_rest("stream", self.first_engine)
+    def test_model_endpoint_gets_nothing_during_its_backoff(self):
+        self.check_backoff("stream", self.first_engine)
 
-    def test_plain_endpoint_gets_nothing_while_it_rests(self):
-        self.check_rest("look", lambda system: "desk-0")
+    def test_plain_endpoint_gets_nothing_during_its_backoff(self):
+        self.check_backoff("look", lambda system: "desk-0")
 
-    def test_caller_is_told_at_once_when_all_endpoints_rest(self):
+    def test_caller_is_told_at_once_during_the_backoff_of_all_endpoints(self):
         with calm() as system:
             for name in ("desk-0", "desk-1"):
-                self.tell(system, name, "rest", str(REST_S))
+                self.tell(system, name, "backoff", str(BACKOFF_S))
                 self.tell(system, name, "fault", "shed")
             router = system.routers[0]
             system.look(router, "first")
@@ -77,8 +77,8 @@
             self.assertEqual(answer.status, 503)
             self.assertLess(time.monotonic() - began, 0.3)
             left = float(answer.headers["retry-after"])
-            self.assertGreater(left, REST_S - 1)
-            self.assertLessEqual(left, REST_S)
+            self.assertGreater(left, BACKOFF_S - 1)
+            self.assertLessEqual(left, BACKOFF_S)
 
     def check_leaving(self, send_name, find):
         with calm() as system:
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -1,4 +1,5 @@
 // Tests of when a caller's connection counts as idle.
+#include <memory>
 #include <string>
 
 #include <asio/io_context.hpp>
@@ -39,21 +40,23 @@
     steady_clock_source clock_;
 };
 
-/// The two ends of one connection.
-struct connected_pair
+/// A caller and the router's end of its connection.
+struct connected_caller
 {
-    explicit connected_pair(asio::io_context& io)
-        : caller_(io)
-        , accepted_(io)
+    explicit connected_caller(asio::io_context& io)
+        : socket_(io)
     {
         tcp::acceptor acceptor(
             io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        caller_.connect(acceptor.local_endpoint());
-        acceptor.accept(accepted_);
+        socket_.connect(acceptor.local_endpoint());
+        connection_ = std::make_shared<caller_connection>(
+            service_, tcp_channel::accepted(acceptor.accept()));
+        connection_->start();
     }
 
-    tcp::socket caller_;
-    tcp::socket accepted_;
+    answering_service service_;
+    tcp::socket socket_;
+    std::shared_ptr<caller_connection> connection_;
 };
 
 } // namespace
@@ -61,30 +64,22 @@
 TEST(caller_connection, a_request_that_is_not_read_yet_is_not_cut_as_idle)
 {
     asio::io_context io;
-    connected_pair pair(io);
-    answering_service service;
-    auto const connection = std::make_shared<caller_connection>(
-        service, tcp_channel::accepted(std::move(pair.accepted_)));
-    connection->start();
+    connected_caller caller(io);
     std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
-    asio::write(pair.caller_, asio::buffer(request));
-    connection->close_if_idle();
-    EXPECT_EQ(service.closed_, 0);
-    while (service.requests_ == 0 && service.closed_ == 0)
+    asio::write(caller.socket_, asio::buffer(request));
+    caller.connection_->close_if_idle();
+    EXPECT_EQ(caller.service_.closed_, 0);
+    while (caller.service_.requests_ == 0 && caller.service_.closed_ == 0)
     {
         io.run_one();
     }
-    EXPECT_EQ(service.requests_, 1);
+    EXPECT_EQ(caller.service_.requests_, 1);
 }
 
 TEST(caller_connection, a_connection_without_a_request_is_closed_as_idle)
 {
     asio::io_context io;
-    connected_pair pair(io);
-    answering_service service;
-    auto const connection = std::make_shared<caller_connection>(
-        service, tcp_channel::accepted(std::move(pair.accepted_)));
-    connection->start();
-    connection->close_if_idle();
-    EXPECT_EQ(service.closed_, 1);
+    connected_caller caller(io);
+    caller.connection_->close_if_idle();
+    EXPECT_EQ(caller.service_.closed_, 1);
 }
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -154,12 +154,12 @@
     return world.restore_copy
 
 
-def rest_engine(world, fault):
+def back_off_engine(world, fault):
     member, rest = pick(world.engines_by_name.values(), fault.choice)
     if not member.is_running() or member.is_paused:
         return None
     port = member.process.port
-    request(port, "POST", "/fake/rest", f"{0.5 + 3 * rest:.2f}")
+    request(port, "POST", "/fake/backoff", f"{0.5 + 3 * rest:.2f}")
     request(port, "POST", "/fake/fault", "shed")
 
     def undo():
@@ -189,7 +189,7 @@
     forget_history, change_configuration)}
 PLANNED = ("stop_router", "hang_up", "drain_engine", "change_configuration")
 # Drawn beside the others, so that the schedules of earlier seeds stay as they were.
-LATER_KINDS = {each.__name__: each for each in (restore_store, rest_engine, leave_engine)}
+LATER_KINDS = {each.__name__: each for each in (restore_store, back_off_engine, leave_engine)}
 ALL_KINDS = KINDS | LATER_KINDS
 # Drawn less often, so that something is served in between.
 RARE = ("kill_all_routers",)
