Log crashes with the request that ran, and count probes by outcome

What callers saw: nothing. Cause: the logs named neither a request as the crash counts know it, nor cut runs that no crash was confirmed for, nor why, so they told none of the incident's hypotheses apart. Change: E0405 has the request's fingerprint; E0406 each confirmed crash; counters of cut runs and of probes by outcome (answered, refused, other_run, silent, skipped).

--- a/include/auburnlb/coordination/crash_suspicion.hpp
+++ b/include/auburnlb/coordination/crash_suspicion.hpp
@@ -25,6 +25,9 @@
                                    std::string_view service,
                                    std::string_view body);
 
+/// Returns the fingerprint as it stands in logs.
+std::string to_hex(request_fingerprint fingerprint);
+
 /// Whether a request may run.
 enum class run_permission
 {
--- a/include/auburnlb/router/endpoint_prober.hpp
+++ b/include/auburnlb/router/endpoint_prober.hpp
@@ -8,6 +8,7 @@
 #include "auburnlb/coordination/endpoint_directory.hpp"
 #include "auburnlb/router/internal_http_client.hpp"
 #include "auburnlb/router/platform_protocol.hpp"
+#include "auburnlb/state/metrics.hpp"
 
 namespace auburnlb
 {
@@ -19,10 +20,11 @@
 public:
     endpoint_prober(internal_http_client& http_client,
                     platform_protocol const& protocol,
-                    clock_source const& clock)
+                    clock_source const& clock, metrics_registry& metrics)
         : http_client_(http_client)
         , protocol_(protocol)
         , clock_(clock)
+        , metrics_(metrics)
     {
     }
 
@@ -38,6 +40,7 @@
     void probe(endpoint_ptr const& endpoint);
 
 private:
+    void count(char const* outcome);
     void on_probe_failed(endpoint_ptr const& endpoint, error const& failure,
                          time_point now);
     void on_reply(endpoint_ptr const& endpoint,
@@ -46,6 +49,7 @@
     internal_http_client& http_client_;
     platform_protocol const& protocol_;
     clock_source const& clock_;
+    metrics_registry& metrics_;
     std::function<void(known_endpoint const&)> on_connection_refused_;
 };
 
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -60,7 +60,7 @@
         , options_(std::move(options))
         , pool_(io, clock)
         , http_client_(io, clock)
-        , prober_(http_client_, protocol, clock)
+        , prober_(http_client_, protocol, clock, metrics_)
         , started_at_(clock.now())
     {
     }
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -58,6 +58,7 @@
     stream_cancelled = 403,
     request_quarantined = 404,
     request_ended = 405,
+    crash_counted = 406,
     engine_lost = 500,
     engine_back = 501,
     claim_home_taken = 600,
--- a/src/coordination/crash_suspicion.cpp
+++ b/src/coordination/crash_suspicion.cpp
@@ -2,6 +2,8 @@
 #include "auburnlb/coordination/crash_suspicion.hpp"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 #include <xxhash.h>
 
@@ -59,6 +61,17 @@
     return XXH64(body.data(), body.size(), second);
 }
 
+std::string to_hex(request_fingerprint fingerprint)
+{
+    constexpr int hexadecimal = 16;
+    constexpr std::size_t digits_per_byte = 2;
+    std::array<char, digits_per_byte * sizeof(fingerprint)> text{};
+    auto const end = std::to_chars(text.data(), text.data() + text.size(),
+                                   fingerprint, hexadecimal)
+                         .ptr;
+    return {text.data(), end};
+}
+
 run_permission may_run(crash_suspicion const& state,
                        request_fingerprint fingerprint, time_point now)
 {
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -22,12 +22,19 @@
 
 } // namespace
 
+void endpoint_prober::count(char const* outcome)
+{
+    metrics_.add("auburnlb_router_probes_total",
+                 "outcome=\"" + std::string(outcome) + "\"");
+}
+
 void endpoint_prober::probe(endpoint_ptr const& endpoint)
 {
     time_point const now = clock_.now();
     if (endpoint->is_probe_pending_ ||
         now - endpoint->probe_sent_ < probe_interval)
     {
+        count("skipped");
         return;
     }
     endpoint->is_probe_pending_ = true;
@@ -43,6 +50,7 @@
 {
     bool const is_refused = failure.code_ == error_code::unreachable &&
                             now - endpoint->probe_sent_ < max_refusal_delay;
+    count(is_refused ? "refused" : "silent");
     record_probe_failure(*endpoint, is_refused, now);
     record_health_signal(endpoint->health_, health_signal::silence, now);
     log(log_level::warning, log_event::peer_silent,
@@ -73,11 +81,13 @@
     auto const report = protocol_.read_report_(reply.value().body_);
     if (!report)
     {
+        count("answered");
         return;
     }
     record_slowness(endpoint->health_, report.value().slowness_, now);
     bool const is_other_run =
         report.value().started_ms_ != endpoint->record_.started_ms_;
+    count(is_other_run ? "other_run" : "answered");
     if (is_other_run || !report.value().layers_)
     {
         endpoint->layers_missing_until_ = now + missing_layers_backoff;
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -449,6 +449,7 @@
          {"events", std::to_string(event_count_)},
          {"prompt_tokens", std::to_string(caller_request_.prompt_tokens_)},
          {"max_tokens", std::to_string(caller_request_.max_output_tokens_)},
+         {"fingerprint", to_hex(fingerprint_)},
          {"parts", to_string(prompt_parts_)},
          {"first_ms",
           first_event_at_ ? ms_text(*first_event_at_ - received_) : ""},
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -183,6 +183,7 @@
 
 void forwarded_request::record_interrupted_run(time_point now)
 {
+    core_.metrics_.add("auburnlb_router_interrupted_runs_total");
     endpoint_record const& record = reservations_.front().endpoint_->record_;
     auburnlb::record_interrupted_run(core_.crashes_, record.address_,
                                      fingerprint_, now);
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -141,11 +141,16 @@
          confirm_crash(core_.crashes_, endpoint.record_.address_, now))
     {
         std::uint32_t const crashes = crash_count(core_.crashes_, each, now);
+        log(log_level::info, log_event::crash_counted,
+            {{"peer", endpoint.record_.id_},
+             {"fingerprint", to_hex(each)},
+             {"crashes", std::to_string(crashes)}},
+            "an endpoint crashed while it ran the request");
         if (crashes >= suspect_crash_count)
         {
             log(log_level::warning, log_event::request_quarantined,
                 {{"peer", endpoint.record_.id_},
-                 {"fingerprint", std::to_string(each)},
+                 {"fingerprint", to_hex(each)},
                  {"crashes", std::to_string(crashes)}},
                 "several endpoints crashed while executing the same request");
         }
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -64,6 +64,7 @@
     {log_event::stream_cancelled, "stream_cancelled"},
     {log_event::request_quarantined, "request_quarantined"},
     {log_event::request_ended, "request_ended"},
+    {log_event::crash_counted, "crash_counted"},
     {log_event::engine_lost, "engine_lost"},
     {log_event::engine_back, "engine_back"},
     {log_event::claim_home_taken, "claim_home_taken"},
