Reproduce a request that crashes engine after engine

What callers saw: engines ended one after the other under one request, and streams of others with them. Change: the stand-in engine crashes on a body, may listen on a given port and may begin a new run at once; tests of such a request, calm, with engines that come back at their address or at once, at plain endpoints, over restarts of all routers, and with sound requests that share a part of its prompt. The counts forget a request after a minute.

--- a/fakes/asio_server.cpp
+++ b/fakes/asio_server.cpp
@@ -27,6 +27,15 @@
     port_ = listener_.port();
 }
 
+void asio_server::drop_connections()
+{
+    auto const connections = connections_;
+    for (auto const& each : connections)
+    {
+        each->abort_response();
+    }
+}
+
 void asio_server::serve(std::shared_ptr<caller_connection> caller,
                         http_head head, std::string body, time_point)
 {
--- a/fakes/asio_server.hpp
+++ b/fakes/asio_server.hpp
@@ -31,6 +31,8 @@
     asio_server(asio::io_context& io, std::uint16_t port, handler handler);
 
     std::uint16_t port() const { return port_; }
+    /// Closes all connections; responses in progress are cut.
+    void drop_connections();
 
     void serve(std::shared_ptr<caller_connection> caller, http_head head,
                std::string body, time_point received) override;
--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -84,7 +84,7 @@
         , calls_(io, clock_)
         , tick_(io)
         , record_(options_.record_, std::ios::app)
-        , server_(io, 0,
+        , server_(io, options_.port_,
                   [this](std::shared_ptr<caller_connection> const& caller,
                          http_head const& head, std::string const& body)
                   { serve(caller, head, body); })
@@ -180,7 +180,7 @@
         }
         else
         {
-            run(caller, head);
+            run(caller, head, body);
         }
     }
 
@@ -276,7 +276,7 @@
     }
 
     void run(std::shared_ptr<caller_connection> const& caller,
-             http_head const& head)
+             http_head const& head, std::string const& body)
     {
         std::string const* const id = head.find(names::request_id);
         std::string const* const instance = head.find(names::expect_instance);
@@ -296,8 +296,16 @@
         }
         ++state_.runs_[*id];
         record_ << options_.id_ << ' ' << *id << '\n' << std::flush;
+        bool const is_crashing =
+            has_shared_part(head, options_.crash_part_) ||
+            (!options_.crash_body_.empty() && body == options_.crash_body_);
         if (options_.kind_.empty())
         {
+            if (is_crashing)
+            {
+                crash();
+                return;
+            }
             run_plain(*caller, *id);
             return;
         }
@@ -314,12 +322,31 @@
         std::string const* const last = head.find(names::last_event_id);
         std::uint64_t const next = last == nullptr ? 1 : std::stoull(*last) + 1;
         std::make_shared<fakes::running_stream>(
-            io_, fakes::stream_owner{state_, options_, calls_}, caller, *id,
-            next, other_parts(head),
-            has_shared_part(head, options_.crash_part_))
+            io_,
+            fakes::stream_owner{state_, options_, calls_,
+                                [this]
+                                {
+                                    crash();
+                                }},
+            caller, *id, next, other_parts(head), is_crashing)
             ->begin();
     }
 
+    /// Ends the process, or begins a new run under the same identifier and
+    /// address that knows nothing of before.
+    void crash()
+    {
+        if (!options_.restarts_at_once_)
+        {
+            std::_Exit(EXIT_FAILURE);
+        }
+        server_.drop_connections();
+        std::uint64_t const born = state_.born_;
+        state_ = {};
+        state_.born_ = born + 1;
+        register_entry();
+    }
+
     void run_plain(caller_connection& caller, std::string const& id)
     {
         std::string const& fault = state_.fault_;
--- a/fakes/users_engine_options.cpp
+++ b/fakes/users_engine_options.cpp
@@ -14,7 +14,8 @@
 constexpr char const* usage =
     "usage: fake-users_engine --id ID --store IP:PORT [--service NAME] "
     "[--zone NAME] [--kind ACCELERATOR] [--events N] "
-    "[--advertise IP:PORT] [--record FILE] [--crash-part ID]\n";
+    "[--advertise IP:PORT] [--port N] [--record FILE] [--crash-part ID] "
+    "[--crash-body TEXT] [--restart-at-once]\n";
 
 } // namespace
 
@@ -30,8 +31,12 @@
                             {"advertise", required_argument, nullptr, 'a'},
                             {"record", required_argument, nullptr, 'r'},
                             {"crash-part", required_argument, nullptr, 'c'},
+                            {"crash-body", required_argument, nullptr, 'b'},
+                            {"restart-at-once", no_argument, nullptr, 't'},
+                            {"port", required_argument, nullptr, 'p'},
                             {nullptr, 0, nullptr, 0}};
     constexpr std::uint64_t max_events = 100'000;
+    constexpr std::uint64_t max_port = 65'535;
     for (int chosen = getopt_long(argc, argv, "", names, nullptr); chosen != -1;
          chosen = getopt_long(argc, argv, "", names, nullptr))
     {
@@ -65,6 +70,16 @@
         case 'c':
             options.crash_part_ = optarg;
             break;
+        case 'b':
+            options.crash_body_ = optarg;
+            break;
+        case 't':
+            options.restarts_at_once_ = true;
+            break;
+        case 'p':
+            options.port_ = static_cast<std::uint16_t>(
+                parse_number("--port", optarg, max_port));
+            break;
         default:
             exit_with_usage(usage, 2);
         }
--- a/fakes/users_engine_options.hpp
+++ b/fakes/users_engine_options.hpp
@@ -27,6 +27,13 @@
     /// A model engine's process ends when it begins to answer a prompt with
     /// this part; empty for none.
     std::string crash_part_;
+    /// The process ends when it begins to answer a request with this body;
+    /// empty for none.
+    std::string crash_body_;
+    /// A crash begins a new run instead of ending the process.
+    bool restarts_at_once_ = false;
+    /// Port to listen on; 0 for a free one.
+    std::uint16_t port_ = 0;
 };
 
 /// Reads the command line; prints what is wrong and exits with status 2.
--- a/fakes/users_engine_stream.cpp
+++ b/fakes/users_engine_stream.cpp
@@ -70,8 +70,8 @@
     if (is_crashing_)
     {
         timer_.expires_after(event_interval);
-        timer_.async_wait([](asio::error_code const&)
-                          { std::_Exit(EXIT_FAILURE); });
+        timer_.async_wait([self = shared_from_this()](asio::error_code const&)
+                          { self->owner_.crash_(); });
         return;
     }
     step();
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -4,6 +4,7 @@
 #define AUBURNLB_FAKES_USERS_ENGINE_STREAM_HPP
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -55,6 +56,8 @@
     engine_state& state_;
     users_engine_options const& options_;
     internal_http_client& calls_;
+    /// Ends the engine's run.
+    std::function<void()> crash_;
 };
 
 /// One stream that this engine writes.
@@ -96,7 +99,7 @@
     std::string id_;
     std::uint64_t next_;
     std::vector<std::string> parts_;
-    /// The process ends instead of writing an event.
+    /// The engine crashes instead of writing an event.
     bool is_crashing_;
     asio::steady_timer timer_;
     milliseconds stalled_{0};
--- a/test/coordination/crash_counts_test.cpp
+++ b/test/coordination/crash_counts_test.cpp
@@ -68,3 +68,14 @@
     EXPECT_EQ(crash_count(counts, crashing_request, start + seconds(61)), 0U);
     EXPECT_TRUE(local_crashes(counts, start + seconds(61)).empty());
 }
+
+TEST(crash_counts, a_request_that_crashed_endpoints_is_known_for_ten_minutes)
+{
+    crash_counts counts;
+    for (int number = 0; number < 3; ++number)
+    {
+        record_interrupted_run(counts, "a", crashing_request, start);
+        confirm_crash(counts, "a", start);
+    }
+    EXPECT_EQ(crash_count(counts, crashing_request, start + seconds(590)), 3U);
+}
--- /dev/null
+++ b/test/process/crashing_request_test.py
@@ -0,0 +1,115 @@
+"""One request that crashes each engine that begins to run it, and comes again."""
+
+import signal
+import time
+import unittest
+
+from crashing_fleet import CrashingFleet
+from platform_cluster import Caller, PlatformCluster, expected_events, in_background
+
+CRASHING_BODY = "crashing"
+PART = "c0ffee"
+# The target: this many crashes, then this time to settle, then this many runs.
+TOLERATED_CRASHES = 3
+SETTLE_S = 3.0
+LATE_RUNS = 3
+REQUEST_INTERVAL_S = 0.25
+
+
+class CrashingRequestTest(unittest.TestCase):
+
+    def fleet(self, system, extra=(), **options):
+        return CrashingFleet(system, ("dc1", "dc2", "dc3"), 3,
+                             ["--crash-body", CRASHING_BODY, *extra], routers_per_zone=2,
+                             **options)
+
+    def send(self, system, number, body=CRASHING_BODY, path="/stream/x"):
+        """Starts a request at one of the routers in turn. No part of its prompt
+        is shared with requests of another body."""
+        router = system.routers[number % len(system.routers)]
+        kind = "crashing" if body == CRASHING_BODY else "sound"
+        return in_background(Caller, router, "POST", path, f"{kind}-{number}", {}, body)
+
+    def press(self, system, fleet, seconds, first=0, **options):
+        """Sends the crashing request again and again; returns when, and how many
+        runs there were by then."""
+        samples = []
+        for number in range(first, first + int(seconds / REQUEST_INTERVAL_S)):
+            samples.append((time.monotonic(), fleet.runs("crashing-")))
+            self.send(system, number, **options)
+            time.sleep(REQUEST_INTERVAL_S)
+        return samples
+
+    def check_late_runs(self, fleet, samples):
+        """Each run of the crashing request crashes its engine."""
+        crashed = [at for at, runs in samples if runs >= TOLERATED_CRASHES]
+        self.assertTrue(crashed)
+        settled = max(runs for at, runs in samples if at <= crashed[0] + SETTLE_S)
+        crashes = fleet.runs("crashing-")
+        self.assertLessEqual(crashes - settled, LATE_RUNS, f"{crashes} crashes")
+
+    def test_request_that_crashes_engines_stops_reaching_them(self):
+        with PlatformCluster() as system, self.fleet(system) as fleet:
+            self.check_late_runs(fleet, self.press(system, fleet, 12))
+
+    def test_request_stops_reaching_engines_that_come_back_at_their_address(self):
+        with PlatformCluster() as system, \
+                self.fleet(system, back_s=0, is_same_engine=True) as fleet:
+            self.check_late_runs(fleet, self.press(system, fleet, 12))
+
+    def test_request_stops_reaching_engines_that_start_again_at_once(self):
+        with PlatformCluster() as system, \
+                self.fleet(system, extra=["--restart-at-once"]) as fleet:
+            self.check_late_runs(fleet, self.press(system, fleet, 12))
+
+    def test_request_stops_reaching_plain_endpoints_that_it_crashes(self):
+        with PlatformCluster() as system, self.fleet(system, desks=6) as fleet:
+            self.check_late_runs(fleet, self.press(system, fleet, 12, path="/book/x"))
+
+    def kill_and_start_routers(self, system):
+        killed, system.routers = system.routers, []
+        for router in killed:
+            router.send(signal.SIGKILL)
+            router.child.wait()
+        zones = ("dc1", "dc2", "dc3")
+        for index, router in enumerate(killed):
+            system.add_router(router.settings.rsplit("/", 1)[1][:-5],
+                              zone=zones[index % len(zones)],
+                              ports=(router.callers, router.ready, router.control))
+        for router in system.routers:
+            system.wait_ready(router)
+
+    def test_request_that_crashed_engines_is_known_after_all_routers_restart(self):
+        with PlatformCluster() as system, self.fleet(system) as fleet:
+            self.press(system, fleet, 2)
+            self.assertGreaterEqual(fleet.runs("crashing-"), TOLERATED_CRASHES)
+            late = 0
+            for restart in range(2):
+                time.sleep(SETTLE_S)
+                self.kill_and_start_routers(system)
+                time.sleep(SETTLE_S)
+                known = fleet.runs("crashing-")
+                self.press(system, fleet, 2, first=1000 * (restart + 1))
+                late += fleet.runs("crashing-") - known
+            self.assertLessEqual(late, LATE_RUNS, f'{fleet.runs("crashing-")} crashes')
+
+    def test_sound_requests_that_share_a_part_with_a_crashing_one_are_served(self):
+        with PlatformCluster() as system, self.fleet(system) as fleet:
+            def stream(number, kind, body):
+                router = system.routers[number % len(system.routers)]
+                headers = {"Auburnlb-Prefix-Hash": f"{PART}:40,{kind}:20"}
+                return in_background(Caller, router, "POST", "/stream/x",
+                                     f"{kind}-{number}", headers, body)
+            sound = []
+            for number in range(40):
+                stream(number, "crashing", CRASHING_BODY)
+                if number >= 24:
+                    sound.append(stream(number, f"{number:x}", f"sound-{number}"))
+                time.sleep(REQUEST_INTERVAL_S)
+            whole = sum(task.result().text == expected_events() for task in sound)
+            self.assertGreaterEqual(whole, len(sound) - 1,
+                                    f'{fleet.runs("crashing-")} crashes')
+
+
+if __name__ == "__main__":
+    unittest.main()
