Rename prompt suspicion to crash causes

What callers saw: nothing. Cause: the module is to count whole requests beside parts of prompts, and crash_suspicion, of the split-chain entry, has nearly its name. Change: crash_causes, request_traits, interrupted_runs, crash_messages; no logic.

--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -156,7 +156,7 @@
     workspace_entry const* workspace_ = nullptr;
     time_point deadline_{};
     request_fingerprint fingerprint_ = 0;
-    prompt_parts prompt_parts_;
+    request_traits traits_;
     bool is_waiting_ = false;
     bool has_ended_ = false;
 
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -89,8 +89,8 @@
         std::map<std::string, endpoint_load> loads_;
         /// Revision of this router's prompt suspicion that the peer has, and of
         /// the peer's that this router has.
-        std::uint64_t sent_suspicion_ = 0;
-        std::uint64_t known_suspicion_ = 0;
+        std::uint64_t sent_causes_ = 0;
+        std::uint64_t known_causes_ = 0;
         /// Routers that send to each endpoint with a rate limit: the peer, or
         /// its data centre.
         std::map<std::string, std::uint32_t> senders_;
@@ -113,13 +113,13 @@
     void update_peer_stops(time_point now);
     void send_request(std::string const& address, peer& peer,
                       milliseconds interval, time_point now);
-    /// @param sent_suspicion revision that the peer has if it replied
-    void on_reply(std::string const& address, std::uint64_t sent_suspicion,
+    /// @param sent_causes revision that the peer has if it replied
+    void on_reply(std::string const& address, std::uint64_t sent_causes,
                   result<http_reply> const& reply);
     void read_loads(peer& peer, nlohmann::json const& state);
     void read_crashes(std::string const& address, nlohmann::json const& state);
     /// Merges the prompt suspicion in a message, if there is any.
-    void read_suspicion(nlohmann::json const& message);
+    void read_causes(nlohmann::json const& message);
     /// Endpoints that failed this router's last probe.
     nlohmann::json unresponsive_endpoints() const;
     void apply_unresponsive(nlohmann::json const& state, time_point now);
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -65,7 +65,7 @@
     void on_record(endpoint_record const& record, record_age age);
     void on_endpoint_connection_refused(known_endpoint const& endpoint);
     /// Tells the other routers at once, before the part reaches more endpoints.
-    void on_prompt_crash();
+    void on_crash_counted();
     /// Logs the prompts that are refused from now on.
     void log_refused_prompts();
     void on_endpoint_removed(std::string const& id);
@@ -93,7 +93,7 @@
     /// watch the store.
     std::string configuration_text_;
     versioned_entries endpoint_entries_;
-    std::vector<prompt_parts> logged_refusals_;
+    std::vector<request_traits> logged_refusals_;
     store_feed configuration_feed_;
     store_feed endpoint_feed_;
     peer_exchange peers_;
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -14,10 +14,10 @@
 #include <asio/io_context.hpp>
 
 #include "auburnlb/coordination/byte_budget.hpp"
+#include "auburnlb/coordination/crash_causes.hpp"
 #include "auburnlb/coordination/crash_counts.hpp"
 #include "auburnlb/coordination/endpoint_directory.hpp"
 #include "auburnlb/coordination/link_budget.hpp"
-#include "auburnlb/coordination/prompt_suspicion.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
 #include "auburnlb/router/connection_pool.hpp"
@@ -76,10 +76,10 @@
     std::shared_ptr<route_index const> routes_;
     endpoint_directory directory_;
     crash_counts crashes_;
-    prompt_suspicion prompt_suspicion_;
-    interrupted_prompts interrupted_prompts_;
+    crash_causes crash_causes_;
+    interrupted_runs interrupted_runs_;
     /// Called after a crash was counted against prompts.
-    std::function<void()> on_prompt_crash_ = [] {
+    std::function<void()> on_crash_counted_ = [] {
     };
     connection_pool pool_;
     /// For calls other than callers' requests.
--- a/src/coordination/prompt_suspicion.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -1,6 +1,6 @@
 // Counts crashes by the parts of prompts and refuses the fewest parts that
 // explain them.
-#include "auburnlb/coordination/prompt_suspicion.hpp"
+#include "auburnlb/coordination/crash_causes.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -32,35 +32,35 @@
 constexpr std::size_t max_successes_kept = 4'096;
 constexpr std::size_t max_part_id_length = 64;
 
-using crash_list = std::vector<prompt_crash const*>;
+using crash_list = std::vector<endpoint_crash const*>;
 
-time_point last_success(prompt_suspicion const& state, std::string const& part)
+time_point last_success(crash_causes const& state, std::string const& part)
 {
     auto const found = state.successes_.find(part);
     return found == state.successes_.end() ? time_point::min() : found->second;
 }
 
-bool contains_all(prompt_parts const& prompt, prompt_parts const& parts)
+bool contains_all(request_traits const& prompt, request_traits const& parts)
 {
     return std::includes(prompt.begin(), prompt.end(), parts.begin(),
                          parts.end());
 }
 
-bool has_part(prompt_crash const& crash, std::string const& part)
+bool has_part(endpoint_crash const& crash, std::string const& part)
 {
-    return std::any_of(crash.prompts_.begin(), crash.prompts_.end(),
-                       [&part](prompt_parts const& prompt)
+    return std::any_of(crash.requests_.begin(), crash.requests_.end(),
+                       [&part](request_traits const& prompt)
                        { return prompt.contains(part); });
 }
 
 /// Returns the crashes of each part since its last success.
-std::map<std::string, crash_list> index_by_part(prompt_suspicion const& state,
+std::map<std::string, crash_list> index_by_part(crash_causes const& state,
                                                 crash_list const& crashes)
 {
     std::map<std::string, crash_list> index;
-    for (prompt_crash const* const crash : crashes)
+    for (endpoint_crash const* const crash : crashes)
     {
-        for (prompt_parts const& prompt : crash->prompts_)
+        for (request_traits const& prompt : crash->requests_)
         {
             for (std::string const& part : prompt)
             {
@@ -81,7 +81,7 @@
 std::size_t count_moments(crash_list const& crashes)
 {
     std::vector<time_point> times;
-    for (prompt_crash const* const each : crashes)
+    for (endpoint_crash const* const each : crashes)
     {
         times.push_back(each->at_);
     }
@@ -101,36 +101,36 @@
 
 /// Returns the parts that all prompts with this part have in common. Only
 /// together are they known to crash endpoints.
-prompt_parts common_parts(crash_list const& crashes, std::string const& part)
+request_traits common_parts(crash_list const& crashes, std::string const& part)
 {
-    std::optional<prompt_parts> common;
-    for (prompt_crash const* const crash : crashes)
+    std::optional<request_traits> common;
+    for (endpoint_crash const* const crash : crashes)
     {
-        for (prompt_parts const& prompt : crash->prompts_)
+        for (request_traits const& prompt : crash->requests_)
         {
             if (!prompt.contains(part))
             {
                 continue;
             }
-            prompt_parts both;
-            prompt_parts const& known = common ? *common : prompt;
+            request_traits both;
+            request_traits const& known = common ? *common : prompt;
             std::set_intersection(prompt.begin(), prompt.end(), known.begin(),
                                   known.end(), std::inserter(both, both.end()));
             common = std::move(both);
         }
     }
-    return common.value_or(prompt_parts{});
+    return common.value_or(request_traits{});
 }
 
 /// Returns the number of different prompts with the part.
 std::size_t count_prompts(crash_list const& crashes, std::string const& part)
 {
-    std::set<prompt_parts> prompts;
-    for (prompt_crash const* const crash : crashes)
+    std::set<request_traits> prompts;
+    for (endpoint_crash const* const crash : crashes)
     {
-        std::copy_if(crash->prompts_.begin(), crash->prompts_.end(),
+        std::copy_if(crash->requests_.begin(), crash->requests_.end(),
                      std::inserter(prompts, prompts.end()),
-                     [&part](prompt_parts const& prompt)
+                     [&part](request_traits const& prompt)
                      { return prompt.contains(part); });
     }
     return prompts.size();
@@ -143,7 +143,7 @@
 /// that has, then the one with the most crashes, then the one in the fewest
 /// prompts. Returns std::nullopt if none has enough crashes.
 std::optional<part_crashes>
-most_suspect(prompt_suspicion const& state,
+most_suspect(crash_causes const& state,
              std::map<std::string, crash_list> const& index)
 {
     std::optional<part_crashes> worst;
@@ -151,7 +151,7 @@
     for (auto const& [part, crashes] : index)
     {
         std::size_t const count = count_moments(crashes);
-        if (count < refused_part_crashes)
+        if (count < refused_after_crashes)
         {
             continue;
         }
@@ -168,16 +168,16 @@
     return worst;
 }
 
-bool is_explained(prompt_crash const& crash, prompt_parts const& parts)
+bool is_explained(endpoint_crash const& crash, request_traits const& parts)
 {
-    return std::any_of(crash.prompts_.begin(), crash.prompts_.end(),
-                       [&parts](prompt_parts const& prompt)
+    return std::any_of(crash.requests_.begin(), crash.requests_.end(),
+                       [&parts](request_traits const& prompt)
                        { return contains_all(prompt, parts); });
 }
 
 /// Refuses parts until no part has enough unexplained crashes. A crash that one
 /// part explains does not count against the sound parts beside it.
-void evaluate(prompt_suspicion& state)
+void evaluate(crash_causes& state)
 {
     state.refused_.clear();
     state.suspects_.clear();
@@ -190,8 +190,8 @@
     for (auto worst = most_suspect(state, index); worst;
          worst = most_suspect(state, index))
     {
-        prompt_parts const common = common_parts(worst->second, worst->first);
-        std::erase_if(crashes, [&common](prompt_crash const* each)
+        request_traits const common = common_parts(worst->second, worst->first);
+        std::erase_if(crashes, [&common](endpoint_crash const* each)
                       { return is_explained(*each, common); });
         state.refused_.push_back(common);
         index = index_by_part(state, crashes);
@@ -199,7 +199,7 @@
     for (auto const& [part, of_part] : index)
     {
         if (!state.successes_.contains(part) &&
-            count_moments(of_part) >= suspect_part_crashes)
+            count_moments(of_part) >= suspected_after_crashes)
         {
             state.suspects_.insert(part);
         }
@@ -218,7 +218,7 @@
 }
 
 time_point
-time_of_crash(std::pair<std::string const, prompt_crash> const& entry)
+time_of_crash(std::pair<std::string const, endpoint_crash> const& entry)
 {
     return entry.second.at_;
 }
@@ -230,22 +230,22 @@
 }
 
 /// Returns whether anything was new. A crash keeps its earliest time.
-bool add_crash(prompt_suspicion& state, std::string const& endpoint_run,
-               prompt_crash const& crash)
+bool add_crash(crash_causes& state, std::string const& endpoint_run,
+               endpoint_crash const& crash)
 {
     auto const [entry, is_new] =
-        state.crashes_.try_emplace(endpoint_run, prompt_crash{crash.at_, {}});
-    std::size_t const known = entry->second.prompts_.size();
-    entry->second.prompts_.insert(crash.prompts_.begin(), crash.prompts_.end());
+        state.crashes_.try_emplace(endpoint_run, endpoint_crash{crash.at_, {}});
+    std::size_t const known = entry->second.requests_.size();
+    entry->second.requests_.insert(crash.requests_.begin(),
+                                   crash.requests_.end());
     entry->second.at_ = std::min(entry->second.at_, crash.at_);
-    bool const is_changed = is_new || entry->second.prompts_.size() > known;
+    bool const is_changed = is_new || entry->second.requests_.size() > known;
     drop_oldest(state.crashes_, max_crashes_kept, time_of_crash);
     return is_changed;
 }
 
 /// Returns whether the success clears the part of a crash.
-bool add_success(prompt_suspicion& state, std::string const& part,
-                 time_point at)
+bool add_success(crash_causes& state, std::string const& part, time_point at)
 {
     time_point const previous = last_success(state, part);
     if (at <= previous)
@@ -256,7 +256,7 @@
         std::any_of(state.crashes_.begin(), state.crashes_.end(),
                     [&](auto const& entry)
                     {
-                        prompt_crash const& crash = entry.second;
+                        endpoint_crash const& crash = entry.second;
                         return crash.at_ > previous && crash.at_ < at &&
                                has_part(crash, part);
                     });
@@ -264,7 +264,7 @@
     return is_clearing;
 }
 
-void on_changed(prompt_suspicion& state)
+void on_changed(crash_causes& state)
 {
     ++state.revision_;
     evaluate(state);
@@ -272,10 +272,10 @@
 
 } // namespace
 
-prompt_parts make_prompt_parts(std::string const& service,
-                               std::vector<std::string> const& ids)
+request_traits make_traits(std::string const& service,
+                           std::vector<std::string> const& ids)
 {
-    prompt_parts parts;
+    request_traits parts;
     for (std::string const& id : ids)
     {
         if (!id.empty() && id.size() <= max_part_id_length)
@@ -289,7 +289,7 @@
     return parts;
 }
 
-std::string to_string(prompt_parts const& parts)
+std::string to_string(request_traits const& parts)
 {
     std::string text;
     for (std::string const& part : parts)
@@ -305,10 +305,9 @@
     return endpoint_id + "@" + std::to_string(started_ms);
 }
 
-bool record_interrupted_prompt(prompt_suspicion& state,
-                               interrupted_prompts& interrupted,
-                               std::string const& endpoint_run,
-                               prompt_parts const& parts, time_point now)
+bool record_interrupted_run(crash_causes& state, interrupted_runs& interrupted,
+                            std::string const& endpoint_run,
+                            request_traits const& parts, time_point now)
 {
     if (parts.empty())
     {
@@ -318,17 +317,16 @@
     auto const lost = interrupted.lost_at_.find(endpoint_run);
     return lost != interrupted.lost_at_.end() &&
            now - lost->second <= confirmation_time &&
-           confirm_prompt_crash(state, interrupted, endpoint_run, now);
+           confirm_crash(state, interrupted, endpoint_run, now);
 }
 
-bool confirm_prompt_crash(prompt_suspicion& state,
-                          interrupted_prompts& interrupted,
-                          std::string const& endpoint_run, time_point now)
+bool confirm_crash(crash_causes& state, interrupted_runs& interrupted,
+                   std::string const& endpoint_run, time_point now)
 {
     interrupted.lost_at_.try_emplace(endpoint_run, now);
-    prompt_crash crash{now, {}};
+    endpoint_crash crash{now, {}};
     std::erase_if(interrupted.runs_,
-                  [&](interrupted_prompts::run const& run)
+                  [&](interrupted_runs::run const& run)
                   {
                       if (run.endpoint_run_ != endpoint_run)
                       {
@@ -337,11 +335,11 @@
                       if (now - run.at_ <= confirmation_time)
                       {
                           crash.at_ = std::min(crash.at_, run.at_);
-                          crash.prompts_.insert(run.parts_);
+                          crash.requests_.insert(run.parts_);
                       }
                       return true;
                   });
-    if (crash.prompts_.empty() || !add_crash(state, endpoint_run, crash))
+    if (crash.requests_.empty() || !add_crash(state, endpoint_run, crash))
     {
         return false;
     }
@@ -349,8 +347,8 @@
     return true;
 }
 
-void record_prompt_success(prompt_suspicion& state, prompt_parts const& parts,
-                           time_point now)
+void record_success(crash_causes& state, request_traits const& parts,
+                    time_point now)
 {
     bool is_clearing = false;
     for (std::string const& part : parts)
@@ -363,16 +361,16 @@
     }
 }
 
-bool is_refused_prompt(prompt_suspicion const& state, prompt_parts const& parts)
+bool is_refused(crash_causes const& state, request_traits const& parts)
 {
     return std::any_of(state.refused_.begin(), state.refused_.end(),
-                       [&parts](prompt_parts const& refused)
+                       [&parts](request_traits const& refused)
                        { return contains_all(parts, refused); });
 }
 
-bool is_suspect_prompt(prompt_suspicion const& state, prompt_parts const& parts)
+bool is_suspected(crash_causes const& state, request_traits const& parts)
 {
-    return is_refused_prompt(state, parts) ||
+    return is_refused(state, parts) ||
            std::any_of(parts.begin(), parts.end(),
                        [&state](std::string const& part)
                        { return state.suspects_.contains(part); });
@@ -390,9 +388,9 @@
            now - progress.began_at_ >= min_success_time;
 }
 
-prompt_suspicion_update current_update(prompt_suspicion const& state)
+crash_causes_update current_update(crash_causes const& state)
 {
-    prompt_suspicion_update update{state.crashes_, {}};
+    crash_causes_update update{state.crashes_, {}};
     for (auto const& success : state.successes_)
     {
         if (std::any_of(state.crashes_.begin(), state.crashes_.end(),
@@ -405,8 +403,8 @@
     return update;
 }
 
-void merge_update(prompt_suspicion& state,
-                  prompt_suspicion_update const& update, time_point now)
+void merge_update(crash_causes& state, crash_causes_update const& update,
+                  time_point now)
 {
     bool is_changed = false;
     for (auto const& [run, crash] : update.crashes_)
@@ -426,10 +424,10 @@
     }
 }
 
-void expire_prompt_suspicion(prompt_suspicion& state,
-                             interrupted_prompts& interrupted, time_point now)
+void expire_crash_causes(crash_causes& state, interrupted_runs& interrupted,
+                         time_point now)
 {
-    std::erase_if(interrupted.runs_, [now](interrupted_prompts::run const& run)
+    std::erase_if(interrupted.runs_, [now](interrupted_runs::run const& run)
                   { return now - run.at_ > confirmation_time; });
     std::erase_if(interrupted.lost_at_, [now](auto const& entry)
                   { return now - entry.second > confirmation_time; });
--- a/src/router/suspicion_messages.cpp
+++ b/src/router/crash_messages.cpp
@@ -1,5 +1,5 @@
 // Encoding and decoding of prompt suspicion.
-#include "auburnlb/router/suspicion_messages.hpp"
+#include "auburnlb/router/crash_messages.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -33,14 +33,13 @@
 
 } // namespace
 
-json write_prompt_suspicion(prompt_suspicion_update const& update,
-                            time_point now)
+json write_crash_causes(crash_causes_update const& update, time_point now)
 {
     json crashes = json::object();
     for (auto const& [run, crash] : update.crashes_)
     {
         crashes[run] = {{"age_ms", age_ms(crash.at_, now)},
-                        {"prompts", crash.prompts_}};
+                        {"prompts", crash.requests_}};
     }
     json successes = json::object();
     for (auto const& [part, at] : update.successes_)
@@ -50,14 +49,14 @@
     return {{"crashes", crashes}, {"successes", successes}};
 }
 
-prompt_suspicion_update read_prompt_suspicion(json const& value, time_point now)
+crash_causes_update read_crash_causes(json const& value, time_point now)
 {
-    prompt_suspicion_update update;
+    crash_causes_update update;
     for (auto const& [run, crash] : value.at("crashes").items())
     {
         update.crashes_[run] = {
             time_at(crash.at("age_ms"), now),
-            crash.at("prompts").get<std::set<prompt_parts>>()};
+            crash.at("prompts").get<std::set<request_traits>>()};
     }
     for (auto const& [part, age] : value.at("successes").items())
     {
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -114,8 +114,7 @@
                    std::nullopt);
         return false;
     }
-    prompt_parts_ =
-        make_prompt_parts(service_name_, caller_request_.shared_prompt_parts_);
+    traits_ = make_traits(service_name_, caller_request_.shared_prompt_parts_);
     return true;
 }
 
@@ -450,7 +449,7 @@
          {"prompt_tokens", std::to_string(caller_request_.prompt_tokens_)},
          {"max_tokens", std::to_string(caller_request_.max_output_tokens_)},
          {"fingerprint", to_hex(fingerprint_)},
-         {"parts", to_string(prompt_parts_)},
+         {"parts", to_string(traits_)},
          {"first_ms",
           first_event_at_ ? ms_text(*first_event_at_ - received_) : ""},
          {"gap_ms", ms_text(longest_event_gap_)},
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -8,8 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include "auburnlb/router/crash_messages.hpp"
 #include "auburnlb/router/http_status.hpp"
-#include "auburnlb/router/suspicion_messages.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -163,7 +163,7 @@
                 "the request is not a JSON object\n"};
     }
     add_peer(request.value("from", ""), request.value("data_centre", ""));
-    read_suspicion(request);
+    read_causes(request);
     return {status_ok, "application/json", make_state(request)};
 }
 catch (json::exception const& failure)
@@ -243,12 +243,12 @@
                  {"version", core_.routes_ == nullptr
                                  ? 0
                                  : core_.routes_->table().version_}};
-    request["suspicion_revision"] = peer.known_suspicion_;
-    std::uint64_t const suspicion = core_.prompt_suspicion_.revision_;
-    if (peer.sent_suspicion_ != suspicion)
+    request["suspicion_revision"] = peer.known_causes_;
+    std::uint64_t const suspicion = core_.crash_causes_.revision_;
+    if (peer.sent_causes_ != suspicion)
     {
-        request["suspicion"] = write_prompt_suspicion(
-            current_update(core_.prompt_suspicion_), now);
+        request["suspicion"] =
+            write_crash_causes(current_update(core_.crash_causes_), now);
     }
     if (should_request_endpoints(peer, now))
     {
@@ -263,7 +263,7 @@
 }
 
 void peer_exchange::on_reply(std::string const& address,
-                             std::uint64_t sent_suspicion,
+                             std::uint64_t sent_causes,
                              result<http_reply> const& reply)
 {
     auto const found = peers_.find(address);
@@ -281,7 +281,7 @@
         sum_loads(now);
         return;
     }
-    peer.sent_suspicion_ = sent_suspicion;
+    peer.sent_causes_ = sent_causes;
     try
     {
         read_state(address, peer, json::parse(reply.value().body_), now);
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -8,7 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "auburnlb/router/suspicion_messages.hpp"
+#include "auburnlb/router/crash_messages.hpp"
 
 namespace auburnlb
 {
@@ -183,12 +183,12 @@
     {
         state["crashes"].push_back({fingerprint, crashes});
     }
-    std::uint64_t const suspicion = core_.prompt_suspicion_.revision_;
+    std::uint64_t const suspicion = core_.crash_causes_.revision_;
     if (request.value("suspicion_revision", suspicion) != suspicion)
     {
         state["suspicion_revision"] = suspicion;
-        state["suspicion"] = write_prompt_suspicion(
-            current_update(core_.prompt_suspicion_), core_.clock_.now());
+        state["suspicion"] = write_crash_causes(
+            current_update(core_.crash_causes_), core_.clock_.now());
     }
     state["avoided"] = unresponsive_endpoints();
     state["store"] = to_string(handlers_.store_reachability_());
@@ -229,9 +229,8 @@
     peer.senders_ =
         state.value("senders", std::map<std::string, std::uint32_t>());
     read_crashes(address, state);
-    read_suspicion(state);
-    peer.known_suspicion_ =
-        state.value("suspicion_revision", peer.known_suspicion_);
+    read_causes(state);
+    peer.known_causes_ = state.value("suspicion_revision", peer.known_causes_);
     apply_unresponsive(state, now);
     if (auto const lease = state.find("lease");
         lease != state.end() && lease->is_object())
@@ -334,7 +333,7 @@
     replace_peer_crashes(core_.crashes_, address, std::move(table));
 }
 
-void peer_exchange::read_suspicion(json const& message)
+void peer_exchange::read_causes(json const& message)
 {
     auto const suspicion = message.find("suspicion");
     if (suspicion == message.end())
@@ -342,8 +341,7 @@
         return;
     }
     time_point const now = core_.clock_.now();
-    merge_update(core_.prompt_suspicion_,
-                 read_prompt_suspicion(*suspicion, now), now);
+    merge_update(core_.crash_causes_, read_crash_causes(*suspicion, now), now);
 }
 
 void peer_exchange::sum_loads(time_point now)
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -64,7 +64,7 @@
     limits.may_have_run_ = may_have_run_;
     limits.is_suspect_ =
         crash_count(core_.crashes_, fingerprint_, now) >= suspect_crash_count ||
-        is_suspect_prompt(core_.prompt_suspicion_, prompt_parts_);
+        is_suspected(core_.crash_causes_, traits_);
     limits.has_delivered_ = caller_->has_begun_response();
     auto& runtime = core_.services_[service_name_];
     double const left = retries_left(runtime.retries_, core_.options_.retries_,
@@ -143,7 +143,7 @@
                             ? std::to_string(response_.backoff_->count())
                             : ""},
          {"leaving", response_.is_leaving_ ? "true" : "false"},
-         {"parts", to_string(prompt_parts_)},
+         {"parts", to_string(traits_)},
          {"path", to_string(path_.path_)}},
         reason);
     if (!try_start(now))
@@ -188,12 +188,11 @@
     auburnlb::record_interrupted_run(core_.crashes_, record.address_,
                                      fingerprint_, now);
     if (is_streaming_ && may_have_crashed(progress_, now) &&
-        record_interrupted_prompt(
-            core_.prompt_suspicion_, core_.interrupted_prompts_,
-            endpoint_run_id(record.id_, record.started_ms_), prompt_parts_,
-            now))
+        auburnlb::record_interrupted_run(
+            core_.crash_causes_, core_.interrupted_runs_,
+            endpoint_run_id(record.id_, record.started_ms_), traits_, now))
     {
-        core_.on_prompt_crash_();
+        core_.on_crash_counted_();
     }
 }
 
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -147,7 +147,7 @@
 void forwarded_request::record_success_of_prompt(time_point now)
 {
     is_prompt_success_recorded_ = true;
-    record_prompt_success(core_.prompt_suspicion_, prompt_parts_, now);
+    record_success(core_.crash_causes_, traits_, now);
 }
 
 void forwarded_request::on_first_event(time_point now)
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -39,7 +39,7 @@
 
 bool forwarded_request::try_start(time_point now)
 {
-    if (is_refused_prompt(core_.prompt_suspicion_, prompt_parts_))
+    if (is_refused(core_.crash_causes_, traits_))
     {
         is_waiting_ = false;
         refuse_prompt();
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -99,11 +99,11 @@
         [this](known_endpoint const& endpoint)
         { on_endpoint_connection_refused(endpoint); });
     // A restarted router must not repeat the revisions of the previous process.
-    core_.prompt_suspicion_.revision_ = static_cast<std::uint64_t>(
+    core_.crash_causes_.revision_ = static_cast<std::uint64_t>(
         core_.clock_.now().time_since_epoch() / milliseconds(1));
-    core_.on_prompt_crash_ = [this]
+    core_.on_crash_counted_ = [this]
     {
-        on_prompt_crash();
+        on_crash_counted();
     };
     last_tick_ = core_.clock_.now();
     last_steady_ = std::chrono::steady_clock::now();
@@ -235,8 +235,7 @@
     {
         each->on_tick(now);
     }
-    expire_prompt_suspicion(core_.prompt_suspicion_, core_.interrupted_prompts_,
-                            now);
+    expire_crash_causes(core_.crash_causes_, core_.interrupted_runs_, now);
     log_refused_prompts();
     ready_server_.on_tick(now);
     control_server_.on_tick(now);
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -156,27 +156,26 @@
         }
     }
     endpoint_record const& record = endpoint.record_;
-    if (confirm_prompt_crash(
-            core_.prompt_suspicion_, core_.interrupted_prompts_,
-            endpoint_run_id(record.id_, record.started_ms_), now))
+    if (confirm_crash(core_.crash_causes_, core_.interrupted_runs_,
+                      endpoint_run_id(record.id_, record.started_ms_), now))
     {
-        on_prompt_crash();
+        on_crash_counted();
     }
 }
 
-void router::on_prompt_crash()
+void router::on_crash_counted()
 {
     peers_.poll_now(core_.clock_.now());
 }
 
 void router::log_refused_prompts()
 {
-    auto const& refused = core_.prompt_suspicion_.refused_;
+    auto const& refused = core_.crash_causes_.refused_;
     if (refused == logged_refusals_)
     {
         return;
     }
-    for (prompt_parts const& each : refused)
+    for (request_traits const& each : refused)
     {
         bool const is_known =
             std::find(logged_refusals_.begin(), logged_refusals_.end(), each) !=
--- a/test/coordination/prompt_suspicion_test.cpp
+++ b/test/coordination/crash_causes_test.cpp
@@ -5,7 +5,7 @@
 
 #include <gtest/gtest.h>
 
-#include "auburnlb/coordination/prompt_suspicion.hpp"
+#include "auburnlb/coordination/crash_causes.hpp"
 
 using namespace auburnlb;
 
@@ -13,44 +13,46 @@
 {
 
 time_point const start{seconds(10'000)};
-prompt_parts const crashing_alone{"m/bad"};
+request_traits const crashing_alone{"m/bad"};
 
 /// One router's knowledge.
 struct observer
 {
-    prompt_suspicion suspicion_;
-    interrupted_prompts interrupted_;
+    crash_causes suspicion_;
+    interrupted_runs interrupted_;
 
-    bool crash(std::string const& run, prompt_parts const& parts, time_point at)
+    bool crash(std::string const& run, request_traits const& parts,
+               time_point at)
     {
-        record_interrupted_prompt(suspicion_, interrupted_, run, parts, at);
-        return confirm_prompt_crash(suspicion_, interrupted_, run, at);
+        record_interrupted_run(suspicion_, interrupted_, run, parts, at);
+        return confirm_crash(suspicion_, interrupted_, run, at);
     }
-    void success(prompt_parts const& parts, time_point at)
+    void success(request_traits const& parts, time_point at)
     {
-        record_prompt_success(suspicion_, parts, at);
+        record_success(suspicion_, parts, at);
     }
     /// One crash a second; each cuts all these prompts.
-    void crash_each_second(int count, std::vector<prompt_parts> const& prompts)
+    void crash_each_second(int count,
+                           std::vector<request_traits> const& prompts)
     {
         for (int number = 0; number < count; ++number)
         {
-            for (prompt_parts const& each : prompts)
+            for (request_traits const& each : prompts)
             {
                 crash("run" + std::to_string(number), each,
                       start + seconds(number));
             }
         }
     }
-    bool refuses(prompt_parts const& parts) const
+    bool refuses(request_traits const& parts) const
     {
-        return is_refused_prompt(suspicion_, parts);
+        return is_refused(suspicion_, parts);
     }
 };
 
 } // namespace
 
-TEST(prompt_suspicion, different_requests_with_one_crashing_part_are_refused)
+TEST(crash_causes, different_requests_with_one_crashing_part_are_refused)
 {
     observer router;
     for (int number = 0; number < 3; ++number)
@@ -65,7 +67,7 @@
     EXPECT_EQ(router.suspicion_.refused_.size(), 1U);
 }
 
-TEST(prompt_suspicion, a_sound_part_beside_the_crashing_one_is_not_refused)
+TEST(crash_causes, a_sound_part_beside_the_crashing_one_is_not_refused)
 {
     observer router;
     router.success({"m/first"}, start - seconds(5));
@@ -78,7 +80,7 @@
     EXPECT_TRUE(router.refuses({"m/bad", "m/first"}));
 }
 
-TEST(prompt_suspicion, one_more_crash_tells_parts_apart_that_came_together)
+TEST(crash_causes, one_more_crash_tells_parts_apart_that_came_together)
 {
     observer router;
     router.crash_each_second(3, {{"m/bad", "m/first"}});
@@ -89,7 +91,7 @@
     EXPECT_FALSE(router.refuses({"m/first"}));
 }
 
-TEST(prompt_suspicion, prompts_cut_by_the_crash_of_another_are_not_refused)
+TEST(crash_causes, prompts_cut_by_the_crash_of_another_are_not_refused)
 {
     observer router;
     router.crash_each_second(4, {{"m/popular"}, crashing_alone});
@@ -98,7 +100,7 @@
     EXPECT_FALSE(router.refuses({"m/popular"}));
 }
 
-TEST(prompt_suspicion, a_new_sound_part_in_every_crash_is_not_refused)
+TEST(crash_causes, a_new_sound_part_in_every_crash_is_not_refused)
 {
     observer router;
     router.crash_each_second(4, {{"m/a_first"}, {"m/a_first", "m/bad"}});
@@ -106,7 +108,7 @@
     EXPECT_FALSE(router.refuses({"m/a_first"}));
 }
 
-TEST(prompt_suspicion, endpoints_lost_at_the_same_moment_count_once)
+TEST(crash_causes, endpoints_lost_at_the_same_moment_count_once)
 {
     observer router;
     for (int number = 0; number < 5; ++number)
@@ -117,7 +119,7 @@
     EXPECT_FALSE(router.refuses({"m/popular"}));
 }
 
-TEST(prompt_suspicion, a_crash_that_several_routers_see_counts_once)
+TEST(crash_causes, a_crash_that_several_routers_see_counts_once)
 {
     observer first;
     observer second;
@@ -136,7 +138,7 @@
     EXPECT_TRUE(second.refuses(crashing_alone));
 }
 
-TEST(prompt_suspicion, a_restarted_router_learns_what_it_had_confirmed)
+TEST(crash_causes, a_restarted_router_learns_what_it_had_confirmed)
 {
     observer first;
     observer second;
@@ -148,7 +150,7 @@
     EXPECT_TRUE(first.refuses(crashing_alone));
 }
 
-TEST(prompt_suspicion, a_success_elsewhere_clears_a_part)
+TEST(crash_causes, a_success_elsewhere_clears_a_part)
 {
     observer first;
     observer second;
@@ -165,42 +167,42 @@
     EXPECT_EQ(first.suspicion_.revision_, revision + 1);
 }
 
-TEST(prompt_suspicion, a_run_that_ends_after_its_endpoint_was_found_lost_counts)
+TEST(crash_causes, a_run_that_ends_after_its_endpoint_was_found_lost_counts)
 {
     observer router;
-    EXPECT_FALSE(confirm_prompt_crash(router.suspicion_, router.interrupted_,
-                                      "run", start));
-    EXPECT_TRUE(record_interrupted_prompt(
-        router.suspicion_, router.interrupted_, "run", crashing_alone, start));
+    EXPECT_FALSE(
+        confirm_crash(router.suspicion_, router.interrupted_, "run", start));
+    EXPECT_TRUE(record_interrupted_run(router.suspicion_, router.interrupted_,
+                                       "run", crashing_alone, start));
     EXPECT_EQ(router.suspicion_.crashes_.size(), 1U);
 }
 
-TEST(prompt_suspicion, a_cut_without_a_crash_does_not_count)
+TEST(crash_causes, a_cut_without_a_crash_does_not_count)
 {
     observer router;
-    record_interrupted_prompt(router.suspicion_, router.interrupted_, "run",
-                              crashing_alone, start);
-    EXPECT_FALSE(confirm_prompt_crash(router.suspicion_, router.interrupted_,
-                                      "run", start + seconds(3)));
+    record_interrupted_run(router.suspicion_, router.interrupted_, "run",
+                           crashing_alone, start);
+    EXPECT_FALSE(confirm_crash(router.suspicion_, router.interrupted_, "run",
+                               start + seconds(3)));
     EXPECT_TRUE(router.suspicion_.crashes_.empty());
 }
 
-TEST(prompt_suspicion, two_crashes_end_retries_and_time_ends_all)
+TEST(crash_causes, two_crashes_end_retries_and_time_ends_all)
 {
     observer router;
     router.crash("run0", crashing_alone, start);
-    EXPECT_FALSE(is_suspect_prompt(router.suspicion_, crashing_alone));
+    EXPECT_FALSE(is_suspected(router.suspicion_, crashing_alone));
     router.crash("run1", crashing_alone, start + seconds(1));
-    EXPECT_TRUE(is_suspect_prompt(router.suspicion_, crashing_alone));
+    EXPECT_TRUE(is_suspected(router.suspicion_, crashing_alone));
     router.crash("run2", crashing_alone, start + seconds(2));
-    expire_prompt_suspicion(router.suspicion_, router.interrupted_,
-                            start + seconds(1'000));
+    expire_crash_causes(router.suspicion_, router.interrupted_,
+                        start + seconds(1'000));
     EXPECT_FALSE(router.refuses(crashing_alone));
     EXPECT_TRUE(router.suspicion_.crashes_.empty());
     EXPECT_TRUE(router.interrupted_.lost_at_.empty());
 }
 
-TEST(prompt_suspicion, endpoints_lost_at_the_same_moment_do_not_end_retries)
+TEST(crash_causes, endpoints_lost_at_the_same_moment_do_not_end_retries)
 {
     observer router;
     for (int number = 0; number < 5; ++number)
@@ -208,18 +210,18 @@
         router.crash("run" + std::to_string(number), {"m/popular"},
                      start + milliseconds(number));
     }
-    EXPECT_FALSE(is_suspect_prompt(router.suspicion_, {"m/popular"}));
+    EXPECT_FALSE(is_suspected(router.suspicion_, {"m/popular"}));
 }
 
-TEST(prompt_suspicion, a_sound_part_beside_the_refused_one_keeps_its_retries)
+TEST(crash_causes, a_sound_part_beside_the_refused_one_keeps_its_retries)
 {
     observer router;
     router.crash_each_second(4, {{"m/a_first"}, {"m/a_first", "m/bad"}});
-    EXPECT_TRUE(is_suspect_prompt(router.suspicion_, {"m/a_first", "m/bad"}));
-    EXPECT_FALSE(is_suspect_prompt(router.suspicion_, {"m/a_first"}));
+    EXPECT_TRUE(is_suspected(router.suspicion_, {"m/a_first", "m/bad"}));
+    EXPECT_FALSE(is_suspected(router.suspicion_, {"m/a_first"}));
 }
 
-TEST(prompt_suspicion, only_a_response_that_has_just_begun_may_have_crashed)
+TEST(crash_causes, only_a_response_that_has_just_begun_may_have_crashed)
 {
     response_progress const begun{start, 1};
     EXPECT_TRUE(may_have_crashed(begun, start + seconds(5)));
@@ -231,8 +233,7 @@
     EXPECT_TRUE(is_success(fast, start + seconds(1)));
 }
 
-TEST(prompt_suspicion,
-     an_evaluation_of_all_kept_crashes_stays_within_the_budget)
+TEST(crash_causes, an_evaluation_of_all_kept_crashes_stays_within_the_budget)
 {
     constexpr milliseconds budget{34};
     constexpr int crashes = 200;
@@ -250,9 +251,9 @@
     EXPECT_LT(taken / (crashes * prompts), budget);
 }
 
-TEST(prompt_suspicion, parts_of_different_services_differ)
+TEST(crash_causes, parts_of_different_services_differ)
 {
-    EXPECT_NE(make_prompt_parts("a", {"1"}), make_prompt_parts("b", {"1"}));
-    EXPECT_EQ(make_prompt_parts("a", {"", std::string(65, '1'), "2"}),
-              (prompt_parts{"a/2"}));
+    EXPECT_NE(make_traits("a", {"1"}), make_traits("b", {"1"}));
+    EXPECT_EQ(make_traits("a", {"", std::string(65, '1'), "2"}),
+              (request_traits{"a/2"}));
 }
