--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -1,6 +1,6 @@
-// Finds the parts of prompts that crash the endpoints which begin to answer
-// them, from crashes seen by all routers. A request as a whole is counted by
-// crash_counts; here requests may have nothing in common but a part.
+// Finds the requests that crash the endpoints which run them, from crashes seen
+// by all routers: one request that comes again, or requests that have nothing
+// in common but a part of their prompts.
 #ifndef AUBURNLB_COORDINATION_CRASH_CAUSES_HPP
 #define AUBURNLB_COORDINATION_CRASH_CAUSES_HPP
 
@@ -8,29 +8,38 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "auburnlb/coordination/crash_suspicion.hpp"
 #include "auburnlb/state/clock.hpp"
 
 namespace auburnlb
 {
 
-/// Parts of a prompt that other requests may share, each with its service.
+/// What a request has in common with others that crash in the same way: the
+/// request itself, which may come again, and the parts of its prompt that other
+/// requests may share.
 using request_traits = std::set<std::string>;
 
-/// Returns the parts as they are known to all routers. Identifiers that are too
-/// long to be exchanged are left out.
-request_traits make_traits(std::string const& service,
-                           std::vector<std::string> const& ids);
+/// Returns the trait that only the same request has. Unlike all other traits,
+/// it contains no slash.
+std::string request_trait(request_fingerprint fingerprint);
 
-/// Returns the parts separated by commas.
-std::string to_string(request_traits const& parts);
+/// Returns a trait for each part of a prompt, as all routers know it.
+/// Identifiers that are too long to be exchanged are left out.
+request_traits prompt_traits(std::string const& service,
+                             std::vector<std::string> const& part_ids);
+
+/// Returns the traits separated by commas.
+std::string to_string(request_traits const& traits);
 
 /// Identifies one run of an endpoint, from its start to its end.
 std::string endpoint_run_id(std::string const& endpoint_id,
                             std::uint64_t started_ms);
 
-/// A crash and the prompts that the endpoint had just begun to answer.
+/// A crash and the requests that the endpoint was running, each by those of its
+/// traits that may be the cause.
 struct endpoint_crash
 {
     time_point at_{};
@@ -40,7 +49,7 @@
 };
 
 /// Crashes by the endpoint's run, so that a crash that several routers see
-/// counts once, and the last success of each part that is named in them.
+/// counts once, and the last success of each trait that is named in them.
 struct crash_causes_update
 {
     std::map<std::string, endpoint_crash> crashes_;
@@ -52,58 +61,52 @@
 /// What all routers together know.
 struct crash_causes
 {
-    std::map<std::string, endpoint_crash> crashes_;
-    /// Time of the latest success of each part: a response to a prompt with it
-    /// that continued for some time or is complete.
-    std::map<std::string, time_point> successes_;
-    /// Prompts that contain all parts of one of these are refused. Invariant:
-    /// follows from the members above.
-    std::vector<request_traits> refused_;
-    /// Parts that are not refused, but close to it. Invariant: as above.
-    std::set<std::string> suspects_;
-    /// Changes whenever other routers have something new to learn.
-    std::uint64_t revision_ = 0;
-
-    bool operator==(crash_causes const&) const = default;
-};
+    struct known_crash
+    {
+        endpoint_crash crash_;
+        /// Revision with which this router learned of it.
+        std::uint64_t revision_ = 0;
 
-/// Runs that were cut when they had just begun. Whether their endpoint has
-/// crashed is found out before or after that.
-struct interrupted_runs
-{
-    struct run
+        bool operator==(known_crash const&) const = default;
+    };
+    struct success
     {
-        std::string endpoint_run_;
-        request_traits parts_;
         time_point at_{};
+        /// Revision with which this router learned that it clears a trait; 0 if
+        /// it clears none.
+        std::uint64_t revision_ = 0;
 
-        bool operator==(run const&) const = default;
+        bool operator==(success const&) const = default;
     };
 
-    std::vector<run> runs_;
-    /// When each endpoint's run was found to be lost.
-    std::map<std::string, time_point> lost_at_;
+    std::map<std::string, known_crash> crashes_;
+    /// The latest success of each trait: a complete response to a request with
+    /// it, or for the part of a prompt one that continued for some time.
+    std::map<std::string, success> successes_;
+    /// When the latest crash was that names each trait. Invariant: follows from
+    /// crashes_.
+    std::unordered_map<std::string, time_point> last_crash_;
+    /// Requests that have all traits of one of these are refused. Invariant:
+    /// follows from crashes_ and successes_.
+    std::vector<request_traits> refused_;
+    /// Traits that are not refused, but close to it. Invariant: as above.
+    std::set<std::string> suspects_;
+    /// Rises whenever other routers have something new to learn.
+    std::uint64_t revision_ = 0;
 
-    bool operator==(interrupted_runs const&) const = default;
+    bool operator==(crash_causes const&) const = default;
 };
 
-/// A part that was in progress at this many crashes is refused.
+/// A trait that was there at this many crashes is refused.
 inline constexpr std::size_t refused_after_crashes = 3;
-/// A request with a part that was in progress at this many crashes is not
-/// retried after a failure.
+/// A request with a trait that was there at this many crashes is not retried
+/// after a failure.
 inline constexpr std::size_t suspected_after_crashes = 2;
 
-/// Records that a run was cut just after its response had begun. Returns
-/// whether the endpoint is known to have crashed, so that the crash was
-/// counted.
-bool record_interrupted_run(crash_causes& state, interrupted_runs& interrupted,
-                            std::string const& endpoint_run,
-                            request_traits const& parts, time_point now);
-
-/// Counts the crash of an endpoint against the prompts that it interrupted.
-/// Returns whether there were any.
-bool confirm_crash(crash_causes& state, interrupted_runs& interrupted,
-                   std::string const& endpoint_run, time_point now);
+/// Counts a crash against the requests that it interrupted. Returns whether
+/// anything about it is new.
+bool add_crash(crash_causes& state, std::string const& endpoint_run,
+               endpoint_crash const& crash);
 
 /// Progress of the response to one attempt.
 struct response_progress
@@ -114,31 +117,33 @@
     bool operator==(response_progress const&) const = default;
 };
 
-/// Returns whether the prompt may be why the endpoint has crashed now.
+/// Returns whether a part of the prompt may be why the endpoint crashed now.
 bool may_have_crashed(response_progress const& progress, time_point now);
 
 /// Returns whether an unfinished response shows that its prompt is sound.
 bool is_success(response_progress const& progress, time_point now);
 
-/// Records a success of a prompt with these parts.
-void record_success(crash_causes& state, request_traits const& parts,
+/// Records a success of requests with these traits.
+void record_success(crash_causes& state, request_traits const& traits,
                     time_point now);
 
-/// Returns whether a prompt with these parts must not reach an endpoint.
-bool is_refused(crash_causes const& state, request_traits const& parts);
+/// Returns whether a request with these traits must not reach an endpoint.
+bool is_refused(crash_causes const& state, request_traits const& traits);
 
-/// Returns whether a prompt with these parts should not be tried again.
-bool is_suspected(crash_causes const& state, request_traits const& parts);
+/// Returns whether a request with these traits should not be tried again.
+bool is_suspected(crash_causes const& state, request_traits const& traits);
 
-/// Returns all that other routers need to know.
-crash_causes_update current_update(crash_causes const& state);
+/// Returns what a router has not learned yet that knows everything up to this
+/// revision. A revision above the current one is of an earlier process and
+/// counts as none.
+crash_causes_update current_update(crash_causes const& state,
+                                   std::uint64_t known_revision = 0);
 
 void merge_update(crash_causes& state, crash_causes_update const& update,
                   time_point now);
 
 /// Forgets old crashes and successes.
-void expire_crash_causes(crash_causes& state, interrupted_runs& interrupted,
-                         time_point now);
+void expire_crash_causes(crash_causes& state, time_point now);
 
 } // namespace auburnlb
 
--- /dev/null
+++ b/include/auburnlb/coordination/interrupted_runs.hpp
@@ -0,0 +1,54 @@
+// Requests whose run was cut off, until it is known whether their endpoint has
+// crashed.
+#ifndef AUBURNLB_COORDINATION_INTERRUPTED_RUNS_HPP
+#define AUBURNLB_COORDINATION_INTERRUPTED_RUNS_HPP
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "auburnlb/coordination/crash_causes.hpp"
+#include "auburnlb/state/clock.hpp"
+
+namespace auburnlb
+{
+
+struct interrupted_runs
+{
+    struct run
+    {
+        std::string endpoint_run_;
+        /// Those that may be why the endpoint crashed.
+        request_traits traits_;
+        time_point at_{};
+
+        bool operator==(run const&) const = default;
+    };
+
+    std::vector<run> runs_;
+    /// When each endpoint's run was found to have ended.
+    std::map<std::string, time_point> ended_at_;
+
+    bool operator==(interrupted_runs const&) const = default;
+};
+
+/// Records that a run was cut off. Returns the crash if the endpoint's run is
+/// known to have ended.
+std::optional<endpoint_crash>
+record_interrupted_run(interrupted_runs& interrupted,
+                       std::string const& endpoint_run,
+                       request_traits const& traits, time_point now);
+
+/// Handles the proof that an endpoint's run has ended. Returns its crash if it
+/// interrupted requests.
+std::optional<endpoint_crash> confirm_crash(interrupted_runs& interrupted,
+                                            std::string const& endpoint_run,
+                                            time_point now);
+
+/// Forgets runs for which there was no proof.
+void expire_interrupted_runs(interrupted_runs& interrupted, time_point now);
+
+} // namespace auburnlb
+
+#endif
--- a/include/auburnlb/router/crash_messages.hpp
+++ b/include/auburnlb/router/crash_messages.hpp
@@ -1,4 +1,4 @@
-// Prompt suspicion in the JSON messages between routers. Times are sent as
+// Crash causes in the JSON messages between routers. Times are sent as
 // ages, because the routers' clocks differ.
 #ifndef AUBURNLB_ROUTER_CRASH_MESSAGES_HPP
 #define AUBURNLB_ROUTER_CRASH_MESSAGES_HPP
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -46,6 +46,9 @@
     /// Refuses the request after it was taken from the queue.
     void refuse_waiting(time_point now);
 
+    /// Returns whether the request is known to crash endpoints.
+    bool is_known_to_crash() const;
+
     void on_tick(time_point now);
 
     void on_caller_left() override;
@@ -113,9 +116,10 @@
     void probe_unresponsive(time_point since);
     void record_refusal(time_point now);
     void record_interrupted_run(time_point now);
-    void record_success_of_prompt(time_point now);
-    /// Refuses a prompt that is known to crash endpoints.
-    void refuse_prompt();
+    /// Returns those traits that may be why the endpoint crashed now.
+    request_traits possible_causes(time_point now) const;
+    /// Refuses a request that is known to crash endpoints.
+    void refuse_suspected();
     /// Ends a request that may have run, so that it cannot be refused. Returns
     /// whether it may have.
     bool end_if_begun();
@@ -156,6 +160,9 @@
     workspace_entry const* workspace_ = nullptr;
     time_point deadline_{};
     request_fingerprint fingerprint_ = 0;
+    /// The parts of the prompt that other requests may share.
+    request_traits prompt_traits_;
+    /// The same, and the trait of the request itself.
     request_traits traits_;
     bool is_waiting_ = false;
     bool has_ended_ = false;
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -87,7 +87,7 @@
         /// Set during a planned stop: the latest time at which it ends.
         std::optional<time_point> stop_end_;
         std::map<std::string, endpoint_load> loads_;
-        /// Revision of this router's prompt suspicion that the peer has, and of
+        /// Revision of this router's crash causes that the peer has, and of
         /// the peer's that this router has.
         std::uint64_t sent_causes_ = 0;
         std::uint64_t known_causes_ = 0;
@@ -117,8 +117,10 @@
     void on_reply(std::string const& address, std::uint64_t sent_causes,
                   result<http_reply> const& reply);
     void read_loads(peer& peer, nlohmann::json const& state);
-    void read_crashes(std::string const& address, nlohmann::json const& state);
-    /// Merges the prompt suspicion in a message, if there is any.
+    /// Adds the crash causes that the other router lacks.
+    void add_crash_causes(nlohmann::json& state,
+                          nlohmann::json const& request) const;
+    /// Merges the crash causes in a message, if there are any.
     void read_causes(nlohmann::json const& message);
     /// Endpoints that failed this router's last probe.
     nlohmann::json unresponsive_endpoints() const;
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -64,10 +64,12 @@
                      record_age age);
     void on_record(endpoint_record const& record, record_age age);
     void on_endpoint_connection_refused(known_endpoint const& endpoint);
-    /// Tells the other routers at once, before the part reaches more endpoints.
-    void on_crash_counted();
-    /// Logs the prompts that are refused from now on.
-    void log_refused_prompts();
+    /// Counts a crash and tells the other routers at once, before what caused
+    /// it reaches more endpoints.
+    void on_crash(std::string const& endpoint_run, endpoint_crash const& crash);
+    /// Logs what is refused from now on, and refuses the requests that wait.
+    void apply_refused_traits();
+    void refuse_suspected_waiting(time_point now);
     void on_endpoint_removed(std::string const& id);
     void on_endpoint_delta(entries_delta const& delta);
     /// Starts or stops watching the store, as the other routers require.
@@ -93,7 +95,8 @@
     /// watch the store.
     std::string configuration_text_;
     versioned_entries endpoint_entries_;
-    std::vector<request_traits> logged_refusals_;
+    /// The refused traits that were applied to the queues.
+    std::vector<request_traits> applied_refusals_;
     store_feed configuration_feed_;
     store_feed endpoint_feed_;
     peer_exchange peers_;
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -15,8 +15,8 @@
 
 #include "auburnlb/coordination/byte_budget.hpp"
 #include "auburnlb/coordination/crash_causes.hpp"
-#include "auburnlb/coordination/crash_counts.hpp"
 #include "auburnlb/coordination/endpoint_directory.hpp"
+#include "auburnlb/coordination/interrupted_runs.hpp"
 #include "auburnlb/coordination/link_budget.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
@@ -75,12 +75,12 @@
     /// decreases.
     std::shared_ptr<route_index const> routes_;
     endpoint_directory directory_;
-    crash_counts crashes_;
     crash_causes crash_causes_;
     interrupted_runs interrupted_runs_;
-    /// Called after a crash was counted against prompts.
-    std::function<void()> on_crash_counted_ = [] {
-    };
+    /// Called with each crash that this router has confirmed.
+    std::function<void(std::string const& endpoint_run, endpoint_crash const&)>
+        on_crash_ = [](std::string const&, endpoint_crash const&) {
+        };
     connection_pool pool_;
     /// For calls other than callers' requests.
     internal_http_client http_client_;
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -1,14 +1,14 @@
-// Counts crashes by the parts of prompts and refuses the fewest parts that
-// explain them.
+// Keeps the crashes and successes of requests and exchanges them with other
+// routers.
 #include "auburnlb/coordination/crash_causes.hpp"
 
 #include <algorithm>
-#include <iterator>
-#include <limits>
-#include <optional>
-#include <tuple>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
+#include "auburnlb/coordination/crash_evaluation.hpp"
+
 namespace auburnlb
 {
 
@@ -17,11 +17,6 @@
 
 /// How long a crash or a success is kept.
 constexpr seconds retention{600};
-/// How long after or before the cut of a run its endpoint may be found lost.
-constexpr milliseconds confirmation_time{1'000};
-/// Crashes that are this close together may have another cause in common, such
-/// as a lost link, so they count as one.
-constexpr milliseconds common_cause_time{50};
 /// An endpoint that crashes on a prompt does so before this many events, or
 /// before this time.
 constexpr std::uint32_t max_events_before_crash = 2;
@@ -32,269 +27,161 @@
 constexpr std::size_t max_successes_kept = 4'096;
 constexpr std::size_t max_part_id_length = 64;
 
-using crash_list = std::vector<endpoint_crash const*>;
-
-time_point last_success(crash_causes const& state, std::string const& part)
-{
-    auto const found = state.successes_.find(part);
-    return found == state.successes_.end() ? time_point::min() : found->second;
-}
-
-bool contains_all(request_traits const& prompt, request_traits const& parts)
+std::unordered_set<std::string_view>
+traits_in(std::map<std::string, endpoint_crash> const& crashes)
 {
-    return std::includes(prompt.begin(), prompt.end(), parts.begin(),
-                         parts.end());
-}
-
-bool has_part(endpoint_crash const& crash, std::string const& part)
-{
-    return std::any_of(crash.requests_.begin(), crash.requests_.end(),
-                       [&part](request_traits const& prompt)
-                       { return prompt.contains(part); });
-}
-
-/// Returns the crashes of each part since its last success.
-std::map<std::string, crash_list> index_by_part(crash_causes const& state,
-                                                crash_list const& crashes)
-{
-    std::map<std::string, crash_list> index;
-    for (endpoint_crash const* const crash : crashes)
+    std::unordered_set<std::string_view> traits;
+    for (auto const& [run, crash] : crashes)
     {
-        for (request_traits const& prompt : crash->requests_)
+        for (request_traits const& request : crash.requests_)
         {
-            for (std::string const& part : prompt)
-            {
-                crash_list& of_part = index[part];
-                bool const is_listed =
-                    !of_part.empty() && of_part.back() == crash;
-                if (!is_listed && crash->at_ > last_success(state, part))
-                {
-                    of_part.push_back(crash);
-                }
-            }
+            traits.insert(request.begin(), request.end());
         }
     }
-    return index;
+    return traits;
 }
 
-/// Counts crashes with a common cause once.
-std::size_t count_moments(crash_list const& crashes)
+void index_crash(crash_causes& state, endpoint_crash const& crash)
 {
-    std::vector<time_point> times;
-    for (endpoint_crash const* const each : crashes)
+    for (request_traits const& request : crash.requests_)
     {
-        times.push_back(each->at_);
-    }
-    std::sort(times.begin(), times.end());
-    std::size_t count = 0;
-    time_point counted{};
-    for (time_point const at : times)
-    {
-        if (count == 0 || at - counted > common_cause_time)
+        for (std::string const& trait : request)
         {
-            ++count;
-            counted = at;
+            time_point& last = state.last_crash_[trait];
+            last = std::max(last, crash.at_);
         }
     }
-    return count;
 }
 
-/// Returns the parts that all prompts with this part have in common. Only
-/// together are they known to crash endpoints.
-request_traits common_parts(crash_list const& crashes, std::string const& part)
+void rebuild_index(crash_causes& state)
 {
-    std::optional<request_traits> common;
-    for (endpoint_crash const* const crash : crashes)
+    state.last_crash_.clear();
+    for (auto const& [run, known] : state.crashes_)
     {
-        for (request_traits const& prompt : crash->requests_)
-        {
-            if (!prompt.contains(part))
-            {
-                continue;
-            }
-            request_traits both;
-            request_traits const& known = common ? *common : prompt;
-            std::set_intersection(prompt.begin(), prompt.end(), known.begin(),
-                                  known.end(), std::inserter(both, both.end()));
-            common = std::move(both);
-        }
+        index_crash(state, known.crash_);
     }
-    return common.value_or(request_traits{});
 }
 
-/// Returns the number of different prompts with the part.
-std::size_t count_prompts(crash_list const& crashes, std::string const& part)
+/// Drops the oldest crash; one that shows why a request is refused is kept
+/// longer than others.
+void drop_surplus_crash(crash_causes& state)
 {
-    std::set<request_traits> prompts;
-    for (endpoint_crash const* const crash : crashes)
+    if (state.crashes_.size() <= max_crashes_kept)
     {
-        std::copy_if(crash->requests_.begin(), crash->requests_.end(),
-                     std::inserter(prompts, prompts.end()),
-                     [&part](request_traits const& prompt)
-                     { return prompt.contains(part); });
+        return;
     }
-    return prompts.size();
+    auto const rank = [&state](auto const& entry)
+    {
+        endpoint_crash const& crash = entry.second.crash_;
+        return std::pair(is_explained(state, crash), crash.at_);
+    };
+    state.crashes_.erase(
+        std::min_element(state.crashes_.begin(), state.crashes_.end(),
+                         [&rank](auto const& left, auto const& right)
+                         { return rank(left) < rank(right); }));
+    rebuild_index(state);
 }
 
-/// A part and its crashes.
-using part_crashes = std::pair<std::string, crash_list>;
-
-/// Returns the part to refuse next: one that has never succeeded before one
-/// that has, then the one with the most crashes, then the one in the fewest
-/// prompts. Returns std::nullopt if none has enough crashes.
-std::optional<part_crashes>
-most_suspect(crash_causes const& state,
-             std::map<std::string, crash_list> const& index)
+/// Returns whether anything was new. A crash keeps its earliest time.
+bool insert_crash(crash_causes& state, std::string const& endpoint_run,
+                  endpoint_crash const& crash, std::uint64_t revision)
 {
-    std::optional<part_crashes> worst;
-    std::tuple<bool, std::size_t, std::size_t> worst_rank;
-    for (auto const& [part, crashes] : index)
+    auto const [entry, is_new] = state.crashes_.try_emplace(
+        endpoint_run, crash_causes::known_crash{{crash.at_, {}}, revision});
+    crash_causes::known_crash& known = entry->second;
+    std::size_t const request_count = known.crash_.requests_.size();
+    known.crash_.requests_.insert(crash.requests_.begin(),
+                                  crash.requests_.end());
+    known.crash_.at_ = std::min(known.crash_.at_, crash.at_);
+    if (!is_new && known.crash_.requests_.size() == request_count)
     {
-        std::size_t const count = count_moments(crashes);
-        if (count < refused_after_crashes)
-        {
-            continue;
-        }
-        constexpr std::size_t most_prompts =
-            std::numeric_limits<std::size_t>::max();
-        std::tuple const rank(!state.successes_.contains(part), count,
-                              most_prompts - count_prompts(crashes, part));
-        if (rank > worst_rank)
-        {
-            worst = part_crashes(part, crashes);
-            worst_rank = rank;
-        }
+        return false;
     }
-    return worst;
-}
-
-bool is_explained(endpoint_crash const& crash, request_traits const& parts)
-{
-    return std::any_of(crash.requests_.begin(), crash.requests_.end(),
-                       [&parts](request_traits const& prompt)
-                       { return contains_all(prompt, parts); });
+    known.revision_ = revision;
+    index_crash(state, known.crash_);
+    drop_surplus_crash(state);
+    return true;
 }
 
-/// Refuses parts until no part has enough unexplained crashes. A crash that one
-/// part explains does not count against the sound parts beside it.
-void evaluate(crash_causes& state)
+/// Returns whether the success may clear the trait of a crash.
+bool insert_success(crash_causes& state, std::string const& trait,
+                    time_point at, std::uint64_t revision)
 {
-    state.refused_.clear();
-    state.suspects_.clear();
-    crash_list crashes;
-    for (auto const& [run, crash] : state.crashes_)
-    {
-        crashes.push_back(&crash);
-    }
-    auto index = index_by_part(state, crashes);
-    for (auto worst = most_suspect(state, index); worst;
-         worst = most_suspect(state, index))
+    crash_causes::success& success =
+        state.successes_
+            .try_emplace(trait, crash_causes::success{time_point::min(), 0})
+            .first->second;
+    time_point const previous = success.at_;
+    if (at <= previous)
     {
-        request_traits const common = common_parts(worst->second, worst->first);
-        std::erase_if(crashes, [&common](endpoint_crash const* each)
-                      { return is_explained(*each, common); });
-        state.refused_.push_back(common);
-        index = index_by_part(state, crashes);
+        return false;
     }
-    for (auto const& [part, of_part] : index)
+    success.at_ = at;
+    auto const crash = state.last_crash_.find(trait);
+    if (crash == state.last_crash_.end() || crash->second <= previous)
     {
-        if (!state.successes_.contains(part) &&
-            count_moments(of_part) >= suspected_after_crashes)
-        {
-            state.suspects_.insert(part);
-        }
-    }
-}
-
-template <class Map, class TimeOf>
-void drop_oldest(Map& map, std::size_t limit, TimeOf time_of)
-{
-    while (map.size() > limit)
-    {
-        map.erase(std::min_element(map.begin(), map.end(),
-                                   [&](auto const& left, auto const& right)
-                                   { return time_of(left) < time_of(right); }));
+        return false;
     }
+    success.revision_ = revision;
+    return true;
 }
 
-time_point
-time_of_crash(std::pair<std::string const, endpoint_crash> const& entry)
-{
-    return entry.second.at_;
-}
-
-time_point
-time_of_success(std::pair<std::string const, time_point> const& entry)
-{
-    return entry.second;
-}
-
-/// Returns whether anything was new. A crash keeps its earliest time.
-bool add_crash(crash_causes& state, std::string const& endpoint_run,
-               endpoint_crash const& crash)
+void on_changed(crash_causes& state)
 {
-    auto const [entry, is_new] =
-        state.crashes_.try_emplace(endpoint_run, endpoint_crash{crash.at_, {}});
-    std::size_t const known = entry->second.requests_.size();
-    entry->second.requests_.insert(crash.requests_.begin(),
-                                   crash.requests_.end());
-    entry->second.at_ = std::min(entry->second.at_, crash.at_);
-    bool const is_changed = is_new || entry->second.requests_.size() > known;
-    drop_oldest(state.crashes_, max_crashes_kept, time_of_crash);
-    return is_changed;
+    ++state.revision_;
+    evaluate_crashes(state);
 }
 
-/// Returns whether the success clears the part of a crash.
-bool add_success(crash_causes& state, std::string const& part, time_point at)
+/// Drops the oldest successes beyond the limit.
+void drop_surplus_successes(crash_causes& state)
 {
-    time_point const previous = last_success(state, part);
-    if (at <= previous)
+    if (state.successes_.size() <= max_successes_kept)
     {
-        return false;
+        return;
+    }
+    std::vector<time_point> times;
+    for (auto const& [trait, success] : state.successes_)
+    {
+        times.push_back(success.at_);
     }
-    bool const is_clearing =
-        std::any_of(state.crashes_.begin(), state.crashes_.end(),
-                    [&](auto const& entry)
-                    {
-                        endpoint_crash const& crash = entry.second;
-                        return crash.at_ > previous && crash.at_ < at &&
-                               has_part(crash, part);
-                    });
-    state.successes_[part] = at;
-    return is_clearing;
+    auto const surplus =
+        static_cast<std::ptrdiff_t>(times.size() - max_successes_kept);
+    std::nth_element(times.begin(), times.begin() + surplus, times.end());
+    time_point const oldest_kept = times[static_cast<std::size_t>(surplus)];
+    std::erase_if(state.successes_, [oldest_kept](auto const& entry)
+                  { return entry.second.at_ < oldest_kept; });
 }
 
-void on_changed(crash_causes& state)
+} // namespace
+
+std::string request_trait(request_fingerprint fingerprint)
 {
-    ++state.revision_;
-    evaluate(state);
+    return "request:" + to_hex(fingerprint);
 }
 
-} // namespace
-
-request_traits make_traits(std::string const& service,
-                           std::vector<std::string> const& ids)
+request_traits prompt_traits(std::string const& service,
+                             std::vector<std::string> const& part_ids)
 {
-    request_traits parts;
-    for (std::string const& id : ids)
+    request_traits traits;
+    for (std::string const& id : part_ids)
     {
         if (!id.empty() && id.size() <= max_part_id_length)
         {
-            std::string part = service;
-            part += '/';
-            part += id;
-            parts.insert(std::move(part));
+            std::string trait = service;
+            trait += '/';
+            trait += id;
+            traits.insert(std::move(trait));
         }
     }
-    return parts;
+    return traits;
 }
 
-std::string to_string(request_traits const& parts)
+std::string to_string(request_traits const& traits)
 {
     std::string text;
-    for (std::string const& part : parts)
+    for (std::string const& trait : traits)
     {
-        text += text.empty() ? part : "," + part;
+        text += text.empty() ? trait : "," + trait;
     }
     return text;
 }
@@ -305,41 +192,10 @@
     return endpoint_id + "@" + std::to_string(started_ms);
 }
 
-bool record_interrupted_run(crash_causes& state, interrupted_runs& interrupted,
-                            std::string const& endpoint_run,
-                            request_traits const& parts, time_point now)
-{
-    if (parts.empty())
-    {
-        return false;
-    }
-    interrupted.runs_.push_back({endpoint_run, parts, now});
-    auto const lost = interrupted.lost_at_.find(endpoint_run);
-    return lost != interrupted.lost_at_.end() &&
-           now - lost->second <= confirmation_time &&
-           confirm_crash(state, interrupted, endpoint_run, now);
-}
-
-bool confirm_crash(crash_causes& state, interrupted_runs& interrupted,
-                   std::string const& endpoint_run, time_point now)
+bool add_crash(crash_causes& state, std::string const& endpoint_run,
+               endpoint_crash const& crash)
 {
-    interrupted.lost_at_.try_emplace(endpoint_run, now);
-    endpoint_crash crash{now, {}};
-    std::erase_if(interrupted.runs_,
-                  [&](interrupted_runs::run const& run)
-                  {
-                      if (run.endpoint_run_ != endpoint_run)
-                      {
-                          return false;
-                      }
-                      if (now - run.at_ <= confirmation_time)
-                      {
-                          crash.at_ = std::min(crash.at_, run.at_);
-                          crash.requests_.insert(run.parts_);
-                      }
-                      return true;
-                  });
-    if (crash.requests_.empty() || !add_crash(state, endpoint_run, crash))
+    if (!insert_crash(state, endpoint_run, crash, state.revision_ + 1))
     {
         return false;
     }
@@ -347,13 +203,15 @@
     return true;
 }
 
-void record_success(crash_causes& state, request_traits const& parts,
+void record_success(crash_causes& state, request_traits const& traits,
                     time_point now)
 {
+    std::uint64_t const revision = state.revision_ + 1;
     bool is_clearing = false;
-    for (std::string const& part : parts)
+    for (std::string const& trait : traits)
     {
-        is_clearing = add_success(state, part, now) || is_clearing;
+        is_clearing =
+            insert_success(state, trait, now, revision) || is_clearing;
     }
     if (is_clearing)
     {
@@ -361,19 +219,19 @@
     }
 }
 
-bool is_refused(crash_causes const& state, request_traits const& parts)
+bool is_refused(crash_causes const& state, request_traits const& traits)
 {
     return std::any_of(state.refused_.begin(), state.refused_.end(),
-                       [&parts](request_traits const& refused)
-                       { return contains_all(parts, refused); });
+                       [&traits](request_traits const& refused)
+                       { return has_all(traits, refused); });
 }
 
-bool is_suspected(crash_causes const& state, request_traits const& parts)
+bool is_suspected(crash_causes const& state, request_traits const& traits)
 {
-    return is_refused(state, parts) ||
-           std::any_of(parts.begin(), parts.end(),
-                       [&state](std::string const& part)
-                       { return state.suspects_.contains(part); });
+    return is_refused(state, traits) ||
+           std::any_of(traits.begin(), traits.end(),
+                       [&state](std::string const& trait)
+                       { return state.suspects_.contains(trait); });
 }
 
 bool may_have_crashed(response_progress const& progress, time_point now)
@@ -388,16 +246,28 @@
            now - progress.began_at_ >= min_success_time;
 }
 
-crash_causes_update current_update(crash_causes const& state)
+crash_causes_update current_update(crash_causes const& state,
+                                   std::uint64_t known_revision)
 {
-    crash_causes_update update{state.crashes_, {}};
-    for (auto const& success : state.successes_)
+    std::uint64_t const known =
+        known_revision > state.revision_ ? 0 : known_revision;
+    crash_causes_update update;
+    for (auto const& [run, each] : state.crashes_)
+    {
+        if (each.revision_ > known)
+        {
+            update.crashes_[run] = each.crash_;
+        }
+    }
+    auto const named = traits_in(update.crashes_);
+    for (auto const& [trait, success] : state.successes_)
     {
-        if (std::any_of(state.crashes_.begin(), state.crashes_.end(),
-                        [&success](auto const& entry)
-                        { return has_part(entry.second, success.first); }))
+        bool const is_relevant =
+            state.last_crash_.contains(trait) &&
+            (success.revision_ > known || named.contains(trait));
+        if (is_relevant)
         {
-            update.successes_.insert(success);
+            update.successes_[trait] = success.at_;
         }
     }
     return update;
@@ -406,17 +276,19 @@
 void merge_update(crash_causes& state, crash_causes_update const& update,
                   time_point now)
 {
+    std::uint64_t const revision = state.revision_ + 1;
     bool is_changed = false;
     for (auto const& [run, crash] : update.crashes_)
     {
         if (now - crash.at_ <= retention)
         {
-            is_changed = add_crash(state, run, crash) || is_changed;
+            is_changed =
+                insert_crash(state, run, crash, revision) || is_changed;
         }
     }
-    for (auto const& [part, at] : update.successes_)
+    for (auto const& [trait, at] : update.successes_)
     {
-        is_changed = add_success(state, part, at) || is_changed;
+        is_changed = insert_success(state, trait, at, revision) || is_changed;
     }
     if (is_changed)
     {
@@ -424,19 +296,16 @@
     }
 }
 
-void expire_crash_causes(crash_causes& state, interrupted_runs& interrupted,
-                         time_point now)
+void expire_crash_causes(crash_causes& state, time_point now)
 {
-    std::erase_if(interrupted.runs_, [now](interrupted_runs::run const& run)
-                  { return now - run.at_ > confirmation_time; });
-    std::erase_if(interrupted.lost_at_, [now](auto const& entry)
-                  { return now - entry.second > confirmation_time; });
     std::erase_if(state.successes_, [now](auto const& entry)
-                  { return now - entry.second > retention; });
-    drop_oldest(state.successes_, max_successes_kept, time_of_success);
+                  { return now - entry.second.at_ > retention; });
+    drop_surplus_successes(state);
     if (std::erase_if(state.crashes_, [now](auto const& entry)
-                      { return now - entry.second.at_ > retention; }) > 0)
+                      { return now - entry.second.crash_.at_ > retention; }) >
+        0)
     {
+        rebuild_index(state);
         on_changed(state);
     }
 }
--- /dev/null
+++ b/src/coordination/interrupted_runs.cpp
@@ -0,0 +1,66 @@
+// Matches cut runs with proofs that their endpoint has ended.
+#include "auburnlb/coordination/interrupted_runs.hpp"
+
+#include <algorithm>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// How long after or before the cut of a run its endpoint may be found to have
+/// ended.
+constexpr milliseconds confirmation_time{1'000};
+
+} // namespace
+
+std::optional<endpoint_crash>
+record_interrupted_run(interrupted_runs& interrupted,
+                       std::string const& endpoint_run,
+                       request_traits const& traits, time_point now)
+{
+    if (traits.empty())
+    {
+        return std::nullopt;
+    }
+    interrupted.runs_.push_back({endpoint_run, traits, now});
+    auto const ended = interrupted.ended_at_.find(endpoint_run);
+    bool const is_crash = ended != interrupted.ended_at_.end() &&
+                          now - ended->second <= confirmation_time;
+    return is_crash ? confirm_crash(interrupted, endpoint_run, now)
+                    : std::nullopt;
+}
+
+std::optional<endpoint_crash> confirm_crash(interrupted_runs& interrupted,
+                                            std::string const& endpoint_run,
+                                            time_point now)
+{
+    interrupted.ended_at_.try_emplace(endpoint_run, now);
+    endpoint_crash crash{now, {}};
+    std::erase_if(interrupted.runs_,
+                  [&](interrupted_runs::run const& run)
+                  {
+                      if (run.endpoint_run_ != endpoint_run)
+                      {
+                          return false;
+                      }
+                      if (now - run.at_ <= confirmation_time)
+                      {
+                          crash.at_ = std::min(crash.at_, run.at_);
+                          crash.requests_.insert(run.traits_);
+                      }
+                      return true;
+                  });
+    return crash.requests_.empty() ? std::nullopt : std::optional(crash);
+}
+
+void expire_interrupted_runs(interrupted_runs& interrupted, time_point now)
+{
+    std::erase_if(interrupted.runs_, [now](interrupted_runs::run const& run)
+                  { return now - run.at_ > confirmation_time; });
+    std::erase_if(interrupted.ended_at_, [now](auto const& entry)
+                  { return now - entry.second > confirmation_time; });
+}
+
+} // namespace auburnlb
--- a/src/router/crash_messages.cpp
+++ b/src/router/crash_messages.cpp
@@ -1,4 +1,4 @@
-// Encoding and decoding of prompt suspicion.
+// Encoding and decoding of crash causes.
 #include "auburnlb/router/crash_messages.hpp"
 
 #include <nlohmann/json.hpp>
@@ -39,12 +39,12 @@
     for (auto const& [run, crash] : update.crashes_)
     {
         crashes[run] = {{"age_ms", age_ms(crash.at_, now)},
-                        {"prompts", crash.requests_}};
+                        {"requests", crash.requests_}};
     }
     json successes = json::object();
-    for (auto const& [part, at] : update.successes_)
+    for (auto const& [trait, at] : update.successes_)
     {
-        successes[part] = age_ms(at, now);
+        successes[trait] = age_ms(at, now);
     }
     return {{"crashes", crashes}, {"successes", successes}};
 }
@@ -56,11 +56,11 @@
     {
         update.crashes_[run] = {
             time_at(crash.at("age_ms"), now),
-            crash.at("prompts").get<std::set<request_traits>>()};
+            crash.at("requests").get<std::set<request_traits>>()};
     }
-    for (auto const& [part, age] : value.at("successes").items())
+    for (auto const& [trait, age] : value.at("successes").items())
     {
-        update.successes_[part] = time_at(age, now);
+        update.successes_[trait] = time_at(age, now);
     }
     return update;
 }
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -107,17 +107,23 @@
     fingerprint_ =
         fingerprint_of(workspace_ == nullptr ? "" : workspace_->name_,
                        head_.method_ + head_.target_, body_);
-    if (crash_count(core_.crashes_, fingerprint_, received_) >=
-        refused_crash_count)
+    prompt_traits_ =
+        prompt_traits(service_name_, caller_request_.shared_prompt_parts_);
+    traits_ = prompt_traits_;
+    traits_.insert(request_trait(fingerprint_));
+    if (is_known_to_crash())
     {
-        send_error(status_unavailable, refusal_reason::suspected_crash,
-                   std::nullopt);
+        refuse_suspected();
         return false;
     }
-    traits_ = make_traits(service_name_, caller_request_.shared_prompt_parts_);
     return true;
 }
 
+bool forwarded_request::is_known_to_crash() const
+{
+    return is_refused(core_.crash_causes_, traits_);
+}
+
 bool forwarded_request::is_too_late_to_begin() const
 {
     auto const end = core_.stop_began_at_ + core_.options_.stop_limit_;
@@ -244,8 +250,9 @@
     }
 }
 
-void forwarded_request::refuse_prompt()
+void forwarded_request::refuse_suspected()
 {
+    is_waiting_ = false;
     if (!end_if_begun())
     {
         send_error(status_unavailable, refusal_reason::suspected_crash,
@@ -449,7 +456,7 @@
          {"prompt_tokens", std::to_string(caller_request_.prompt_tokens_)},
          {"max_tokens", std::to_string(caller_request_.max_output_tokens_)},
          {"fingerprint", to_hex(fingerprint_)},
-         {"parts", to_string(traits_)},
+         {"parts", to_string(prompt_traits_)},
          {"first_ms",
           first_event_at_ ? ms_text(*first_event_at_ - received_) : ""},
          {"gap_ms", ms_text(longest_event_gap_)},
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -243,12 +243,12 @@
                  {"version", core_.routes_ == nullptr
                                  ? 0
                                  : core_.routes_->table().version_}};
-    request["suspicion_revision"] = peer.known_causes_;
-    std::uint64_t const suspicion = core_.crash_causes_.revision_;
-    if (peer.sent_causes_ != suspicion)
+    request["causes_revision"] = peer.known_causes_;
+    std::uint64_t const revision = core_.crash_causes_.revision_;
+    if (peer.sent_causes_ != revision)
     {
-        request["suspicion"] =
-            write_crash_causes(current_update(core_.crash_causes_), now);
+        request["causes"] = write_crash_causes(
+            current_update(core_.crash_causes_, peer.sent_causes_), now);
     }
     if (should_request_endpoints(peer, now))
     {
@@ -256,10 +256,10 @@
         request["endpoint_epoch"] = known.epoch_;
         request["endpoint_revision"] = known.revision_;
     }
-    http_client_.call(
-        address, {"POST", "/exchange", request.dump()}, request_timeout,
-        [this, address, suspicion](result<http_reply> const& reply)
-        { on_reply(address, suspicion, reply); });
+    http_client_.call(address, {"POST", "/exchange", request.dump()},
+                      request_timeout,
+                      [this, address, revision](result<http_reply> const& reply)
+                      { on_reply(address, revision, reply); });
 }
 
 void peer_exchange::on_reply(std::string const& address,
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -154,6 +154,18 @@
             {"settling_ms", std::max<std::int64_t>(0, recovery_time.count())}};
 }
 
+void peer_exchange::add_crash_causes(json& state, json const& request) const
+{
+    std::uint64_t const revision = core_.crash_causes_.revision_;
+    std::uint64_t const known = request.value("causes_revision", revision);
+    if (known != revision)
+    {
+        state["causes_revision"] = revision;
+        state["causes"] = write_crash_causes(
+            current_update(core_.crash_causes_, known), core_.clock_.now());
+    }
+}
+
 std::string peer_exchange::make_state(json const& request)
 {
     bool const is_local_request =
@@ -178,18 +190,7 @@
     state["lease"] = {{"holder", lease.holder_},
                       {"epoch", lease.version_.epoch_},
                       {"version", lease.version_.revision_}};
-    for (auto const& [fingerprint, crashes] :
-         local_crashes(core_.crashes_, core_.clock_.now()))
-    {
-        state["crashes"].push_back({fingerprint, crashes});
-    }
-    std::uint64_t const suspicion = core_.crash_causes_.revision_;
-    if (request.value("suspicion_revision", suspicion) != suspicion)
-    {
-        state["suspicion_revision"] = suspicion;
-        state["suspicion"] = write_crash_causes(
-            current_update(core_.crash_causes_), core_.clock_.now());
-    }
+    add_crash_causes(state, request);
     state["avoided"] = unresponsive_endpoints();
     state["store"] = to_string(handlers_.store_reachability_());
     store_version const& known = handlers_.endpoint_entries_().version_;
@@ -228,9 +229,8 @@
     read_loads(peer, state);
     peer.senders_ =
         state.value("senders", std::map<std::string, std::uint32_t>());
-    read_crashes(address, state);
     read_causes(state);
-    peer.known_causes_ = state.value("suspicion_revision", peer.known_causes_);
+    peer.known_causes_ = state.value("causes_revision", peer.known_causes_);
     apply_unresponsive(state, now);
     if (auto const lease = state.find("lease");
         lease != state.end() && lease->is_object())
@@ -317,31 +317,15 @@
     }
 }
 
-void peer_exchange::read_crashes(std::string const& address, json const& state)
-{
-    crash_table table;
-    for (json const& each : state.value("crashes", json::array()))
-    {
-        constexpr std::size_t element_count = 2;
-        if (each.is_array() && each.size() == element_count &&
-            each[0].is_number_unsigned() && each[1].is_number_unsigned())
-        {
-            table[each[0].get<request_fingerprint>()] =
-                each[1].get<std::uint32_t>();
-        }
-    }
-    replace_peer_crashes(core_.crashes_, address, std::move(table));
-}
-
 void peer_exchange::read_causes(json const& message)
 {
-    auto const suspicion = message.find("suspicion");
-    if (suspicion == message.end())
+    auto const causes = message.find("causes");
+    if (causes == message.end())
     {
         return;
     }
     time_point const now = core_.clock_.now();
-    merge_update(core_.crash_causes_, read_crash_causes(*suspicion, now), now);
+    merge_update(core_.crash_causes_, read_crash_causes(*causes, now), now);
 }
 
 void peer_exchange::sum_loads(time_point now)
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -62,9 +62,7 @@
     limits.endpoints_ = send_count_;
     limits.has_time_ = deadline_ - now > min_attempt_time;
     limits.may_have_run_ = may_have_run_;
-    limits.is_suspect_ =
-        crash_count(core_.crashes_, fingerprint_, now) >= suspect_crash_count ||
-        is_suspected(core_.crash_causes_, traits_);
+    limits.is_suspect_ = is_suspected(core_.crash_causes_, traits_);
     limits.has_delivered_ = caller_->has_begun_response();
     auto& runtime = core_.services_[service_name_];
     double const left = retries_left(runtime.retries_, core_.options_.retries_,
@@ -143,7 +141,7 @@
                             ? std::to_string(response_.backoff_->count())
                             : ""},
          {"leaving", response_.is_leaving_ ? "true" : "false"},
-         {"parts", to_string(traits_)},
+         {"parts", to_string(prompt_traits_)},
          {"path", to_string(path_.path_)}},
         reason);
     if (!try_start(now))
@@ -181,18 +179,22 @@
     }
 }
 
+request_traits forwarded_request::possible_causes(time_point now) const
+{
+    // A part of the prompt crashes an engine when it begins to answer.
+    bool const may_be_part = is_streaming_ && may_have_crashed(progress_, now);
+    return may_be_part ? traits_ : request_traits{request_trait(fingerprint_)};
+}
+
 void forwarded_request::record_interrupted_run(time_point now)
 {
     core_.metrics_.add("auburnlb_router_interrupted_runs_total");
     endpoint_record const& record = reservations_.front().endpoint_->record_;
-    auburnlb::record_interrupted_run(core_.crashes_, record.address_,
-                                     fingerprint_, now);
-    if (is_streaming_ && may_have_crashed(progress_, now) &&
-        auburnlb::record_interrupted_run(
-            core_.crash_causes_, core_.interrupted_runs_,
-            endpoint_run_id(record.id_, record.started_ms_), traits_, now))
+    std::string const run = endpoint_run_id(record.id_, record.started_ms_);
+    if (auto const crash = auburnlb::record_interrupted_run(
+            core_.interrupted_runs_, run, possible_causes(now), now))
     {
-        core_.on_crash_counted_();
+        core_.on_crash_(run, *crash);
     }
 }
 
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -136,7 +136,8 @@
     progress_.events_ += events;
     if (!is_prompt_success_recorded_ && is_success(progress_, now))
     {
-        record_success_of_prompt(now);
+        is_prompt_success_recorded_ = true;
+        record_success(core_.crash_causes_, prompt_traits_, now);
     }
     for (reservation const& each : reservations_)
     {
@@ -144,12 +145,6 @@
     }
 }
 
-void forwarded_request::record_success_of_prompt(time_point now)
-{
-    is_prompt_success_recorded_ = true;
-    record_success(core_.crash_causes_, traits_, now);
-}
-
 void forwarded_request::on_first_event(time_point now)
 {
     for (reservation& each : reservations_)
@@ -183,8 +178,7 @@
                     "the stream ended within an event");
         return;
     }
-    clear_crashes(core_.crashes_, fingerprint_);
-    record_success_of_prompt(core_.clock_.now());
+    record_success(core_.crash_causes_, traits_, core_.clock_.now());
     caller_->end_response();
     end_request("complete", response_head_.status_);
 }
@@ -216,7 +210,7 @@
         record_health_signal(each.endpoint_->health_, health_signal::success,
                              now);
     }
-    clear_crashes(core_.crashes_, fingerprint_);
+    record_success(core_.crash_causes_, traits_, now);
     caller_->send_response(response_head_, response_body_);
     end_request("complete", response_head_.status_);
 }
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -39,10 +39,9 @@
 
 bool forwarded_request::try_start(time_point now)
 {
-    if (is_refused(core_.crash_causes_, traits_))
+    if (is_known_to_crash())
     {
-        is_waiting_ = false;
-        refuse_prompt();
+        refuse_suspected();
         return true;
     }
     bool const is_started =
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -101,9 +101,10 @@
     // A restarted router must not repeat the revisions of the previous process.
     core_.crash_causes_.revision_ = static_cast<std::uint64_t>(
         core_.clock_.now().time_since_epoch() / milliseconds(1));
-    core_.on_crash_counted_ = [this]
+    core_.on_crash_ =
+        [this](std::string const& endpoint_run, endpoint_crash const& crash)
     {
-        on_crash_counted();
+        on_crash(endpoint_run, crash);
     };
     last_tick_ = core_.clock_.now();
     last_steady_ = std::chrono::steady_clock::now();
@@ -235,8 +236,9 @@
     {
         each->on_tick(now);
     }
-    expire_crash_causes(core_.crash_causes_, core_.interrupted_runs_, now);
-    log_refused_prompts();
+    expire_interrupted_runs(core_.interrupted_runs_, now);
+    expire_crash_causes(core_.crash_causes_, now);
+    apply_refused_traits();
     ready_server_.on_tick(now);
     control_server_.on_tick(now);
     sync_router_list(now);
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -136,59 +136,13 @@
 
 void router::on_endpoint_connection_refused(known_endpoint const& endpoint)
 {
-    time_point const now = core_.clock_.now();
-    for (request_fingerprint const each :
-         confirm_crash(core_.crashes_, endpoint.record_.address_, now))
-    {
-        std::uint32_t const crashes = crash_count(core_.crashes_, each, now);
-        log(log_level::info, log_event::crash_counted,
-            {{"peer", endpoint.record_.id_},
-             {"fingerprint", to_hex(each)},
-             {"crashes", std::to_string(crashes)}},
-            "an endpoint crashed while it ran the request");
-        if (crashes >= suspect_crash_count)
-        {
-            log(log_level::warning, log_event::request_quarantined,
-                {{"peer", endpoint.record_.id_},
-                 {"fingerprint", to_hex(each)},
-                 {"crashes", std::to_string(crashes)}},
-                "several endpoints crashed while executing the same request");
-        }
-    }
     endpoint_record const& record = endpoint.record_;
-    if (confirm_crash(core_.crash_causes_, core_.interrupted_runs_,
-                      endpoint_run_id(record.id_, record.started_ms_), now))
+    std::string const run = endpoint_run_id(record.id_, record.started_ms_);
+    if (auto const crash =
+            confirm_crash(core_.interrupted_runs_, run, core_.clock_.now()))
     {
-        on_crash_counted();
-    }
-}
-
-void router::on_crash_counted()
-{
-    peers_.poll_now(core_.clock_.now());
-}
-
-void router::log_refused_prompts()
-{
-    auto const& refused = core_.crash_causes_.refused_;
-    if (refused == logged_refusals_)
-    {
-        return;
-    }
-    for (request_traits const& each : refused)
-    {
-        bool const is_known =
-            std::find(logged_refusals_.begin(), logged_refusals_.end(), each) !=
-            logged_refusals_.end();
-        if (!is_known)
-        {
-            log(log_level::warning, log_event::request_quarantined,
-                {{"parts", to_string(each)}},
-                "several endpoints crashed when they began to answer prompts "
-                "with these parts");
-        }
+        on_crash(run, *crash);
     }
-    logged_refusals_ = refused;
 }
 
 void router::on_endpoint_delta(entries_delta const& delta)
--- a/test/coordination/crash_causes_test.cpp
+++ b/test/coordination/crash_causes_test.cpp
@@ -1,4 +1,4 @@
-// Tests of the search for parts of prompts that crash endpoints.
+// Tests of the search for requests that crash endpoints.
 #include <chrono>
 #include <string>
 #include <vector>
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "auburnlb/coordination/crash_causes.hpp"
+#include "auburnlb/coordination/interrupted_runs.hpp"
 
 using namespace auburnlb;
 
@@ -14,22 +15,27 @@
 
 time_point const start{seconds(10'000)};
 request_traits const crashing_alone{"m/bad"};
+request_traits const crashing_request{request_trait(7)};
 
 /// One router's knowledge.
 struct observer
 {
-    crash_causes suspicion_;
+    crash_causes causes_;
     interrupted_runs interrupted_;
 
     bool crash(std::string const& run, request_traits const& parts,
                time_point at)
     {
-        record_interrupted_run(suspicion_, interrupted_, run, parts, at);
-        return confirm_crash(suspicion_, interrupted_, run, at);
+        auto found = record_interrupted_run(interrupted_, run, parts, at);
+        if (!found)
+        {
+            found = confirm_crash(interrupted_, run, at);
+        }
+        return found && add_crash(causes_, run, *found);
     }
     void success(request_traits const& parts, time_point at)
     {
-        record_success(suspicion_, parts, at);
+        record_success(causes_, parts, at);
     }
     /// One crash a second; each cuts all these prompts.
     void crash_each_second(int count,
@@ -46,7 +52,7 @@
     }
     bool refuses(request_traits const& parts) const
     {
-        return is_refused(suspicion_, parts);
+        return is_refused(causes_, parts);
     }
 };
 
@@ -64,7 +70,7 @@
     }
     EXPECT_TRUE(router.refuses({"m/bad", "m/other"}));
     EXPECT_FALSE(router.refuses({"m/first0", "m/other"}));
-    EXPECT_EQ(router.suspicion_.refused_.size(), 1U);
+    EXPECT_EQ(router.causes_.refused_.size(), 1U);
 }
 
 TEST(crash_causes, a_sound_part_beside_the_crashing_one_is_not_refused)
@@ -131,10 +137,10 @@
         second.crash(run, crashing_alone, at);
     }
     time_point const now = start + seconds(2);
-    merge_update(second.suspicion_, current_update(first.suspicion_), now);
+    merge_update(second.causes_, current_update(first.causes_), now);
     EXPECT_FALSE(second.refuses(crashing_alone));
     first.crash("run2", crashing_alone, now);
-    merge_update(second.suspicion_, current_update(first.suspicion_), now);
+    merge_update(second.causes_, current_update(first.causes_), now);
     EXPECT_TRUE(second.refuses(crashing_alone));
 }
 
@@ -144,9 +150,9 @@
     observer second;
     first.crash_each_second(3, {crashing_alone});
     time_point const now = start + seconds(3);
-    merge_update(second.suspicion_, current_update(first.suspicion_), now);
+    merge_update(second.causes_, current_update(first.causes_), now);
     first = {};
-    merge_update(first.suspicion_, current_update(second.suspicion_), now);
+    merge_update(first.causes_, current_update(second.causes_), now);
     EXPECT_TRUE(first.refuses(crashing_alone));
 }
 
@@ -156,50 +162,28 @@
     observer second;
     first.crash_each_second(3, {{"m/popular"}});
     time_point const now = start + seconds(3);
-    merge_update(second.suspicion_, current_update(first.suspicion_), now);
+    merge_update(second.causes_, current_update(first.causes_), now);
     EXPECT_TRUE(second.refuses({"m/popular"}));
     second.success({"m/popular"}, now);
-    std::uint64_t const revision = first.suspicion_.revision_;
-    merge_update(first.suspicion_, current_update(second.suspicion_), now);
+    std::uint64_t const revision = first.causes_.revision_;
+    merge_update(first.causes_, current_update(second.causes_), now);
     EXPECT_FALSE(first.refuses({"m/popular"}));
-    EXPECT_NE(first.suspicion_.revision_, revision);
-    merge_update(first.suspicion_, current_update(second.suspicion_), now);
-    EXPECT_EQ(first.suspicion_.revision_, revision + 1);
-}
-
-TEST(crash_causes, a_run_that_ends_after_its_endpoint_was_found_lost_counts)
-{
-    observer router;
-    EXPECT_FALSE(
-        confirm_crash(router.suspicion_, router.interrupted_, "run", start));
-    EXPECT_TRUE(record_interrupted_run(router.suspicion_, router.interrupted_,
-                                       "run", crashing_alone, start));
-    EXPECT_EQ(router.suspicion_.crashes_.size(), 1U);
-}
-
-TEST(crash_causes, a_cut_without_a_crash_does_not_count)
-{
-    observer router;
-    record_interrupted_run(router.suspicion_, router.interrupted_, "run",
-                           crashing_alone, start);
-    EXPECT_FALSE(confirm_crash(router.suspicion_, router.interrupted_, "run",
-                               start + seconds(3)));
-    EXPECT_TRUE(router.suspicion_.crashes_.empty());
+    EXPECT_NE(first.causes_.revision_, revision);
+    merge_update(first.causes_, current_update(second.causes_), now);
+    EXPECT_EQ(first.causes_.revision_, revision + 1);
 }
 
 TEST(crash_causes, two_crashes_end_retries_and_time_ends_all)
 {
     observer router;
     router.crash("run0", crashing_alone, start);
-    EXPECT_FALSE(is_suspected(router.suspicion_, crashing_alone));
+    EXPECT_FALSE(is_suspected(router.causes_, crashing_alone));
     router.crash("run1", crashing_alone, start + seconds(1));
-    EXPECT_TRUE(is_suspected(router.suspicion_, crashing_alone));
+    EXPECT_TRUE(is_suspected(router.causes_, crashing_alone));
     router.crash("run2", crashing_alone, start + seconds(2));
-    expire_crash_causes(router.suspicion_, router.interrupted_,
-                        start + seconds(1'000));
+    expire_crash_causes(router.causes_, start + seconds(1'000));
     EXPECT_FALSE(router.refuses(crashing_alone));
-    EXPECT_TRUE(router.suspicion_.crashes_.empty());
-    EXPECT_TRUE(router.interrupted_.lost_at_.empty());
+    EXPECT_TRUE(router.causes_.crashes_.empty());
 }
 
 TEST(crash_causes, endpoints_lost_at_the_same_moment_do_not_end_retries)
@@ -210,15 +194,15 @@
         router.crash("run" + std::to_string(number), {"m/popular"},
                      start + milliseconds(number));
     }
-    EXPECT_FALSE(is_suspected(router.suspicion_, {"m/popular"}));
+    EXPECT_FALSE(is_suspected(router.causes_, {"m/popular"}));
 }
 
 TEST(crash_causes, a_sound_part_beside_the_refused_one_keeps_its_retries)
 {
     observer router;
     router.crash_each_second(4, {{"m/a_first"}, {"m/a_first", "m/bad"}});
-    EXPECT_TRUE(is_suspected(router.suspicion_, {"m/a_first", "m/bad"}));
-    EXPECT_FALSE(is_suspected(router.suspicion_, {"m/a_first"}));
+    EXPECT_TRUE(is_suspected(router.causes_, {"m/a_first", "m/bad"}));
+    EXPECT_FALSE(is_suspected(router.causes_, {"m/a_first"}));
 }
 
 TEST(crash_causes, only_a_response_that_has_just_begun_may_have_crashed)
@@ -251,9 +235,147 @@
     EXPECT_LT(taken / (crashes * prompts), budget);
 }
 
+TEST(crash_causes, a_request_that_comes_again_is_refused_without_a_common_part)
+{
+    observer router;
+    request_traits const request{request_trait(7)};
+    for (int number = 0; number < 3; ++number)
+    {
+        EXPECT_FALSE(router.refuses(request));
+        router.crash("run" + std::to_string(number), request,
+                     start + seconds(number));
+    }
+    EXPECT_TRUE(router.refuses(request));
+    EXPECT_FALSE(router.refuses({request_trait(8)}));
+}
+
+TEST(crash_causes, a_request_that_crashed_endpoints_is_known_for_ten_minutes)
+{
+    observer router;
+    router.crash_each_second(3, {crashing_request});
+    expire_crash_causes(router.causes_, start + seconds(590));
+    EXPECT_TRUE(router.refuses(crashing_request));
+}
+
+TEST(crash_causes, the_part_of_a_request_that_comes_again_is_not_refused_alone)
+{
+    observer router;
+    request_traits const request{"m/first", request_trait(7)};
+    router.crash_each_second(6, {request});
+    EXPECT_TRUE(router.refuses(request));
+    EXPECT_FALSE(router.refuses({"m/first", request_trait(8)}));
+}
+
+TEST(crash_causes, a_part_is_refused_once_different_requests_with_it_crash)
+{
+    observer router;
+    router.crash_each_second(3, {{"m/bad", request_trait(7)}});
+    router.crash("run3", {"m/bad", request_trait(8)}, start + seconds(4));
+    EXPECT_TRUE(router.refuses({"m/bad", request_trait(9)}));
+}
+
+TEST(crash_causes, a_sound_request_beside_the_crashing_one_is_not_refused)
+{
+    observer router;
+    router.crash_each_second(
+        4, {{"m/first", request_trait(7)}, {"m/first", request_trait(8)}});
+    router.success({"m/first", request_trait(8)}, start + seconds(4));
+    EXPECT_TRUE(router.refuses({"m/first", request_trait(7)}));
+    EXPECT_FALSE(router.refuses({"m/first", request_trait(8)}));
+}
+
+TEST(crash_causes, a_usual_request_cut_by_the_loss_of_all_endpoints_is_served)
+{
+    observer router;
+    request_traits const lookup{request_trait(7)};
+    router.success(lookup, start - seconds(1));
+    for (int number = 0; number < 6; ++number)
+    {
+        router.crash("run" + std::to_string(number), lookup,
+                     start + milliseconds(100) * number);
+    }
+    EXPECT_FALSE(router.refuses(lookup));
+    EXPECT_FALSE(is_suspected(router.causes_, lookup));
+}
+
+TEST(crash_causes, a_crash_reaches_routers_that_never_hear_of_its_witness)
+{
+    observer witness;
+    observer between;
+    observer far;
+    for (int number = 0; number < 3; ++number)
+    {
+        witness.crash("run" + std::to_string(number), crashing_request,
+                      start + seconds(number));
+        time_point const now = start + seconds(number);
+        merge_update(between.causes_, current_update(witness.causes_), now);
+        merge_update(far.causes_, current_update(between.causes_), now);
+    }
+    EXPECT_TRUE(far.refuses(crashing_request));
+}
+
+TEST(crash_causes, crashes_of_several_routers_add_up_once)
+{
+    observer first;
+    observer second;
+    first.crash("run0", crashing_request, start);
+    first.crash("run1", crashing_request, start + seconds(1));
+    second.crash("run2", crashing_request, start + seconds(2));
+    time_point const now = start + seconds(2);
+    for (int round = 0; round < 3; ++round)
+    {
+        merge_update(first.causes_, current_update(second.causes_), now);
+        merge_update(second.causes_, current_update(first.causes_), now);
+    }
+    EXPECT_TRUE(first.refuses(crashing_request));
+    EXPECT_TRUE(second.refuses(crashing_request));
+    EXPECT_EQ(first.causes_.crashes_.size(), 3U);
+}
+
+TEST(crash_causes, a_complete_response_clears_its_request_alone)
+{
+    observer router;
+    request_traits const harmless{request_trait(8)};
+    router.crash_each_second(2, {crashing_request, harmless});
+    router.success(harmless, start + seconds(2));
+    EXPECT_TRUE(is_suspected(router.causes_, crashing_request));
+    EXPECT_FALSE(is_suspected(router.causes_, harmless));
+}
+
+TEST(crash_causes, an_update_has_only_what_the_other_router_lacks)
+{
+    observer router;
+    router.causes_.revision_ = 1'000;
+    router.crash("run0", crashing_request, start);
+    std::uint64_t const known = router.causes_.revision_;
+    EXPECT_EQ(current_update(router.causes_).crashes_.size(), 1U);
+    EXPECT_TRUE(current_update(router.causes_, known).crashes_.empty());
+    router.crash("run1", crashing_request, start + seconds(1));
+    router.success(crashing_request, start + seconds(2));
+    auto const update = current_update(router.causes_, known);
+    EXPECT_EQ(update.crashes_.size(), 1U);
+    EXPECT_TRUE(update.crashes_.contains("run1"));
+    EXPECT_EQ(update.successes_.size(), 1U);
+    // An earlier process of this router had come further.
+    EXPECT_EQ(current_update(router.causes_, known + 100).crashes_.size(), 2U);
+}
+
+TEST(crash_causes, crashes_that_show_why_a_request_is_refused_are_kept_longer)
+{
+    observer router;
+    router.crash_each_second(3, {crashing_request});
+    for (int number = 0; number < 300; ++number)
+    {
+        std::string const text = std::to_string(number);
+        router.crash("other" + text, {"m/" + text},
+                     start + seconds(10) + milliseconds(100) * number);
+    }
+    EXPECT_TRUE(router.refuses(crashing_request));
+}
+
 TEST(crash_causes, parts_of_different_services_differ)
 {
-    EXPECT_NE(make_traits("a", {"1"}), make_traits("b", {"1"}));
-    EXPECT_EQ(make_traits("a", {"", std::string(65, '1'), "2"}),
+    EXPECT_NE(prompt_traits("a", {"1"}), prompt_traits("b", {"1"}));
+    EXPECT_EQ(prompt_traits("a", {"", std::string(65, '1'), "2"}),
               (request_traits{"a/2"}));
 }
--- /dev/null
+++ b/test/coordination/interrupted_runs_test.cpp
@@ -0,0 +1,48 @@
+// Tests of which cut runs count as crashes.
+#include <gtest/gtest.h>
+
+#include "auburnlb/coordination/interrupted_runs.hpp"
+
+using namespace auburnlb;
+
+namespace
+{
+
+time_point const start{seconds(10'000)};
+request_traits const request{request_trait(7)};
+
+} // namespace
+
+TEST(interrupted_runs, only_confirmed_crashes_count)
+{
+    interrupted_runs interrupted;
+    EXPECT_FALSE(record_interrupted_run(interrupted, "a@1", request, start));
+    EXPECT_FALSE(confirm_crash(interrupted, "b@1", start));
+    auto const crash = confirm_crash(interrupted, "a@1", start);
+    ASSERT_TRUE(crash);
+    EXPECT_EQ(*crash, (endpoint_crash{start, {request}}));
+    EXPECT_FALSE(confirm_crash(interrupted, "a@1", start));
+}
+
+TEST(interrupted_runs, a_run_cut_after_its_endpoint_was_found_lost_counts)
+{
+    interrupted_runs interrupted;
+    EXPECT_FALSE(confirm_crash(interrupted, "a@1", start));
+    EXPECT_TRUE(record_interrupted_run(interrupted, "a@1", request, start));
+}
+
+TEST(interrupted_runs, a_cut_long_before_the_end_of_the_endpoint_does_not_count)
+{
+    interrupted_runs interrupted;
+    record_interrupted_run(interrupted, "a@1", request, start);
+    EXPECT_FALSE(confirm_crash(interrupted, "a@1", start + seconds(3)));
+}
+
+TEST(interrupted_runs, everything_is_forgotten_in_time)
+{
+    interrupted_runs interrupted;
+    record_interrupted_run(interrupted, "a@1", request, start);
+    confirm_crash(interrupted, "b@1", start);
+    expire_interrupted_runs(interrupted, start + seconds(1'000));
+    EXPECT_EQ(interrupted, interrupted_runs{});
+}
--- a/test/router/crash_messages_test.cpp
+++ b/test/router/crash_messages_test.cpp
@@ -1,4 +1,4 @@
-// Tests of prompt suspicion in the messages between routers.
+// Tests of crash causes in the messages between routers.
 #include <string>
 
 #include <gtest/gtest.h>
@@ -40,7 +40,7 @@
     for (
         char const* const text :
         {"{}", "[]", R"({"crashes": 1, "successes": {}})",
-         R"({"crashes": {"a": {"age_ms": "x", "prompts": []}}, "successes": {}})"})
+         R"({"crashes": {"a": {"age_ms": "x", "requests": []}}, "successes": {}})"})
     {
         EXPECT_THROW(
             read_crash_causes(nlohmann::json::parse(text), time_point{}),
