Take each proof that a run of an endpoint has ended for a crash

What callers saw: a request that crashes engines went on crashing them, 233 of them in 12 s where engines start again at once, and streams of others broke with each. Cause: a crash counted only if a probe was refused within 40 ms. A probe that the next run of the engine answered, and a run that the list shows as replaced, by a new one under its identifier or at its address, proved the same and counted for nothing. A refusal that the router came to read later than 40 ms counted as silence, and no probe followed a cut within 200 ms of the last one. Change: each of them is a proof. A probe that the same run answers after the cut ends the search, so that connections which an engine resets while it lives are not held against requests; then the time for a proof may be 2 s instead of 1 s. A cut after the last probe, and a send that is not accepted meanwhile, ask for another one. Not shown: a slow reading of refusals at a busy router, as the incident's may have been.

--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -13,6 +13,7 @@
 
 #include "auburnlb/coordination/crash_suspicion.hpp"
 #include "auburnlb/state/clock.hpp"
+#include "auburnlb/state/endpoint_record.hpp"
 
 namespace auburnlb
 {
@@ -35,8 +36,7 @@
 std::string to_string(request_traits const& traits);
 
 /// Identifies one run of an endpoint, from its start to its end.
-std::string endpoint_run_id(std::string const& endpoint_id,
-                            std::uint64_t started_ms);
+std::string run_id_of(endpoint_record const& record);
 
 /// A crash and the requests that the endpoint was running, each by those of its
 /// traits that may be the cause.
--- a/include/auburnlb/coordination/interrupted_runs.hpp
+++ b/include/auburnlb/coordination/interrupted_runs.hpp
@@ -46,6 +46,16 @@
                                             std::string const& endpoint_run,
                                             time_point now);
 
+/// Handles a sign of life that the endpoint's run gave at some time after
+/// asked_at. What was cut before that was not cut by a crash.
+void dismiss_runs(interrupted_runs& interrupted,
+                  std::string const& endpoint_run, time_point asked_at);
+
+/// Returns whether requests were cut off by the endpoint's run since this time,
+/// and it is not known whether it has ended.
+bool awaits_proof(interrupted_runs const& interrupted,
+                  std::string const& endpoint_run, time_point since);
+
 /// Forgets runs for which there was no proof.
 void expire_interrupted_runs(interrupted_runs& interrupted, time_point now);
 
--- a/include/auburnlb/router/endpoint_prober.hpp
+++ b/include/auburnlb/router/endpoint_prober.hpp
@@ -3,6 +3,7 @@
 #define AUBURNLB_ROUTER_ENDPOINT_PROBER_HPP
 
 #include <functional>
+#include <string>
 #include <utility>
 
 #include "auburnlb/coordination/endpoint_directory.hpp"
@@ -28,12 +29,16 @@
     {
     }
 
-    /// Sets the function that is called when an endpoint refuses connections,
-    /// which means that its process is gone.
-    void set_on_connection_refused(
-        std::function<void(known_endpoint const&)> handler)
+    /// Sets the functions that are called with the endpoint's run: one when it
+    /// has ended, and one when it was alive at some time after asked_at.
+    void
+    set_handlers(std::function<void(std::string const& endpoint_run)> on_ended,
+                 std::function<void(std::string const& endpoint_run,
+                                    time_point asked_at)>
+                     on_alive)
     {
-        on_connection_refused_ = std::move(handler);
+        on_ended_ = std::move(on_ended);
+        on_alive_ = std::move(on_alive);
     }
 
     /// Sends a probe, unless one is pending or was sent recently.
@@ -45,12 +50,18 @@
                          time_point now);
     void on_reply(endpoint_ptr const& endpoint,
                   result<http_reply> const& reply);
+    void on_report(known_endpoint& endpoint, engine_report const& report,
+                   time_point now);
 
     internal_http_client& http_client_;
     platform_protocol const& protocol_;
     clock_source const& clock_;
     metrics_registry& metrics_;
-    std::function<void(known_endpoint const&)> on_connection_refused_;
+    std::function<void(std::string const&)> on_ended_ = [](std::string const&) {
+    };
+    std::function<void(std::string const&, time_point)> on_alive_ =
+        [](std::string const&, time_point) {
+        };
 };
 
 } // namespace auburnlb
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -116,6 +116,8 @@
     void probe_unresponsive(time_point since);
     void record_refusal(time_point now);
     void record_interrupted_run(time_point now);
+    /// Probes the endpoint if it may have crashed.
+    void probe_interrupted_run();
     /// Returns those traits that may be why the endpoint crashed now.
     request_traits possible_causes(time_point now) const;
     /// Refuses a request that is known to crash endpoints.
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -63,7 +64,13 @@
     void on_endpoint(std::string const& id, std::string const& value,
                      record_age age);
     void on_record(endpoint_record const& record, record_age age);
-    void on_endpoint_connection_refused(known_endpoint const& endpoint);
+    /// Returns the runs that must have ended if this one is alive: those with
+    /// its identifier or its address.
+    std::vector<std::string> previous_runs(endpoint_record const& record) const;
+    /// Handles the proof that a run of an endpoint has ended.
+    void on_run_ended(std::string const& endpoint_run);
+    /// Probes the endpoints that cut requests off after their last probe.
+    void probe_interrupted_runs();
     /// Counts a crash and tells the other routers at once, before what caused
     /// it reaches more endpoints.
     void on_crash(std::string const& endpoint_run, endpoint_crash const& crash);
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -186,10 +186,9 @@
     return text;
 }
 
-std::string endpoint_run_id(std::string const& endpoint_id,
-                            std::uint64_t started_ms)
+std::string run_id_of(endpoint_record const& record)
 {
-    return endpoint_id + "@" + std::to_string(started_ms);
+    return record.id_ + "@" + std::to_string(record.started_ms_);
 }
 
 bool add_crash(crash_causes& state, std::string const& endpoint_run,
--- a/src/coordination/interrupted_runs.cpp
+++ b/src/coordination/interrupted_runs.cpp
@@ -10,8 +10,8 @@
 {
 
 /// How long after or before the cut of a run its endpoint may be found to have
-/// ended.
-constexpr milliseconds confirmation_time{1'000};
+/// ended. The platform's list may be what tells so.
+constexpr milliseconds confirmation_time{2'000};
 
 } // namespace
 
@@ -55,6 +55,24 @@
     return crash.requests_.empty() ? std::nullopt : std::optional(crash);
 }
 
+void dismiss_runs(interrupted_runs& interrupted,
+                  std::string const& endpoint_run, time_point asked_at)
+{
+    std::erase_if(
+        interrupted.runs_, [&](interrupted_runs::run const& run)
+        { return run.endpoint_run_ == endpoint_run && run.at_ <= asked_at; });
+}
+
+bool awaits_proof(interrupted_runs const& interrupted,
+                  std::string const& endpoint_run, time_point since)
+{
+    return std::any_of(interrupted.runs_.begin(), interrupted.runs_.end(),
+                       [&](interrupted_runs::run const& run) {
+                           return run.endpoint_run_ == endpoint_run &&
+                                  run.at_ >= since;
+                       });
+}
+
 void expire_interrupted_runs(interrupted_runs& interrupted, time_point now)
 {
     std::erase_if(interrupted.runs_, [now](interrupted_runs::run const& run)
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -1,6 +1,7 @@
 // Probes and the evaluation of their results.
 #include "auburnlb/router/endpoint_prober.hpp"
 
+#include "auburnlb/coordination/crash_causes.hpp"
 #include "auburnlb/router/endpoint_notices.hpp"
 #include "auburnlb/state/log.hpp"
 
@@ -13,10 +14,6 @@
 /// An engine sends its report within a few milliseconds, even under load.
 constexpr milliseconds probe_timeout{80};
 
-/// A host without a listening process refuses connections immediately; one that
-/// is down or unreachable does not respond.
-constexpr milliseconds max_refusal_delay{40};
-
 /// Streams that stall at the same time share one probe.
 constexpr milliseconds probe_interval{200};
 
@@ -48,8 +45,8 @@
 void endpoint_prober::on_probe_failed(endpoint_ptr const& endpoint,
                                       error const& failure, time_point now)
 {
-    bool const is_refused = failure.code_ == error_code::unreachable &&
-                            now - endpoint->probe_sent_ < max_refusal_delay;
+    // A host that is down does not answer, and the probe times out first.
+    bool const is_refused = failure.code_ == error_code::unreachable;
     count(is_refused ? "refused" : "silent");
     record_probe_failure(*endpoint, is_refused, now);
     record_health_signal(endpoint->health_, health_signal::silence, now);
@@ -57,9 +54,9 @@
         {{"peer", endpoint->record_.id_},
          {"address", endpoint->record_.address_}},
         to_string(failure));
-    if (is_refused && on_connection_refused_)
+    if (is_refused)
     {
-        on_connection_refused_(*endpoint);
+        on_ended_(run_id_of(endpoint->record_));
     }
 }
 
@@ -84,13 +81,27 @@
         count("answered");
         return;
     }
-    record_slowness(endpoint->health_, report.value().slowness_, now);
-    bool const is_other_run =
-        report.value().started_ms_ != endpoint->record_.started_ms_;
+    on_report(*endpoint, report.value(), now);
+}
+
+void endpoint_prober::on_report(known_endpoint& endpoint,
+                                engine_report const& report, time_point now)
+{
+    record_slowness(endpoint.health_, report.slowness_, now);
+    endpoint_record const& record = endpoint.record_;
+    bool const is_other_run = report.started_ms_ != record.started_ms_;
     count(is_other_run ? "other_run" : "answered");
-    if (is_other_run || !report.value().layers_)
+    if (is_other_run || !report.layers_)
+    {
+        endpoint.layers_missing_until_ = now + missing_layers_backoff;
+    }
+    if (!is_other_run)
+    {
+        on_alive_(run_id_of(record), endpoint.probe_sent_);
+    }
+    else if (report.started_ms_ > record.started_ms_)
     {
-        endpoint->layers_missing_until_ = now + missing_layers_backoff;
+        on_ended_(run_id_of(record));
     }
 }
 
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -161,6 +161,7 @@
     {
     case attempt_outcome::not_sent:
         record_health_signal(first_health, health_signal::unreachable, now);
+        probe_interrupted_run();
         return;
     case attempt_outcome::refused:
         record_refusal(now);
@@ -189,8 +190,7 @@
 void forwarded_request::record_interrupted_run(time_point now)
 {
     core_.metrics_.add("auburnlb_router_interrupted_runs_total");
-    endpoint_record const& record = reservations_.front().endpoint_->record_;
-    std::string const run = endpoint_run_id(record.id_, record.started_ms_);
+    std::string const run = run_id_of(reservations_.front().endpoint_->record_);
     if (auto const crash = auburnlb::record_interrupted_run(
             core_.interrupted_runs_, run, possible_causes(now), now))
     {
@@ -198,6 +198,16 @@
     }
 }
 
+void forwarded_request::probe_interrupted_run()
+{
+    endpoint_ptr const& endpoint = reservations_.front().endpoint_;
+    if (awaits_proof(core_.interrupted_runs_, run_id_of(endpoint->record_),
+                     endpoint->probe_sent_))
+    {
+        core_.prober_.probe(endpoint);
+    }
+}
+
 void forwarded_request::record_refusal(time_point now)
 {
     known_endpoint* faulty = reservations_.front().endpoint_.get();
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -95,9 +95,10 @@
     {
         return opened.error();
     }
-    core_.prober_.set_on_connection_refused(
-        [this](known_endpoint const& endpoint)
-        { on_endpoint_connection_refused(endpoint); });
+    core_.prober_.set_handlers(
+        [this](std::string const& run) { on_run_ended(run); },
+        [this](std::string const& run, time_point asked_at)
+        { dismiss_runs(core_.interrupted_runs_, run, asked_at); });
     // A restarted router must not repeat the revisions of the previous process.
     core_.crash_causes_.revision_ = static_cast<std::uint64_t>(
         core_.clock_.now().time_since_epoch() / milliseconds(1));
@@ -236,6 +237,7 @@
     {
         each->on_tick(now);
     }
+    probe_interrupted_runs();
     expire_interrupted_runs(core_.interrupted_runs_, now);
     expire_crash_causes(core_.crash_causes_, now);
     apply_refused_traits();
--- a/src/router/router_crashes.cpp
+++ b/src/router/router_crashes.cpp
@@ -1,5 +1,7 @@
 // Crashes that a router confirms, and what it refuses because of them.
 #include <algorithm>
+#include <string>
+#include <vector>
 
 #include "auburnlb/router/forwarded_request.hpp"
 #include "auburnlb/router/router.hpp"
@@ -31,6 +33,54 @@
 
 } // namespace
 
+std::vector<std::string>
+router::previous_runs(endpoint_record const& record) const
+{
+    std::vector<std::string> runs;
+    auto const same = core_.directory_.endpoints_.find(record.id_);
+    if (same != core_.directory_.endpoints_.end() &&
+        is_same_run(same->second->record_, record))
+    {
+        return runs;
+    }
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        endpoint_record const& known = endpoint->record_;
+        bool const is_at_its_place =
+            known.id_ == record.id_ || known.address_ == record.address_;
+        if (is_at_its_place && run_id_of(known) != run_id_of(record))
+        {
+            runs.push_back(run_id_of(known));
+        }
+    }
+    return runs;
+}
+
+void router::on_run_ended(std::string const& endpoint_run)
+{
+    if (auto const crash = confirm_crash(core_.interrupted_runs_, endpoint_run,
+                                         core_.clock_.now()))
+    {
+        on_crash(endpoint_run, *crash);
+    }
+}
+
+void router::probe_interrupted_runs()
+{
+    if (core_.interrupted_runs_.runs_.empty())
+    {
+        return;
+    }
+    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
+    {
+        if (awaits_proof(core_.interrupted_runs_, run_id_of(endpoint->record_),
+                         endpoint->probe_sent_))
+        {
+            core_.prober_.probe(endpoint);
+        }
+    }
+}
+
 void router::on_crash(std::string const& endpoint_run,
                       endpoint_crash const& crash)
 {
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -93,6 +93,7 @@
 void router::on_record(endpoint_record const& record, record_age age)
 {
     has_endpoints_ = true;
+    std::vector<std::string> const previous = previous_runs(record);
     endpoint_change const change =
         apply_record(core_.directory_, record, age, core_.clock_.now());
     switch (change)
@@ -100,6 +101,8 @@
     case endpoint_change::joined:
     case endpoint_change::replaced:
         core_.pool_.close_idle(record.address_);
+        std::for_each(previous.begin(), previous.end(),
+                      [this](std::string const& run) { on_run_ended(run); });
         log(log_level::info,
             change == endpoint_change::joined ? log_event::peer_joined
                                               : log_event::peer_replaced,
@@ -134,17 +137,6 @@
     }
 }
 
-void router::on_endpoint_connection_refused(known_endpoint const& endpoint)
-{
-    endpoint_record const& record = endpoint.record_;
-    std::string const run = endpoint_run_id(record.id_, record.started_ms_);
-    if (auto const crash =
-            confirm_crash(core_.interrupted_runs_, run, core_.clock_.now()))
-    {
-        on_crash(run, *crash);
-    }
-}
-
 void router::on_endpoint_delta(entries_delta const& delta)
 {
     std::uint64_t const epoch = endpoint_entries_.version_.epoch_;
--- a/test/coordination/interrupted_runs_test.cpp
+++ b/test/coordination/interrupted_runs_test.cpp
@@ -38,6 +38,26 @@
     EXPECT_FALSE(confirm_crash(interrupted, "a@1", start + seconds(3)));
 }
 
+TEST(interrupted_runs, an_endpoint_that_answers_after_the_cut_has_not_crashed)
+{
+    interrupted_runs interrupted;
+    record_interrupted_run(interrupted, "a@1", request, start);
+    dismiss_runs(interrupted, "a@1", start - milliseconds(1));
+    dismiss_runs(interrupted, "b@1", start);
+    EXPECT_TRUE(awaits_proof(interrupted, "a@1", start));
+    dismiss_runs(interrupted, "a@1", start);
+    EXPECT_FALSE(awaits_proof(interrupted, "a@1", start));
+    EXPECT_FALSE(confirm_crash(interrupted, "a@1", start));
+}
+
+TEST(interrupted_runs, a_run_that_was_cut_after_the_last_probe_awaits_proof)
+{
+    interrupted_runs interrupted;
+    record_interrupted_run(interrupted, "a@1", request, start);
+    EXPECT_TRUE(awaits_proof(interrupted, "a@1", start - seconds(1)));
+    EXPECT_FALSE(awaits_proof(interrupted, "a@1", start + milliseconds(1)));
+}
+
 TEST(interrupted_runs, everything_is_forgotten_in_time)
 {
     interrupted_runs interrupted;
