Keep crashes that show why requests are refused in the store

What callers saw: after a loss of all routers at once, a request that crashes engines ended three more of them each time, and streams of others with them. Cause: what the routers had learned together lived in their memory alone; the class is decisions of the fleet that no restart of all routers may lose. Change: a router that has confirmed a crash writes those that explain what is refused, or nearly, to crashes/NAME; each router reads all of them when it starts. An engine's end that no such request explains costs no call. A value that no router wrote is logged and ignored. Open: if the store does not answer while all routers start, three more crashes are needed.

--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -139,6 +139,10 @@
 crash_causes_update current_update(crash_causes const& state,
                                    std::uint64_t known_revision = 0);
 
+/// Returns the crashes that show why requests are refused, or nearly, without
+/// the other requests that they interrupted.
+crash_causes_update lasting_update(crash_causes const& state);
+
 void merge_update(crash_causes& state, crash_causes_update const& update,
                   time_point now);
 
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -15,6 +15,7 @@
 
 #include "auburnlb/coordination/versioned_entries.hpp"
 #include "auburnlb/router/caller_connection.hpp"
+#include "auburnlb/router/crash_store.hpp"
 #include "auburnlb/router/internal_http_client.hpp"
 #include "auburnlb/router/local_server.hpp"
 #include "auburnlb/router/peer_exchange.hpp"
@@ -108,6 +109,7 @@
     store_feed endpoint_feed_;
     peer_exchange peers_;
     placement_controller placement_;
+    crash_store crash_store_;
     listener caller_listener_;
     local_server ready_server_;
     local_server control_server_;
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -3,6 +3,7 @@
 #include "auburnlb/coordination/crash_causes.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
@@ -152,6 +153,24 @@
                   { return entry.second.at_ < oldest_kept; });
 }
 
+/// Adds the successes of the traits in the update, and those that have cleared
+/// a trait since a revision.
+void add_successes(crash_causes const& state, std::uint64_t known_revision,
+                   crash_causes_update& update)
+{
+    auto const named = traits_in(update.crashes_);
+    for (auto const& [trait, success] : state.successes_)
+    {
+        bool const is_relevant =
+            state.last_crash_.contains(trait) &&
+            (success.revision_ > known_revision || named.contains(trait));
+        if (is_relevant)
+        {
+            update.successes_[trait] = success.at_;
+        }
+    }
+}
+
 } // namespace
 
 std::string request_trait(request_fingerprint fingerprint)
@@ -245,6 +264,26 @@
            now - progress.began_at_ >= min_success_time;
 }
 
+crash_causes_update lasting_update(crash_causes const& state)
+{
+    crash_causes_update update;
+    for (auto const& [run, known] : state.crashes_)
+    {
+        endpoint_crash lasting{known.crash_.at_, {}};
+        std::copy_if(known.crash_.requests_.begin(),
+                     known.crash_.requests_.end(),
+                     std::inserter(lasting.requests_, lasting.requests_.end()),
+                     [&state](request_traits const& request)
+                     { return is_suspected(state, request); });
+        if (!lasting.requests_.empty())
+        {
+            update.crashes_.emplace(run, std::move(lasting));
+        }
+    }
+    add_successes(state, state.revision_, update);
+    return update;
+}
+
 crash_causes_update current_update(crash_causes const& state,
                                    std::uint64_t known_revision)
 {
@@ -258,17 +297,7 @@
             update.crashes_[run] = each.crash_;
         }
     }
-    auto const named = traits_in(update.crashes_);
-    for (auto const& [trait, success] : state.successes_)
-    {
-        bool const is_relevant =
-            state.last_crash_.contains(trait) &&
-            (success.revision_ > known || named.contains(trait));
-        if (is_relevant)
-        {
-            update.successes_[trait] = success.at_;
-        }
-    }
+    add_successes(state, known, update);
     return update;
 }
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -50,6 +50,7 @@
                      core_.options_.store_loss_detection_, endpoint_handlers())
     , peers_(core_, core_.http_client_, exchange_handlers())
     , placement_(core_, core_.http_client_)
+    , crash_store_(core_, core_.http_client_)
     , caller_listener_(
           io,
           [this](asio::ip::tcp::socket socket)
@@ -240,6 +241,7 @@
     probe_interrupted_runs();
     expire_interrupted_runs(core_.interrupted_runs_, now);
     expire_crash_causes(core_.crash_causes_, now);
+    crash_store_.on_tick(now);
     apply_refused_traits();
     ready_server_.on_tick(now);
     control_server_.on_tick(now);
--- a/src/router/router_crashes.cpp
+++ b/src/router/router_crashes.cpp
@@ -94,6 +94,7 @@
          {"traits", describe(crash)}},
         "an endpoint crashed while it ran requests");
     peers_.poll_now(core_.clock_.now());
+    crash_store_.on_crash();
     apply_refused_traits();
 }
 
--- a/test/coordination/crash_causes_test.cpp
+++ b/test/coordination/crash_causes_test.cpp
@@ -360,6 +360,26 @@
     EXPECT_EQ(current_update(router.causes_, known + 100).crashes_.size(), 2U);
 }
 
+TEST(crash_causes, only_what_is_refused_or_nearly_so_is_worth_a_write)
+{
+    observer router;
+    request_traits const harmless{request_trait(8)};
+    router.crash("run0", crashing_request, start);
+    EXPECT_EQ(lasting_update(router.causes_), crash_causes_update{});
+    router.crash("run1", harmless, start + seconds(1));
+    router.crash("run1", crashing_request, start + seconds(1));
+    auto const kept = lasting_update(router.causes_);
+    EXPECT_EQ(kept.crashes_.size(), 2U);
+    EXPECT_EQ(kept.crashes_.at("run1").requests_,
+              std::set<request_traits>{crashing_request});
+    observer restarted;
+    merge_update(restarted.causes_, kept, start + seconds(9));
+    restarted.crash("run2", crashing_request, start + seconds(9));
+    EXPECT_TRUE(restarted.refuses(crashing_request));
+    router.success(crashing_request, start + seconds(10));
+    EXPECT_EQ(lasting_update(router.causes_), crash_causes_update{});
+}
+
 TEST(crash_causes, crashes_that_show_why_a_request_is_refused_are_kept_longer)
 {
     observer router;
--- a/test/process/crashing_request_test.py
+++ b/test/process/crashing_request_test.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+from cluster import request
 from crashing_fleet import CrashingFleet
 from platform_cluster import Caller, PlatformCluster, expected_events, in_background
 
@@ -81,6 +82,9 @@
 
     def test_request_that_crashed_engines_is_known_after_all_routers_restart(self):
         with PlatformCluster() as system, self.fleet(system) as fleet:
+            # A value that no router writes must not keep one from the others.
+            request(system.store.port, "POST", "/objects/crashes",
+                    {"metadata": {"name": "foreign"}, "spec": {"written_ms": "x"}})
             self.press(system, fleet, 2)
             self.assertGreaterEqual(fleet.runs("crashing-"), TOLERATED_CRASHES)
             late = 0
