Trust only refusals that can be those of the attempt

What callers saw: 503, not run, for a booking that an engine had run; and a stream that may run once ran twice. A faulty engine that writes an earlier refusal once more on a kept connection was believed if the refusal named no request, or named the same one: a request that may run once and was refused went to the same engine again over the same connection. Change: a refusal without an id on a connection that carried other requests leaves it open whether the request ran. An attempt that must not be repeated gets a new connection at an endpoint that it was sent to before. The stand-in's refusals have ids, as the platform's. A repeated refusal with the id of another request was skipped before.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -7,11 +7,14 @@
 // off within an event; "extra" sends a second answer; "foreign" answers with
 // another request's id first; "unframed" sends neither length nor chunks, and
 // "torn" breaks off within an event of such a stream; "mute" never answers;
-// "early" answers before a body is read. A post to /fake/limit sets the rate
-// limit that responses name, an empty one ends it. A post to /fake/backoff sets
-// the backoff in seconds that "shed" asks for. A post to /fake/leave makes all
-// responses say that the engine leaves, one to /fake/register writes its entry
-// again. GET /fake/runs gives the runs by id.
+// "early" answers before a body is read; "deny" answers 409; "head" breaks off
+// within the head, and "bare" after it, of an answer without a length; "repeat"
+// refuses, and writes each refusal once more before the next answer on its
+// connection, "anonymous" the same without ids. A post to /fake/limit sets the
+// rate limit that responses name, an empty one ends it. A post to /fake/backoff
+// sets the backoff in seconds that "shed" asks for. A post to /fake/leave makes
+// all responses say that the engine leaves, one to /fake/register writes its
+// entry again. GET /fake/runs gives the runs by id.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -258,11 +261,16 @@
         fakes::answer_json(caller, 202, "{}");
     }
 
-    void refuse(caller_connection& caller, unsigned status)
+    void refuse(caller_connection& caller, unsigned status,
+                std::string const& id)
     {
         http_head head;
         head.status_ = status;
         head.fields_ = {{std::string(names::not_run), "1"}};
+        if (!id.empty())
+        {
+            head.fields_.push_back({std::string(names::request_id), id});
+        }
         if (state_.is_leaving_)
         {
             head.fields_.push_back({std::string(names::leaving), "1"});
@@ -283,7 +291,7 @@
         constexpr unsigned misdirected = 421;
         if (id == nullptr || (instance != nullptr && *instance != options_.id_))
         {
-            refuse(*caller, misdirected);
+            refuse(*caller, misdirected, id == nullptr ? "" : *id);
             return;
         }
         auto const now_ms = clock_.now().time_since_epoch() / milliseconds(1);
@@ -291,7 +299,11 @@
         if (state_.fault_ == "shed")
         {
             state_.refusals_ms_.push_back(now_ms);
-            refuse(*caller, unavailable);
+            refuse(*caller, unavailable, *id);
+            return;
+        }
+        if (repeats_refusal(*caller, *id))
+        {
             return;
         }
         ++state_.runs_[*id];
@@ -299,6 +311,16 @@
         bool const is_crashing =
             has_shared_part(head, options_.crash_part_) ||
             (!options_.crash_body_.empty() && body == options_.crash_body_);
+        if (breaks_head_off(*caller, *id))
+        {
+            return;
+        }
+        if (state_.fault_ == "deny")
+        {
+            caller->send_response(fakes::completion_metadata(409, *id, state_),
+                                  "denied");
+            return;
+        }
         if (options_.kind_.empty())
         {
             if (is_crashing)
@@ -332,6 +354,45 @@
             ->begin();
     }
 
+    /// Refuses the first request of a connection. Writes that refusal once more
+    /// when the next one comes, which runs. Returns whether it has refused.
+    bool repeats_refusal(caller_connection& caller, std::string const& id)
+    {
+        bool const is_anonymous = state_.fault_ == "anonymous";
+        if (!is_anonymous && state_.fault_ != "repeat")
+        {
+            return false;
+        }
+        auto const [refused, is_first] =
+            refused_ids_.try_emplace(caller.weak_from_this(), id);
+        if (is_first)
+        {
+            refuse(caller, unavailable, is_anonymous ? "" : id);
+            return true;
+        }
+        std::string const id_line =
+            is_anonymous ? ""
+                         : "Auburnlb-Request-Id: " + refused->second + "\r\n";
+        caller.send_raw("HTTP/1.1 503 Service Unavailable\r\n" + id_line +
+                        "Auburnlb-Not-Executed: 1\r\n"
+                        "Content-Length: 0\r\n\r\n");
+        return false;
+    }
+
+    /// Breaks an answer without a length off within its head, or after it.
+    bool breaks_head_off(caller_connection& caller, std::string const& id)
+    {
+        if (state_.fault_ != "head" && state_.fault_ != "bare")
+        {
+            return false;
+        }
+        caller.send_raw("HTTP/1.1 200 OK\r\nAuburnlb-Request-Id: " + id +
+                        "\r\nAuburnlb-Response-Stamp: s\r\n" +
+                        (state_.fault_ == "bare" ? "\r\n" : "Content-Ty"));
+        caller.abort_response();
+        return true;
+    }
+
     /// Ends the process, or begins a new run under the same identifier and
     /// address that knows nothing of before.
     void crash()
@@ -393,6 +454,9 @@
     internal_http_client calls_;
     asio::steady_timer tick_;
     std::ofstream record_;
+    /// The request that was refused on each connection.
+    std::map<std::weak_ptr<caller_connection>, std::string, std::owner_less<>>
+        refused_ids_;
     fakes::asio_server server_;
 };
 
--- a/include/auburnlb/router/connection_pool.hpp
+++ b/include/auburnlb/router/connection_pool.hpp
@@ -71,6 +71,9 @@
 
     std::string const& address() const { return address_; }
 
+    /// Whether the connection has carried other requests.
+    bool is_reused() const { return idle_since_ != time_point{}; }
+
 private:
     friend class connection_pool;
 
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -102,6 +102,11 @@
     void finish_stream();
     void finish_response();
     attempt_outcome classify_response() const;
+    /// Whether the refusal can only be that of this attempt.
+    bool is_own_refusal() const;
+    /// Returns how long the attempt's connection may have been idle; 0 for a
+    /// new one.
+    milliseconds max_idle_time(std::string const& endpoint_id) const;
     void end_attempt(attempt_outcome outcome, char const* reason);
     void retry(attempt_outcome outcome, char const* reason, time_point now);
     attempt_limits current_limits(attempt_outcome outcome,
@@ -179,6 +184,8 @@
     /// The bytes of response_body_.
     budgeted_bytes buffered_bytes_;
     bool is_streaming_ = false;
+    /// The connection has carried other requests, whose responses may come.
+    bool is_connection_reused_ = false;
     time_point sent_at_{};
     time_point last_progress_at_{};
     response_progress progress_;
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -183,11 +183,18 @@
     end_request("complete", response_head_.status_);
 }
 
+bool forwarded_request::is_own_refusal() const
+{
+    return !response_.request_id_.empty() || !is_connection_reused_;
+}
+
 attempt_outcome forwarded_request::classify_response() const
 {
     if (response_.is_not_executed_)
     {
-        return attempt_outcome::refused;
+        // A faulty endpoint may repeat the refusal of an earlier request.
+        return is_own_refusal() ? attempt_outcome::refused
+                                : attempt_outcome::broken;
     }
     return response_.is_signed_ ? attempt_outcome::failed
                                 : attempt_outcome::broken;
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -209,6 +209,7 @@
         request.urgency_ = static_cast<std::uint32_t>(
             std::clamp(priority() + default_urgency_offset, 0, lowest_urgency));
     }
+    milliseconds const max_idle = max_idle_time(request.endpoint_id_);
     record_send(first->rate_limit_, now);
     ++send_count_;
     record_attempt(sent_to_, request.endpoint_id_);
@@ -224,13 +225,27 @@
     response_body_.clear();
     buffered_bytes_.release();
     events_.discard_partial_event();
-    connection_ = core_.pool_.acquire(first->record_.address_,
-                                      is_retryable() ? max_idle_retryable
-                                                     : max_idle_at_most_once);
+    connection_ = core_.pool_.acquire(first->record_.address_, max_idle);
+    is_connection_reused_ = connection_->is_reused();
     connection_->begin(core_.protocol_.write_request_(head_, body_, request),
                        *this, head_.method_ == "HEAD");
 }
 
+milliseconds
+forwarded_request::max_idle_time(std::string const& endpoint_id) const
+{
+    if (is_retryable())
+    {
+        return max_idle_retryable;
+    }
+    // A refusal that the endpoint repeats could not be told from that of this
+    // attempt.
+    bool const was_sent_there =
+        std::find(sent_to_.ids_.begin(), sent_to_.ids_.end(), endpoint_id) !=
+        sent_to_.ids_.end();
+    return was_sent_there ? milliseconds(0) : max_idle_at_most_once;
+}
+
 bool forwarded_request::has_alternative(time_point now) const
 {
     if (service_entry_ != nullptr && service_entry_->model_)
--- /dev/null
+++ b/test/process/faulty_engine_test.py
@@ -0,0 +1,55 @@
+"""Engines that write refusals twice, break off within a head, or fail where
+another one broke off."""
+
+import unittest
+
+from cluster import wait_until
+from platform_cluster import HOST, MODEL, Caller, calm
+
+
+class FaultyEngineTest(unittest.TestCase):
+
+    def check_repeated_refusal(self, fault):
+        with calm() as system:
+            router = system.routers[0]
+            for name in ("desk-0", "desk-1"):
+                system.fault(name, fault)
+            answers = [system.book(router, f"book-{number}") for number in range(12)]
+            runs = system.runs()["runs"]
+            self.assertTrue(any(f"book-{number}" in runs for number in range(12)))
+            for answer in answers:
+                count = runs.get(answer.request_id, 0)
+                self.assertLessEqual(count, 1)
+                if answer.status in (408, 421, 429, 503):
+                    self.assertEqual(count, 0, "the caller was told that it has not run")
+                if answer.status == 200:
+                    self.assertEqual(answer.text, f"ran {answer.request_id}")
+
+    def test_refusal_of_an_earlier_request_is_not_that_of_the_next(self):
+        self.check_repeated_refusal("repeat")
+
+    def test_refusal_without_an_id_is_not_that_of_the_next_request(self):
+        self.check_repeated_refusal("anonymous")
+
+    def test_refusal_that_is_repeated_is_not_that_of_the_next_attempt(self):
+        once = {"name": "once", "host": HOST, "path-prefix": "/once/", "kind": "streaming",
+                "timeout-ms": 5000, "latency-target-ms": 500, "priority": 1,
+                "service": MODEL, "max-attempts": 1, "public": False, "resumable": False}
+        with calm() as system:
+            router = system.routers[0]
+            system.configure(routes=[once])
+            wait_until(lambda: Caller(router, "POST", "/once/x", "probe").status == 200,
+                       "the route is there")
+            for name in system.engines:
+                if name.startswith("engine"):
+                    system.fault(name, "repeat")
+            for number in range(6):
+                answer = Caller(router, "POST", "/once/x", f"once-{number}")
+                count = system.runs()["runs"].get(answer.request_id, 0)
+                self.assertLessEqual(count, 1)
+                if answer.status in (408, 421, 429, 503):
+                    self.assertEqual(count, 0, "the caller was told that it has not run")
+
+
+if __name__ == "__main__":
+    unittest.main()
