Let nothing but its rest follow a stream that has begun

What callers saw: a whole head and body of an error, 409, in the middle of their stream. A signed answer below 500 counts as a usable response, and one to the second attempt of a stream that had broken off was sent as if nothing had come before it. Change: it is a failed attempt; another follows, or the stream is broken off. Evidence: with the router before, a second head in the bytes that the caller got; the test passes now. An error of 500 and a refusal after a broken stream ended it before as well; they have tests now.

--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -211,6 +211,13 @@
                     "the endpoint responded with an error");
         return;
     }
+    if (caller_->has_begun_response())
+    {
+        // Only the rest of the stream may follow what the caller has.
+        end_attempt(attempt_outcome::failed,
+                    "the endpoint did not continue the stream");
+        return;
+    }
     time_point const now = core_.clock_.now();
     for (reservation const& each : reservations_)
     {
--- a/test/process/faulty_engine_test.py
+++ b/test/process/faulty_engine_test.py
@@ -1,10 +1,25 @@
 """Engines that write refusals twice, break off within a head, or fail where
 another one broke off."""
 
+import socket
 import unittest
 
 from cluster import wait_until
-from platform_cluster import HOST, MODEL, Caller, calm
+from platform_cluster import EVENTS, HOST, KEY, MODEL, Caller, calm
+
+
+def read_raw(router, request_id):
+    """All bytes that a caller of a stream gets."""
+    head = (f"POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+            f"Auburnlb-Request-Id: {request_id}\r\nAuburnlb-Deadline-Ms: 4000\r\n"
+            f"Auburnlb-Model: m\r\nAuburnlb-Token-Counts: 100,{EVENTS}\r\n"
+            "Content-Length: 2\r\nConnection: close\r\n\r\n{}")
+    received = b""
+    with socket.create_connection(("127.0.0.1", router.callers), timeout=10) as caller:
+        caller.sendall(head.encode())
+        while piece := caller.recv(65536):
+            received += piece
+    return received
 
 
 class FaultyEngineTest(unittest.TestCase):
@@ -50,6 +65,30 @@
                 if answer.status in (408, 421, 429, 503):
                     self.assertEqual(count, 0, "the caller was told that it has not run")
 
+    def check_broken_stream(self, then):
+        """The first engine breaks off, all others do something else."""
+        with calm() as system:
+            router = system.routers[0]
+            system.stream(router, "find")
+            first = wait_until(lambda: system.path_of(router, "find"), "the path is logged")[0]
+            for name in system.engines:
+                if name.startswith("engine"):
+                    system.fault(name, "half" if name == first else then)
+            received = read_raw(router, "broken")
+            self.assertEqual(received.count(b"HTTP/1.1 "), 1, received[-300:])
+            self.assertNotIn(b"denied", received)
+            self.assertNotIn(b"failed", received)
+            self.assertFalse(received.endswith(b"0\r\n\r\n"), received[-100:])
+
+    def test_error_after_a_broken_stream_is_no_part_of_it(self):
+        self.check_broken_stream("error")
+
+    def test_denial_after_a_broken_stream_is_no_part_of_it(self):
+        self.check_broken_stream("deny")
+
+    def test_refusal_after_a_broken_stream_is_no_part_of_it(self):
+        self.check_broken_stream("shed")
+
 
 if __name__ == "__main__":
     unittest.main()
