Take an unframed response that ends before its content for a broken one

What callers saw: a 200 without any event or body, framed as whole, when an engine had stopped right after a head that names neither a length nor chunks. The end of the connection is the end of such a response, so one that was cut after its head counted as complete, and ended a stream that had broken off before as if it were whole. Change: such a response without any content is a broken attempt. Evidence: with the router before, a stream was completed without its events, and one after its twentieth event of forty; both tests pass now. A response that stops within its head was a broken attempt before as well; it has a test now. Left: one that is cut after some of its content cannot be told from a whole one.

--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -178,6 +178,13 @@
                     "the stream ended within an event");
         return;
     }
+    if (!response_head_.is_framed_ && progress_.events_ == 0)
+    {
+        // Without a length or chunks, the end of the connection tells nothing.
+        end_attempt(attempt_outcome::broken,
+                    "the stream ended before its first event");
+        return;
+    }
     record_success(core_.crash_causes_, traits_, core_.clock_.now());
     caller_->end_response();
     end_request("complete", response_head_.status_);
@@ -205,6 +212,14 @@
     bool const is_usable = response_.is_signed_ &&
                            !response_.is_not_executed_ &&
                            !is_server_error(response_head_.status_);
+    bool const is_cut = !response_head_.is_framed_ && response_body_.empty() &&
+                        head_.method_ != "HEAD";
+    if (is_usable && is_cut)
+    {
+        end_attempt(attempt_outcome::broken,
+                    "the response ended before its body");
+        return;
+    }
     if (!is_usable)
     {
         end_attempt(classify_response(),
--- a/test/process/faulty_engine_test.py
+++ b/test/process/faulty_engine_test.py
@@ -89,6 +89,26 @@
     def test_refusal_after_a_broken_stream_is_no_part_of_it(self):
         self.check_broken_stream("shed")
 
+    def test_bare_head_after_a_broken_stream_does_not_complete_it(self):
+        self.check_broken_stream("bare")
+
+    def check_broken_head(self, fault):
+        with calm() as system:
+            router = system.routers[0]
+            for name in system.engines:
+                system.fault(name, fault)
+            for number in range(4):
+                stream = system.stream(router, f"stream-{number}")
+                self.assertFalse(stream.status == 200 and stream.is_whole, stream.text)
+                self.assertGreaterEqual(system.look(router, f"look-{number}").status, 500)
+                self.assertGreaterEqual(system.book(router, f"book-{number}").status, 500)
+
+    def test_response_that_ends_within_its_head_is_not_passed_on(self):
+        self.check_broken_head("head")
+
+    def test_stream_that_ends_before_its_first_event_is_not_complete(self):
+        self.check_broken_head("bare")
+
 
 if __name__ == "__main__":
     unittest.main()
