Free the memory of streams that an engine out of reach had held

What callers saw: nothing at once; an engine kept KV memory of streams that went on elsewhere, up to its end, and had room for fewer. When the engine did not answer, its streams were cancelled at the stage without a release, as their memory was taken for lost; a cancellation by the entry then found none. And a release was sent once: it was lost when the engine did not answer it, or overtaken by a call that had timed out here and was run when the engine woke. Change: streams of an engine that does not answer are released; a release that fails is repeated; streams of a call without an answer are released again a second after that.

--- a/include/auburnlb/companion/engine_runner.hpp
+++ b/include/auburnlb/companion/engine_runner.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "auburnlb/protocol/messages.hpp"
@@ -79,6 +80,11 @@
     void on_response(std::vector<pending_step> const& batch,
                      result<std::vector<engine_step_result>> response);
     void send_releases();
+    /// Releases the streams of a call whose outcome is unknown.
+    void release_unanswered(std::vector<pending_step> const& batch);
+    void repeat_unanswered_releases(std::vector<std::string> const& streams);
+    /// Keeps releases that did not reach the engine for the next attempt.
+    void on_released(std::vector<std::string> const& streams, bool is_released);
     milliseconds call_timeout(std::vector<pending_step> const& batch) const;
     void update_step_time(pending_step const& step);
 
@@ -90,6 +96,10 @@
     /// Names of the engine streams of steps at the engine, one for each step.
     std::multiset<std::string> steps_at_engine_;
     std::set<std::string> pending_releases_;
+    /// Streams of calls without an answer whose release is to be repeated.
+    std::set<std::string> unanswered_streams_;
+    /// Releases to repeat, by the time at which they are due.
+    std::deque<std::pair<time_point, std::string>> late_releases_;
     std::size_t calls_in_progress_ = 0;
     microseconds step_time_{0};
 };
--- a/src/companion/companion.cpp
+++ b/src/companion/companion.cpp
@@ -590,9 +590,9 @@
         log(log_level::error, log_event::engine_lost,
             {{"peer", options_.endpoint_url_}}, to_string(reason));
         // Entries receive the update before any refusal, so that they can
-        // distinguish streams that ran here from later ones. The engine's KV
-        // cache is lost too, so every stream of this stage has to be resumed at
-        // another endpoint.
+        // distinguish streams that ran here from later ones. Every stream of
+        // this stage is resumed at another endpoint. The engine may only have
+        // been out of reach, so it is told to free their KV cache.
         announce_state();
         for (auto& [request, stream] : stage_table_.streams_)
         {
@@ -602,6 +602,7 @@
                            step_refusal{request, stream.attempt_,
                                         refusal_reason::engine_failed,
                                         stage_table_.address_});
+                runner_.release(request, stream.attempt_);
                 cancel_at_stage(stage_table_, {request, stream.attempt_},
                                 now());
             }
--- a/src/companion/engine_runner.cpp
+++ b/src/companion/engine_runner.cpp
@@ -18,6 +18,13 @@
 constexpr std::int64_t timeout_step_time_factor = 8;
 constexpr milliseconds timeout_per_position{1};
 
+/// A call without an answer may still be run after the release of its streams,
+/// which is repeated after this time.
+constexpr milliseconds late_release_delay{1'000};
+
+/// Limit of releases that are repeated while the engine is out of reach.
+constexpr std::size_t max_pending_releases = 4'096;
+
 engine_step to_engine_step(pending_step const& step)
 {
     engine_step result;
@@ -77,6 +84,12 @@
 /// overtakes a step would let the engine create the stream again.
 void engine_runner::send_releases()
 {
+    while (!late_releases_.empty() &&
+           late_releases_.front().first <= clock_.now())
+    {
+        pending_releases_.insert(std::move(late_releases_.front().second));
+        late_releases_.pop_front();
+    }
     std::vector<std::string> ready;
     for (auto name = pending_releases_.begin();
          name != pending_releases_.end();)
@@ -89,9 +102,55 @@
         ready.push_back(*name);
         name = pending_releases_.erase(name);
     }
-    if (!ready.empty())
+    if (ready.empty())
+    {
+        return;
+    }
+    engine_.release(ready,
+                    [this, ready](result<bool> const& response)
+                    {
+                        bool const is_released = response.has_value();
+                        callbacks_.post_([this, ready, is_released]
+                                         { on_released(ready, is_released); });
+                    });
+}
+
+void engine_runner::release_unanswered(std::vector<pending_step> const& batch)
+{
+    for (pending_step const& step : batch)
+    {
+        std::string const name =
+            engine_stream_name(step.frame_.request_, step.frame_.attempt_);
+        pending_releases_.insert(name);
+        unanswered_streams_.insert(name);
+    }
+}
+
+void engine_runner::on_released(std::vector<std::string> const& streams,
+                                bool is_released)
+{
+    if (is_released)
+    {
+        repeat_unanswered_releases(streams);
+        return;
+    }
+    // An engine that was out of reach still holds the KV cache.
+    if (pending_releases_.size() < max_pending_releases)
+    {
+        pending_releases_.insert(streams.begin(), streams.end());
+    }
+}
+
+void engine_runner::repeat_unanswered_releases(
+    std::vector<std::string> const& streams)
+{
+    time_point const due = clock_.now() + late_release_delay;
+    for (std::string const& name : streams)
     {
-        engine_.release(ready, [](result<bool> const&) {});
+        if (unanswered_streams_.erase(name) > 0)
+        {
+            late_releases_.emplace_back(due, name);
+        }
     }
 }
 
@@ -152,6 +211,7 @@
     }
     if (!response)
     {
+        release_unanswered(batch);
         callbacks_.on_call_failed_(batch, response.error());
     }
     else
--- a/test/process/faults_test.py
+++ b/test/process/faults_test.py
@@ -1,8 +1,10 @@
 """Kills, pauses and silence in the middle of streamed answers."""
 
 import signal
+import time
 import unittest
 
+import cluster
 from fixture import ModelCluster, ProcessTest, chat, relay_command
 
 RANGES = [(0, 4), (0, 4), (4, 8), (4, 8), (8, 12), (8, 12)]
@@ -57,6 +59,26 @@
             self.check_whole(later)
             system.wait_memory_free()
 
+    def test_an_engine_that_wakes_keeps_no_memory_of_idle_streams(self):
+        """The streams wait at the last stage while a middle engine is lost."""
+        with ModelCluster(RANGES) as system:
+            callers = self.start_callers(system.entry, STREAMS, TOKENS, "pause")
+            self.wait_received(callers, 10)
+            victim = system.busiest((4, 8))
+            paused = [each for each in system.endpoints if each.layers == (8, 12)]
+            for endpoint in paused:
+                endpoint.engine.send(signal.SIGSTOP)
+            time.sleep(0.2)
+            victim.engine.send(signal.SIGSTOP)
+            cluster.wait_until(lambda: "E0500" in victim.companion.log(),
+                               "the engine is lost")
+            for endpoint in [victim] + paused:
+                endpoint.engine.send(signal.SIGCONT)
+            for caller in callers:
+                caller.join()
+            self.check_whole(self.start_callers(system.entry, STREAMS, TOKENS, "wake"))
+            system.wait_memory_free()
+
     def test_silence_between_a_companion_and_its_engine(self):
         self.run_with_fault(
             "engine connection silent",
