Log what forbade another attempt of a request

What callers saw: nothing. Change: E0405 has denied_by. The decision is the same, as its tests show; one of them names each reason in its order.

--- a/include/auburnlb/coordination/attempt_outcome.hpp
+++ b/include/auburnlb/coordination/attempt_outcome.hpp
@@ -65,6 +65,25 @@
     abort_response,
 };
 
+/// What forbids another attempt.
+enum class attempt_denial
+{
+    none,
+    time,
+    suspicion,
+    attempts,
+    /// The request must not run twice and may have run.
+    kind,
+    budget,
+};
+
+/// Returns the enumerator's name; empty for none.
+char const* to_string(attempt_denial denial);
+
+/// Returns what forbids another attempt after one with this outcome.
+attempt_denial denial_after(attempt_outcome outcome,
+                            attempt_limits const& limits);
+
 /// Decides on the next step after an attempt with this outcome.
 attempt_decision decide_after(attempt_outcome outcome,
                               attempt_limits const& limits);
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -195,6 +195,7 @@
     milliseconds stall_extension_{0};
 
     // Over all attempts.
+    attempt_denial last_denial_ = attempt_denial::none;
     std::uint32_t send_count_ = 0;
     attempted_endpoints sent_to_;
     bool may_have_run_ = false;
--- a/src/coordination/attempt_outcome.cpp
+++ b/src/coordination/attempt_outcome.cpp
@@ -13,23 +13,6 @@
            outcome == attempt_outcome::refused;
 }
 
-bool may_retry(attempt_outcome outcome, attempt_limits const& limits)
-{
-    if (!limits.has_time_ || limits.is_suspect_)
-    {
-        return false;
-    }
-    // An attempt that was not sent counts neither against the endpoints nor
-    // against the retry budget.
-    if (outcome == attempt_outcome::not_sent)
-    {
-        return limits.endpoints_ < limits.max_endpoints_;
-    }
-    bool const is_allowed = limits.may_repeat_ || is_certainly_not_run(outcome);
-    return is_allowed && limits.has_budget_ &&
-           limits.endpoints_ < limits.max_endpoints_;
-}
-
 } // namespace
 
 char const* to_string(attempt_outcome outcome)
@@ -50,10 +33,58 @@
     return "broken";
 }
 
+char const* to_string(attempt_denial denial)
+{
+    switch (denial)
+    {
+    case attempt_denial::none:
+        return "";
+    case attempt_denial::time:
+        return "time";
+    case attempt_denial::suspicion:
+        return "suspicion";
+    case attempt_denial::attempts:
+        return "attempts";
+    case attempt_denial::kind:
+        return "kind";
+    case attempt_denial::budget:
+        return "budget";
+    }
+    return "";
+}
+
+attempt_denial denial_after(attempt_outcome outcome,
+                            attempt_limits const& limits)
+{
+    if (!limits.has_time_)
+    {
+        return attempt_denial::time;
+    }
+    if (limits.is_suspect_)
+    {
+        return attempt_denial::suspicion;
+    }
+    if (limits.endpoints_ >= limits.max_endpoints_)
+    {
+        return attempt_denial::attempts;
+    }
+    // An attempt that was not sent counts neither against the endpoints nor
+    // against the retry budget.
+    if (outcome == attempt_outcome::not_sent)
+    {
+        return attempt_denial::none;
+    }
+    if (!limits.may_repeat_ && !is_certainly_not_run(outcome))
+    {
+        return attempt_denial::kind;
+    }
+    return limits.has_budget_ ? attempt_denial::none : attempt_denial::budget;
+}
+
 attempt_decision decide_after(attempt_outcome outcome,
                               attempt_limits const& limits)
 {
-    if (may_retry(outcome, limits))
+    if (denial_after(outcome, limits) == attempt_denial::none)
     {
         return attempt_decision::retry;
     }
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -452,6 +452,7 @@
          {"status", std::to_string(status)},
          {"sends", std::to_string(send_count_)},
          {"peer", sent_to_.last_id_},
+         {"denied_by", to_string(last_denial_)},
          {"events", std::to_string(event_count_)},
          {"prompt_tokens", std::to_string(caller_request_.prompt_tokens_)},
          {"max_tokens", std::to_string(caller_request_.max_output_tokens_)},
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -97,7 +97,9 @@
     }
     record_attempt_outcome(outcome, now);
     release_reservations();
-    switch (decide_after(outcome, current_limits(outcome, now)))
+    attempt_limits const limits = current_limits(outcome, now);
+    last_denial_ = denial_after(outcome, limits);
+    switch (decide_after(outcome, limits))
     {
     case attempt_decision::retry:
         retry(outcome, reason, now);
--- a/test/coordination/attempt_outcome_test.cpp
+++ b/test/coordination/attempt_outcome_test.cpp
@@ -40,6 +40,25 @@
     }
 }
 
+TEST(attempt_outcome, what_forbids_another_attempt_is_named)
+{
+    attempt_outcome const outcome = attempt_outcome::broken;
+    attempt_limits limits = repeatable();
+    EXPECT_EQ(denial_after(outcome, limits), attempt_denial::none);
+    limits.has_budget_ = false;
+    EXPECT_EQ(denial_after(outcome, limits), attempt_denial::budget);
+    EXPECT_EQ(denial_after(attempt_outcome::not_sent, limits),
+              attempt_denial::none);
+    limits.may_repeat_ = false;
+    EXPECT_EQ(denial_after(outcome, limits), attempt_denial::kind);
+    limits.endpoints_ = limits.max_endpoints_;
+    EXPECT_EQ(denial_after(outcome, limits), attempt_denial::attempts);
+    limits.is_suspect_ = true;
+    EXPECT_EQ(denial_after(outcome, limits), attempt_denial::suspicion);
+    limits.has_time_ = false;
+    EXPECT_EQ(denial_after(outcome, limits), attempt_denial::time);
+}
+
 TEST(attempt_outcome, other_requests_are_retried_only_if_they_have_not_run)
 {
     EXPECT_EQ(decide_after(attempt_outcome::not_sent, at_most_once()),
