Write kept crashes only when they change

What callers saw: nothing; each router that keeps crashes would have written them twice a second while sound requests share a part with one that is refused. What is kept includes when its traits last succeeded, which changes with each sound request that has the part. Change: a write is due if the crashes or the names of sound traits differ. Evidence: a unit test of a sound request beside the refused one; not run before the change, as it tests the new function.

--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -143,6 +143,11 @@
 /// the other requests that they interrupted.
 crash_causes_update lasting_update(crash_causes const& state);
 
+/// Returns whether the updates show the same crashes and name the same traits
+/// as sound. When those last succeeded makes no difference.
+bool is_same_evidence(crash_causes_update const& left,
+                      crash_causes_update const& right);
+
 void merge_update(crash_causes& state, crash_causes_update const& update,
                   time_point now);
 
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -284,6 +284,16 @@
     return update;
 }
 
+bool is_same_evidence(crash_causes_update const& left,
+                      crash_causes_update const& right)
+{
+    return left.crashes_ == right.crashes_ &&
+           std::equal(left.successes_.begin(), left.successes_.end(),
+                      right.successes_.begin(), right.successes_.end(),
+                      [](auto const& first, auto const& second)
+                      { return first.first == second.first; });
+}
+
 crash_causes_update current_update(crash_causes const& state,
                                    std::uint64_t known_revision)
 {
--- a/src/router/crash_store.cpp
+++ b/src/router/crash_store.cpp
@@ -49,7 +49,7 @@
         return;
     }
     crash_causes_update const update = lasting_update(core_.crash_causes_);
-    if (update != written_)
+    if (!is_same_evidence(update, written_))
     {
         next_call_ = now + call_interval;
         write(update, now);
--- a/test/coordination/crash_causes_test.cpp
+++ b/test/coordination/crash_causes_test.cpp
@@ -380,6 +380,21 @@
     EXPECT_EQ(lasting_update(router.causes_), crash_causes_update{});
 }
 
+TEST(crash_causes, successes_of_a_part_beside_a_refused_request_cost_no_writes)
+{
+    observer router;
+    request_traits const crashing{"m/first", request_trait(7)};
+    request_traits const sound{"m/first", request_trait(8)};
+    router.crash_each_second(3, {crashing});
+    router.success(sound, start + seconds(4));
+    auto const written = lasting_update(router.causes_);
+    EXPECT_FALSE(is_same_evidence(written, crash_causes_update{}));
+    router.success(sound, start + seconds(5));
+    EXPECT_TRUE(is_same_evidence(lasting_update(router.causes_), written));
+    router.crash("run9", crashing, start + seconds(6));
+    EXPECT_FALSE(is_same_evidence(lasting_update(router.causes_), written));
+}
+
 TEST(crash_causes, crashes_that_show_why_a_request_is_refused_are_kept_longer)
 {
     observer router;
