Reproduce streams that break off while other routers have retries left

What callers saw: streams that were broken off, or 502 and 503, after an engine had failed. Cause: the retry budget is divided evenly among the routers, and what others leave is not lent. With 103 routers each has about 4 retries in 10 s and a fifth of its own requests.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -4,17 +4,18 @@
 //
 // A test may post to /fake/fault: "none"; "shed" refuses without running;
 // "error" answers 500; "lose" runs and closes without an answer; "half" breaks
-// off within an event; "extra" sends a second answer; "foreign" answers with
-// another request's id first; "unframed" sends neither length nor chunks, and
-// "torn" breaks off within an event of such a stream; "mute" never answers;
-// "early" answers before a body is read; "deny" answers 409; "head" breaks off
-// within the head, and "bare" after it, of an answer without a length; "repeat"
-// refuses, and writes each refusal once more before the next answer on its
-// connection, "anonymous" the same without ids. A post to /fake/limit sets the
-// rate limit that responses name, an empty one ends it. A post to /fake/backoff
-// sets the backoff in seconds that "shed" asks for. A post to /fake/leave makes
-// all responses say that the engine leaves, one to /fake/register writes its
-// entry again. GET /fake/runs gives the runs by id.
+// off within an event, "stumble" too unless the stream was resumed; "extra"
+// sends a second answer; "foreign" answers with another request's id first;
+// "unframed" sends neither length nor chunks, and "torn" breaks off within an
+// event of such a stream; "mute" never answers; "early" answers before a body
+// is read; "deny" answers 409; "head" breaks off within the head, and "bare"
+// after it, of an answer without a length; "repeat" refuses, and writes each
+// refusal once more before the next answer on its connection, "anonymous" the
+// same without ids. A post to /fake/limit sets the rate limit that responses
+// name, an empty one ends it. A post to /fake/backoff sets the backoff in
+// seconds that "shed" asks for. A post to /fake/leave makes all responses say
+// that the engine leaves, one to /fake/register writes its entry again. GET
+// /fake/runs gives the runs by id.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
--- a/fakes/users_engine_stream.cpp
+++ b/fakes/users_engine_stream.cpp
@@ -152,8 +152,9 @@
 {
     std::string const text = event_text(next_);
     std::string const& fault = owner_.state_.fault_;
-    bool const is_half = (fault == "half" || fault == "torn") &&
-                         next_ == owner_.options_.events_ / 2;
+    bool const breaks_off = fault == "half" || fault == "torn" ||
+                            (fault == "stumble" && !is_resumed_);
+    bool const is_half = breaks_off && next_ == owner_.options_.events_ / 2;
     if (is_half)
     {
         write(text.substr(0, text.size() / 2));
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -74,6 +74,7 @@
         , caller_(std::move(caller))
         , id_(std::move(id))
         , next_(next)
+        , is_resumed_(next > 1)
         , parts_(std::move(parts))
         , is_crashing_(is_crashing)
         , timer_(io)
@@ -98,6 +99,7 @@
     std::shared_ptr<caller_connection> caller_;
     std::string id_;
     std::uint64_t next_;
+    bool is_resumed_;
     std::vector<std::string> parts_;
     /// The engine crashes instead of writing an event.
     bool is_crashing_;
--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -170,7 +170,8 @@
                     total[request_id] = total.get(request_id, 0) + count
         return totals
 
-    def add_router(self, name="router", zone="dc1", store_port=None, ports=None):
+    def add_router(self, name="router", zone="dc1", store_port=None, ports=None,
+                   retry_slack=200.0):
         callers, ready, control = ports or free_ports(3)
         address = f"127.0.0.1:{control}"
         values = {"node": {"name": name, "data_centre": zone, "region": "one"},
@@ -178,7 +179,7 @@
                   "router": {"callers": f"127.0.0.1:{callers}", "ready": f"127.0.0.1:{ready}",
                              "control": address,
                              "store": f"127.0.0.1:{store_port or self.store.port}",
-                             "seeds": ",".join(self.seeds + [address]), "retry_slack": 200.0,
+                             "seeds": ",".join(self.seeds + [address]), "retry_slack": retry_slack,
                              "stop_limit_ms": 8000}}
         path = os.path.join(self.folder.name, f"{name}.json")
         with open(path, "w", encoding="utf-8") as file:
