Write kept crashes again after the store was restored

What callers saw: after the store had come back from an older copy and all routers had started again, a request that crashes engines would have ended three more of them. A router writes what it keeps when it differs from what it wrote last, and took no notice of a store that had lost it. Change: what was written counts for nothing once the store's history number has risen.

--- a/include/auburnlb/router/crash_store.hpp
+++ b/include/auburnlb/router/crash_store.hpp
@@ -25,7 +25,10 @@
     }
 
     /// Called when this router has confirmed a crash.
-    void on_crash() { is_witness_ = true; }
+    void on_crash() { has_confirmed_crash_ = true; }
+    /// Called when the store was restored from a copy that may lack what this
+    /// router has written since.
+    void on_store_restored() { written_ = {}; }
     void on_tick(time_point now);
 
 private:
@@ -42,12 +45,10 @@
     bool is_read_ = false;
     bool is_call_pending_ = false;
     time_point next_call_{};
-    /// Whether this process has something to write that no other router may
-    /// know.
-    bool is_witness_ = false;
+    bool has_confirmed_crash_ = false;
     /// Revision of this router's object; 0 if there is none.
     std::uint64_t revision_ = 0;
-    /// What this router's object holds, as far as this process wrote it.
+    /// What this process wrote last; empty if the store may lack it.
     crash_causes_update written_;
 };
 
--- a/src/router/crash_store.cpp
+++ b/src/router/crash_store.cpp
@@ -44,7 +44,7 @@
         read("");
         return;
     }
-    if (!is_witness_ && revision_ == 0)
+    if (!has_confirmed_crash_ && revision_ == 0)
     {
         return;
     }
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -151,6 +151,7 @@
         // The copy may be older than this router's registration.
         is_registered_ = false;
         next_router_sync_ = core_.clock_.now();
+        crash_store_.on_store_restored();
     }
     record_age const age = was_store_restored_ && delta.is_full_
                                ? record_age::unknown
--- a/test/process/crashing_request_test.py
+++ b/test/process/crashing_request_test.py
@@ -1,10 +1,11 @@
 """One request that crashes each engine that begins to run it, and comes again."""
 
+import json
 import signal
 import time
 import unittest
 
-from cluster import request
+from cluster import request, wait_until
 from crashing_fleet import CrashingFleet
 from platform_cluster import Caller, PlatformCluster, expected_events, in_background
 
@@ -97,6 +98,24 @@
                 late += fleet.runs("crashing-") - known
             self.assertLessEqual(late, LATE_RUNS, f'{fleet.runs("crashing-")} crashes')
 
+    def kept_crashes(self, system):
+        objects = json.loads(request(system.store.port, "GET", "/objects/crashes")[2])["items"]
+        return {run for each in objects for run in each["spec"]["causes"]["crashes"]}
+
+    def test_crashes_are_kept_again_when_the_store_returns_from_an_older_copy(self):
+        with PlatformCluster() as system, self.fleet(system) as fleet:
+            request(system.store.port, "POST", "/fake/save", "")
+            self.press(system, fleet, 2)
+            wait_until(lambda: len(self.kept_crashes(system)) >= TOLERATED_CRASHES,
+                       "the crashes are kept")
+            system.store_mode("reset")
+            for router in system.routers:
+                wait_until(lambda router=router: '"E0202"' in router.log(), "the outage is noticed")
+            request(system.store.port, "POST", "/fake/restore", "")
+            system.store_mode("up")
+            wait_until(lambda: len(self.kept_crashes(system)) >= TOLERATED_CRASHES,
+                       "the crashes are kept again", 10)
+
     def test_sound_requests_that_share_a_part_with_a_crashing_one_are_served(self):
         with PlatformCluster() as system, self.fleet(system) as fleet:
             def stream(number, kind, body):
