Pass on errors that have neither a body nor a length

What callers saw: 502, outcome unknown, in place of the 409 that an engine had answered. The check for responses that end before their content took errors for cut successes as well, so a ready answer was replaced. Change: only a success has to show content if nothing but the end of its connection ended it. Which complete responses are passed on, and what the others say of their attempt, is decided in response_check, without a network.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -9,13 +9,13 @@
 // "unframed" sends neither length nor chunks, and "torn" breaks off within an
 // event of such a stream; "mute" never answers; "early" answers before a body
 // is read; "deny" answers 409; "head" breaks off within the head, and "bare"
-// after it, of an answer without a length; "repeat" refuses, and writes each
-// refusal once more before the next answer on its connection, "anonymous" the
-// same without ids. A post to /fake/limit sets the rate limit that responses
-// name, an empty one ends it. A post to /fake/backoff sets the backoff in
-// seconds that "shed" asks for. A post to /fake/leave makes all responses say
-// that the engine leaves, one to /fake/register writes its entry again. GET
-// /fake/runs gives the runs by id.
+// after it, of an answer without a length, "bare-denial" the same of 409;
+// "repeat" refuses, and writes each refusal once more before the next answer on
+// its connection, "anonymous" the same without ids. A post to /fake/limit sets
+// the rate limit that responses name, an empty one ends it. A post to
+// /fake/backoff sets the backoff in seconds that "shed" asks for. A post to
+// /fake/leave makes all responses say that the engine leaves, one to
+// /fake/register writes its entry again. GET /fake/runs gives the runs by id.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -383,13 +383,16 @@
     /// Breaks an answer without a length off within its head, or after it.
     bool breaks_head_off(caller_connection& caller, std::string const& id)
     {
-        if (state_.fault_ != "head" && state_.fault_ != "bare")
+        std::string const& fault = state_.fault_;
+        if (fault != "head" && fault != "bare" && fault != "bare-denial")
         {
             return false;
         }
-        caller.send_raw("HTTP/1.1 200 OK\r\nAuburnlb-Request-Id: " + id +
-                        "\r\nAuburnlb-Response-Stamp: s\r\n" +
-                        (state_.fault_ == "bare" ? "\r\n" : "Content-Ty"));
+        std::string const status =
+            fault == "bare-denial" ? "409 Conflict" : "200 OK";
+        caller.send_raw("HTTP/1.1 " + status + "\r\nAuburnlb-Request-Id: " +
+                        id + "\r\nAuburnlb-Response-Stamp: s\r\n" +
+                        (fault == "head" ? "Content-Ty" : "\r\n"));
         caller.abort_response();
         return true;
     }
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -12,6 +12,7 @@
 #include "auburnlb/coordination/attempt_outcome.hpp"
 #include "auburnlb/coordination/attempted_endpoints.hpp"
 #include "auburnlb/coordination/path_choice.hpp"
+#include "auburnlb/coordination/response_check.hpp"
 #include "auburnlb/protocol/event_splitter.hpp"
 #include "auburnlb/router/caller_connection.hpp"
 #include "auburnlb/router/connection_pool.hpp"
@@ -101,9 +102,7 @@
     void on_first_event(time_point now);
     void finish_stream();
     void finish_response();
-    attempt_outcome classify_response() const;
-    /// Whether the refusal can only be that of this attempt.
-    bool is_own_refusal() const;
+    response_facts facts_of_response() const;
     /// Returns how long the attempt's connection may have been idle; 0 for a
     /// new one.
     milliseconds max_idle_time(std::string const& endpoint_id) const;
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -190,47 +190,27 @@
     end_request("complete", response_head_.status_);
 }
 
-bool forwarded_request::is_own_refusal() const
-{
-    return !response_.request_id_.empty() || !is_connection_reused_;
-}
-
-attempt_outcome forwarded_request::classify_response() const
-{
-    if (response_.is_not_executed_)
-    {
-        // A faulty endpoint may repeat the refusal of an earlier request.
-        return is_own_refusal() ? attempt_outcome::refused
-                                : attempt_outcome::broken;
-    }
-    return response_.is_signed_ ? attempt_outcome::failed
-                                : attempt_outcome::broken;
+response_facts forwarded_request::facts_of_response() const
+{
+    response_facts facts;
+    facts.is_success_ = is_success(response_head_.status_);
+    facts.is_server_error_ = is_server_error(response_head_.status_);
+    facts.is_signed_ = response_.is_signed_;
+    facts.is_not_executed_ = response_.is_not_executed_;
+    facts.names_request_ = !response_.request_id_.empty();
+    facts.is_connection_reused_ = is_connection_reused_;
+    facts.is_unframed_and_empty_ = !response_head_.is_framed_ &&
+                                   response_body_.empty() &&
+                                   head_.method_ != "HEAD";
+    facts.has_begun_ = caller_->has_begun_response();
+    return facts;
 }
 
 void forwarded_request::finish_response()
 {
-    bool const is_usable = response_.is_signed_ &&
-                           !response_.is_not_executed_ &&
-                           !is_server_error(response_head_.status_);
-    bool const is_cut = !response_head_.is_framed_ && response_body_.empty() &&
-                        head_.method_ != "HEAD";
-    if (is_usable && is_cut)
-    {
-        end_attempt(attempt_outcome::broken,
-                    "the response ended before its body");
-        return;
-    }
-    if (!is_usable)
-    {
-        end_attempt(classify_response(),
-                    "the endpoint responded with an error");
-        return;
-    }
-    if (caller_->has_begun_response())
+    if (auto const failure = check_response(facts_of_response()))
     {
-        // Only the rest of the stream may follow what the caller has.
-        end_attempt(attempt_outcome::failed,
-                    "the endpoint did not continue the stream");
+        end_attempt(failure->outcome_, failure->reason_);
         return;
     }
     time_point const now = core_.clock_.now();
--- a/test/process/faulty_engine_test.py
+++ b/test/process/faulty_engine_test.py
@@ -106,6 +106,14 @@
     def test_response_that_ends_within_its_head_is_not_passed_on(self):
         self.check_broken_head("head")
 
+    def test_error_without_a_body_or_a_length_is_passed_on(self):
+        with calm() as system:
+            for name in ("desk-0", "desk-1"):
+                system.fault(name, "bare-denial")
+            answer = system.book(system.routers[0], "book-1")
+            self.assertEqual(answer.status, 409)
+            self.assertEqual(answer.headers["auburnlb-response-stamp"], "s")
+
     def test_stream_that_ends_before_its_first_event_is_not_complete(self):
         self.check_broken_head("bare")
 
