Decide in coordination which runs have ended and what may be the cause

What callers saw: nothing. Cause: read as a newcomer. Whether a report or a list shows the end of a run, and which traits of a request may be the cause of a crash, was decided in callbacks of sockets, so no test without a network reached it. One thing had two names, proof and confirmation; refuse_suspected ended requests that are refused, not suspected; the traits of a crash were collected by two functions; the whole of crash_suspicion came along for a hash. Change: replaced_runs, status_of_run and possible_causes, with tests; names; a module for request fingerprints. Names of streams whose release is given up are forgotten with it.

--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -6,14 +6,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
-#include "auburnlb/coordination/crash_suspicion.hpp"
+#include "auburnlb/coordination/request_fingerprint.hpp"
 #include "auburnlb/state/clock.hpp"
-#include "auburnlb/state/endpoint_record.hpp"
 
 namespace auburnlb
 {
@@ -35,9 +35,6 @@
 /// Returns the traits separated by commas.
 std::string to_string(request_traits const& traits);
 
-/// Identifies one run of an endpoint, from its start to its end.
-std::string run_id_of(endpoint_record const& record);
-
 /// A crash and the requests that the endpoint was running, each by those of its
 /// traits that may be the cause.
 struct endpoint_crash
@@ -120,6 +117,13 @@
 /// Returns whether a part of the prompt may be why the endpoint crashed now.
 bool may_have_crashed(response_progress const& progress, time_point now);
 
+/// Returns those traits of a request that may be why its endpoint crashed now.
+/// @param progress of the response; unset if it has not begun
+request_traits possible_causes(request_fingerprint fingerprint,
+                               request_traits const& prompt,
+                               std::optional<response_progress> const& progress,
+                               time_point now);
+
 /// Returns whether an unfinished response shows that its prompt is sound.
 bool is_success(response_progress const& progress, time_point now);
 
--- a/include/auburnlb/coordination/crash_evaluation.hpp
+++ b/include/auburnlb/coordination/crash_evaluation.hpp
@@ -2,11 +2,17 @@
 #ifndef AUBURNLB_COORDINATION_CRASH_EVALUATION_HPP
 #define AUBURNLB_COORDINATION_CRASH_EVALUATION_HPP
 
+#include <string_view>
+#include <unordered_set>
+
 #include "auburnlb/coordination/crash_causes.hpp"
 
 namespace auburnlb
 {
 
+/// Returns all traits that are named in the crash, as long as it lives.
+std::unordered_set<std::string_view> traits_of(endpoint_crash const& crash);
+
 /// Returns whether the request has all these traits.
 bool has_all(request_traits const& request, request_traits const& traits);
 
--- a/include/auburnlb/coordination/crash_suspicion.hpp
+++ b/include/auburnlb/coordination/crash_suspicion.hpp
@@ -7,27 +7,16 @@
 #include <map>
 #include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "auburnlb/coordination/request_fingerprint.hpp"
 #include "auburnlb/protocol/messages.hpp"
 #include "auburnlb/state/clock.hpp"
 
 namespace auburnlb
 {
 
-/// Hash of workspace, service and body that identifies a request across
-/// retries.
-using request_fingerprint = std::uint64_t;
-
-request_fingerprint fingerprint_of(std::string_view workspace,
-                                   std::string_view service,
-                                   std::string_view body);
-
-/// Returns the fingerprint as it stands in logs.
-std::string to_hex(request_fingerprint fingerprint);
-
 /// Whether a request may run.
 enum class run_permission
 {
--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -146,6 +146,25 @@
                              endpoint_record const& record, record_age age,
                              time_point now);
 
+/// Returns the identifiers of the known runs that have ended if this one is
+/// alive: those with its endpoint's identifier or at its address.
+std::vector<std::string> replaced_runs(endpoint_directory const& directory,
+                                       endpoint_record const& record);
+
+/// What a report says of the run that a record names.
+enum class run_status
+{
+    alive,
+    /// Another run has started since.
+    ended,
+    /// The record may be newer than the report.
+    unknown,
+};
+
+/// @param started_ms the start of the run that reported
+run_status status_of_run(endpoint_record const& record,
+                         std::uint64_t started_ms);
+
 /// Removes and returns the doubtful records that are listed for so long that
 /// they are to be applied. Forgets old removed runs.
 std::vector<endpoint_record> take_confirmed(endpoint_directory& directory,
--- a/include/auburnlb/coordination/interrupted_runs.hpp
+++ b/include/auburnlb/coordination/interrupted_runs.hpp
@@ -40,8 +40,8 @@
                        std::string const& endpoint_run,
                        request_traits const& traits, time_point now);
 
-/// Handles the proof that an endpoint's run has ended. Returns its crash if it
-/// interrupted requests.
+/// Called when an endpoint's run is known to have ended. Returns its crash if
+/// it interrupted requests.
 std::optional<endpoint_crash> confirm_crash(interrupted_runs& interrupted,
                                             std::string const& endpoint_run,
                                             time_point now);
@@ -51,12 +51,12 @@
 void dismiss_runs(interrupted_runs& interrupted,
                   std::string const& endpoint_run, time_point asked_at);
 
-/// Returns whether requests were cut off by the endpoint's run since this time,
+/// Returns whether requests were cut off by the endpoint's run after this time,
 /// and it is not known whether it has ended.
-bool awaits_proof(interrupted_runs const& interrupted,
-                  std::string const& endpoint_run, time_point since);
+bool awaits_confirmation(interrupted_runs const& interrupted,
+                         std::string const& endpoint_run, time_point since);
 
-/// Forgets runs for which there was no proof.
+/// Forgets runs whose endpoint was not found to have ended.
 void expire_interrupted_runs(interrupted_runs& interrupted, time_point now);
 
 } // namespace auburnlb
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -122,10 +122,8 @@
     void record_interrupted_run(time_point now);
     /// Probes the endpoint if it may have crashed.
     void probe_interrupted_run();
-    /// Returns those traits that may be why the endpoint crashed now.
-    request_traits possible_causes(time_point now) const;
     /// Refuses a request that is known to crash endpoints.
-    void refuse_suspected();
+    void refuse_crashing();
     /// Ends a request that may have run, so that it cannot be refused. Returns
     /// whether it may have.
     bool end_if_begun();
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -65,10 +65,7 @@
     void on_endpoint(std::string const& id, std::string const& value,
                      record_age age);
     void on_record(endpoint_record const& record, record_age age);
-    /// Returns the runs that must have ended if this one is alive: those with
-    /// its identifier or its address.
-    std::vector<std::string> previous_runs(endpoint_record const& record) const;
-    /// Handles the proof that a run of an endpoint has ended.
+    /// Called when a run of an endpoint is known to have ended.
     void on_run_ended(std::string const& endpoint_run);
     /// Probes the endpoints that cut requests off after their last probe.
     void probe_interrupted_runs();
@@ -77,7 +74,7 @@
     void on_crash(std::string const& endpoint_run, endpoint_crash const& crash);
     /// Logs what is refused from now on, and refuses the requests that wait.
     void apply_refused_traits();
-    void refuse_suspected_waiting(time_point now);
+    void refuse_crashing_requests(time_point now);
     void on_endpoint_removed(std::string const& id);
     void on_endpoint_delta(entries_delta const& delta);
     /// Starts or stops watching the store, as the other routers require.
--- a/include/auburnlb/state/endpoint_record.hpp
+++ b/include/auburnlb/state/endpoint_record.hpp
@@ -46,6 +46,12 @@
            left.started_ms_ == right.started_ms_;
 }
 
+/// Identifies one run of an endpoint, from its start to its end.
+inline std::string run_id_of(endpoint_record const& record)
+{
+    return record.id_ + "@" + std::to_string(record.started_ms_);
+}
+
 } // namespace auburnlb
 
 #endif
--- a/src/companion/engine_runner.cpp
+++ b/src/companion/engine_runner.cpp
@@ -135,9 +135,16 @@
         return;
     }
     // An engine that was out of reach still holds the KV cache.
-    if (pending_releases_.size() < max_pending_releases)
+    for (std::string const& name : streams)
     {
-        pending_releases_.insert(streams.begin(), streams.end());
+        if (pending_releases_.size() < max_pending_releases)
+        {
+            pending_releases_.insert(name);
+        }
+        else
+        {
+            unanswered_streams_.erase(name);
+        }
     }
 }
 
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -28,29 +28,12 @@
 constexpr std::size_t max_successes_kept = 4'096;
 constexpr std::size_t max_part_id_length = 64;
 
-std::unordered_set<std::string_view>
-traits_in(std::map<std::string, endpoint_crash> const& crashes)
-{
-    std::unordered_set<std::string_view> traits;
-    for (auto const& [run, crash] : crashes)
-    {
-        for (request_traits const& request : crash.requests_)
-        {
-            traits.insert(request.begin(), request.end());
-        }
-    }
-    return traits;
-}
-
 void index_crash(crash_causes& state, endpoint_crash const& crash)
 {
-    for (request_traits const& request : crash.requests_)
+    for (std::string_view const trait : traits_of(crash))
     {
-        for (std::string const& trait : request)
-        {
-            time_point& last = state.last_crash_[trait];
-            last = std::max(last, crash.at_);
-        }
+        time_point& last = state.last_crash_[std::string(trait)];
+        last = std::max(last, crash.at_);
     }
 }
 
@@ -158,7 +141,11 @@
 void add_successes(crash_causes const& state, std::uint64_t known_revision,
                    crash_causes_update& update)
 {
-    auto const named = traits_in(update.crashes_);
+    std::unordered_set<std::string_view> named;
+    for (auto const& [run, crash] : update.crashes_)
+    {
+        named.merge(traits_of(crash));
+    }
     for (auto const& [trait, success] : state.successes_)
     {
         bool const is_relevant =
@@ -205,11 +192,6 @@
     return text;
 }
 
-std::string run_id_of(endpoint_record const& record)
-{
-    return record.id_ + "@" + std::to_string(record.started_ms_);
-}
-
 bool add_crash(crash_causes& state, std::string const& endpoint_run,
                endpoint_crash const& crash)
 {
@@ -258,6 +240,19 @@
            now - progress.began_at_ <= max_time_before_crash;
 }
 
+request_traits possible_causes(request_fingerprint fingerprint,
+                               request_traits const& prompt,
+                               std::optional<response_progress> const& progress,
+                               time_point now)
+{
+    // A part of the prompt crashes an endpoint when it begins to answer.
+    request_traits causes = progress && may_have_crashed(*progress, now)
+                                ? prompt
+                                : request_traits{};
+    causes.insert(request_trait(fingerprint));
+    return causes;
+}
+
 bool is_success(response_progress const& progress, time_point now)
 {
     return !may_have_crashed(progress, now) &&
--- a/src/coordination/crash_evaluation.cpp
+++ b/src/coordination/crash_evaluation.cpp
@@ -5,9 +5,7 @@
 #include <iterator>
 #include <limits>
 #include <optional>
-#include <string_view>
 #include <tuple>
-#include <unordered_set>
 #include <utility>
 
 namespace auburnlb
@@ -20,8 +18,8 @@
 /// as a lost link, so they count as one.
 constexpr milliseconds common_cause_time{50};
 
-/// The same for a trait that has succeeded before. Only crashes that go on for
-/// some time show that it is not a bystander at the loss of several endpoints.
+/// The same for a trait that has succeeded before: usual requests are in
+/// progress at each endpoint when several are lost.
 constexpr milliseconds common_cause_time_after_success{1'000};
 
 using crash_list = std::vector<endpoint_crash const*>;
@@ -37,16 +35,6 @@
     return success == state.successes_.end() || crash.at_ > success->second.at_;
 }
 
-std::unordered_set<std::string_view> traits_of(endpoint_crash const& crash)
-{
-    std::unordered_set<std::string_view> traits;
-    for (request_traits const& request : crash.requests_)
-    {
-        traits.insert(request.begin(), request.end());
-    }
-    return traits;
-}
-
 /// Returns the crashes of each trait since its last success, without traits
 /// that have too few to be suspected.
 crash_index index_by_trait(crash_causes const& state, crash_list const& crashes)
@@ -175,6 +163,16 @@
 
 } // namespace
 
+std::unordered_set<std::string_view> traits_of(endpoint_crash const& crash)
+{
+    std::unordered_set<std::string_view> traits;
+    for (request_traits const& request : crash.requests_)
+    {
+        traits.insert(request.begin(), request.end());
+    }
+    return traits;
+}
+
 bool has_all(request_traits const& request, request_traits const& traits)
 {
     return std::includes(request.begin(), request.end(), traits.begin(),
--- a/src/coordination/crash_suspicion.cpp
+++ b/src/coordination/crash_suspicion.cpp
@@ -2,10 +2,6 @@
 #include "auburnlb/coordination/crash_suspicion.hpp"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-
-#include <xxhash.h>
 
 namespace auburnlb
 {
@@ -50,28 +46,6 @@
 
 } // namespace
 
-request_fingerprint fingerprint_of(std::string_view workspace,
-                                   std::string_view service,
-                                   std::string_view body)
-{
-    // Each hash seeds the next, so that moving a character from one part to
-    // the next changes the fingerprint.
-    XXH64_hash_t const first = XXH64(workspace.data(), workspace.size(), 0);
-    XXH64_hash_t const second = XXH64(service.data(), service.size(), first);
-    return XXH64(body.data(), body.size(), second);
-}
-
-std::string to_hex(request_fingerprint fingerprint)
-{
-    constexpr int hexadecimal = 16;
-    constexpr std::size_t digits_per_byte = 2;
-    std::array<char, digits_per_byte * sizeof(fingerprint)> text{};
-    auto const end = std::to_chars(text.data(), text.data() + text.size(),
-                                   fingerprint, hexadecimal)
-                         .ptr;
-    return {text.data(), end};
-}
-
 run_permission may_run(crash_suspicion const& state,
                        request_fingerprint fingerprint, time_point now)
 {
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -165,6 +165,40 @@
     return endpoint_change::replaced;
 }
 
+std::vector<std::string> replaced_runs(endpoint_directory const& directory,
+                                       endpoint_record const& record)
+{
+    std::vector<std::string> runs;
+    auto const same = directory.endpoints_.find(record.id_);
+    if (same != directory.endpoints_.end() &&
+        is_same_run(same->second->record_, record))
+    {
+        return runs;
+    }
+    for (auto const& [id, endpoint] : directory.endpoints_)
+    {
+        endpoint_record const& known = endpoint->record_;
+        bool const is_in_its_place =
+            known.id_ == record.id_ || known.address_ == record.address_;
+        if (is_in_its_place && run_id_of(known) != run_id_of(record))
+        {
+            runs.push_back(run_id_of(known));
+        }
+    }
+    return runs;
+}
+
+run_status status_of_run(endpoint_record const& record,
+                         std::uint64_t started_ms)
+{
+    if (started_ms == record.started_ms_)
+    {
+        return run_status::alive;
+    }
+    return started_ms > record.started_ms_ ? run_status::ended
+                                           : run_status::unknown;
+}
+
 std::vector<endpoint_record> take_confirmed(endpoint_directory& directory,
                                             time_point now)
 {
--- a/src/coordination/interrupted_runs.cpp
+++ b/src/coordination/interrupted_runs.cpp
@@ -1,4 +1,4 @@
-// Matches cut runs with proofs that their endpoint has ended.
+// Matches cut runs with the ends of endpoints.
 #include "auburnlb/coordination/interrupted_runs.hpp"
 
 #include <algorithm>
@@ -63,13 +63,13 @@
         { return run.endpoint_run_ == endpoint_run && run.at_ <= asked_at; });
 }
 
-bool awaits_proof(interrupted_runs const& interrupted,
-                  std::string const& endpoint_run, time_point since)
+bool awaits_confirmation(interrupted_runs const& interrupted,
+                         std::string const& endpoint_run, time_point since)
 {
     return std::any_of(interrupted.runs_.begin(), interrupted.runs_.end(),
                        [&](interrupted_runs::run const& run) {
                            return run.endpoint_run_ == endpoint_run &&
-                                  run.at_ >= since;
+                                  run.at_ > since;
                        });
 }
 
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -1,7 +1,6 @@
 // Probes and the evaluation of their results.
 #include "auburnlb/router/endpoint_prober.hpp"
 
-#include "auburnlb/coordination/crash_causes.hpp"
 #include "auburnlb/router/endpoint_notices.hpp"
 #include "auburnlb/state/log.hpp"
 
@@ -89,17 +88,17 @@
 {
     record_slowness(endpoint.health_, report.slowness_, now);
     endpoint_record const& record = endpoint.record_;
-    bool const is_other_run = report.started_ms_ != record.started_ms_;
-    count(is_other_run ? "other_run" : "answered");
-    if (is_other_run || !report.layers_)
+    run_status const status = status_of_run(record, report.started_ms_);
+    count(status == run_status::alive ? "answered" : "other_run");
+    if (status != run_status::alive || !report.layers_)
     {
         endpoint.layers_missing_until_ = now + missing_layers_backoff;
     }
-    if (!is_other_run)
+    if (status == run_status::alive)
     {
         on_alive_(run_id_of(record), endpoint.probe_sent_);
     }
-    else if (report.started_ms_ > record.started_ms_)
+    if (status == run_status::ended)
     {
         on_ended_(run_id_of(record));
     }
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -113,7 +113,7 @@
     traits_.insert(request_trait(fingerprint_));
     if (is_known_to_crash())
     {
-        refuse_suspected();
+        refuse_crashing();
         return false;
     }
     return true;
@@ -250,7 +250,7 @@
     }
 }
 
-void forwarded_request::refuse_suspected()
+void forwarded_request::refuse_crashing()
 {
     is_waiting_ = false;
     if (!end_if_begun())
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -182,19 +182,15 @@
     }
 }
 
-request_traits forwarded_request::possible_causes(time_point now) const
-{
-    // A part of the prompt crashes an engine when it begins to answer.
-    bool const may_be_part = is_streaming_ && may_have_crashed(progress_, now);
-    return may_be_part ? traits_ : request_traits{request_trait(fingerprint_)};
-}
-
 void forwarded_request::record_interrupted_run(time_point now)
 {
     core_.metrics_.add("auburnlb_router_interrupted_runs_total");
     std::string const run = run_id_of(reservations_.front().endpoint_->record_);
+    auto const progress =
+        is_streaming_ ? std::optional(progress_) : std::nullopt;
     if (auto const crash = auburnlb::record_interrupted_run(
-            core_.interrupted_runs_, run, possible_causes(now), now))
+            core_.interrupted_runs_, run,
+            possible_causes(fingerprint_, prompt_traits_, progress, now), now))
     {
         core_.on_crash_(run, *crash);
     }
@@ -203,8 +199,9 @@
 void forwarded_request::probe_interrupted_run()
 {
     endpoint_ptr const& endpoint = reservations_.front().endpoint_;
-    if (awaits_proof(core_.interrupted_runs_, run_id_of(endpoint->record_),
-                     endpoint->probe_sent_))
+    if (awaits_confirmation(core_.interrupted_runs_,
+                            run_id_of(endpoint->record_),
+                            endpoint->probe_sent_))
     {
         core_.prober_.probe(endpoint);
     }
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -41,7 +41,7 @@
 {
     if (is_known_to_crash())
     {
-        refuse_suspected();
+        refuse_crashing();
         return true;
     }
     bool const is_started =
--- a/src/router/router_crashes.cpp
+++ b/src/router/router_crashes.cpp
@@ -1,7 +1,6 @@
 // Crashes that a router confirms, and what it refuses because of them.
 #include <algorithm>
 #include <string>
-#include <vector>
 
 #include "auburnlb/router/forwarded_request.hpp"
 #include "auburnlb/router/router.hpp"
@@ -33,29 +32,6 @@
 
 } // namespace
 
-std::vector<std::string>
-router::previous_runs(endpoint_record const& record) const
-{
-    std::vector<std::string> runs;
-    auto const same = core_.directory_.endpoints_.find(record.id_);
-    if (same != core_.directory_.endpoints_.end() &&
-        is_same_run(same->second->record_, record))
-    {
-        return runs;
-    }
-    for (auto const& [id, endpoint] : core_.directory_.endpoints_)
-    {
-        endpoint_record const& known = endpoint->record_;
-        bool const is_at_its_place =
-            known.id_ == record.id_ || known.address_ == record.address_;
-        if (is_at_its_place && run_id_of(known) != run_id_of(record))
-        {
-            runs.push_back(run_id_of(known));
-        }
-    }
-    return runs;
-}
-
 void router::on_run_ended(std::string const& endpoint_run)
 {
     if (auto const crash = confirm_crash(core_.interrupted_runs_, endpoint_run,
@@ -73,8 +49,9 @@
     }
     for (auto const& [id, endpoint] : core_.directory_.endpoints_)
     {
-        if (awaits_proof(core_.interrupted_runs_, run_id_of(endpoint->record_),
-                         endpoint->probe_sent_))
+        if (awaits_confirmation(core_.interrupted_runs_,
+                                run_id_of(endpoint->record_),
+                                endpoint->probe_sent_))
         {
             core_.prober_.probe(endpoint);
         }
@@ -119,10 +96,10 @@
         }
     }
     applied_refusals_ = refused;
-    refuse_suspected_waiting(core_.clock_.now());
+    refuse_crashing_requests(core_.clock_.now());
 }
 
-void router::refuse_suspected_waiting(time_point now)
+void router::refuse_crashing_requests(time_point now)
 {
     for (auto& [name, service] : core_.services_)
     {
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -93,7 +93,8 @@
 void router::on_record(endpoint_record const& record, record_age age)
 {
     has_endpoints_ = true;
-    std::vector<std::string> const previous = previous_runs(record);
+    std::vector<std::string> const replaced =
+        replaced_runs(core_.directory_, record);
     endpoint_change const change =
         apply_record(core_.directory_, record, age, core_.clock_.now());
     switch (change)
@@ -101,7 +102,7 @@
     case endpoint_change::joined:
     case endpoint_change::replaced:
         core_.pool_.close_idle(record.address_);
-        std::for_each(previous.begin(), previous.end(),
+        std::for_each(replaced.begin(), replaced.end(),
                       [this](std::string const& run) { on_run_ended(run); });
         log(log_level::info,
             change == endpoint_change::joined ? log_event::peer_joined
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -40,6 +40,30 @@
 
 } // namespace
 
+TEST(endpoint_directory, a_later_run_shows_that_the_one_in_its_place_has_ended)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    apply(directory, record("b"));
+    EXPECT_TRUE(replaced_runs(directory, record("a")).empty());
+    EXPECT_TRUE(replaced_runs(directory, record("c")).empty());
+    endpoint_record started_again = record("a");
+    started_again.started_ms_ = 2'000;
+    EXPECT_EQ(replaced_runs(directory, started_again),
+              std::vector<std::string>{"a@1000"});
+    endpoint_record at_its_address = record("c");
+    at_its_address.address_ = record("b").address_;
+    EXPECT_EQ(replaced_runs(directory, at_its_address),
+              std::vector<std::string>{"b@1000"});
+}
+
+TEST(endpoint_directory, a_report_of_an_earlier_run_does_not_end_a_later_one)
+{
+    EXPECT_EQ(status_of_run(record("a"), 1'000), run_status::alive);
+    EXPECT_EQ(status_of_run(record("a"), 2'000), run_status::ended);
+    EXPECT_EQ(status_of_run(record("a"), 500), run_status::unknown);
+}
+
 TEST(endpoint_directory, reports_each_change)
 {
     endpoint_directory directory;
