Give routers of the tests ports that no connection takes by itself

Cause: the tests asked the system for free ports, closed them, and gave them to a router that was started some milliseconds later. The system hands the same ports to outgoing connections and to stand-ins of other tests meanwhile, so that a router could not listen and ended at once. Change: ports below that range, as the soak has had them, by one function for both.

--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import random
 import socket
 import tempfile
 import threading
@@ -18,6 +19,9 @@
 EVENTS = 40
 LAYERS = 8
 ENGINE_MB = 1000.0
+# Below the range from which the system takes ports of outgoing connections, so that a
+# process finds its ports free when it starts, and when it starts again.
+PORTS = range(10_000, 32_000)
 
 
 def configuration(version=1, routes=(), keys=(KEY,), timeout_ms=10_000, book_attempts=1):
@@ -49,12 +53,17 @@
 
 
 def free_ports(count):
-    """Ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Ports on which nothing listens, each once."""
+    chosen = random.SystemRandom()
+    found = set()
+    while len(found) < count:
+        port = chosen.choice(PORTS)
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        found.add(port)
+    return list(found)
 
 
 def expected_events(first=1, last=EVENTS):
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -3,34 +3,16 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import time
 
 from cluster import BUILD, request
-from platform_cluster import DESK, HOST, MODEL, PlatformCluster
+from platform_cluster import DESK, HOST, MODEL, PlatformCluster, free_ports
 
 ZONES = ("dc1", "dc2")
 ENGINES_PER_ZONE = 3
 DESKS = 3
 ROUTERS = 3
-# Below the range from which the system takes ports of outgoing connections, so that a
-# process that starts again finds its ports free.
-PORTS = range(20_000, 32_000)
-
-
-def unused_ports(count):
-    """Ports on which nothing listens."""
-    found = []
-    while len(found) < count:
-        port = random.SystemRandom().choice(PORTS)
-        try:
-            socket.create_server(("127.0.0.1", port)).close()
-        except OSError:
-            continue
-        found.append(port)
-    return found
 
 
 class Relay:
@@ -146,7 +128,7 @@
 
     def add_member_router(self, name, zone):
         relay = Relay(self, f"relay-{name}", self.store.port)
-        ports = unused_ports(3)
+        ports = free_ports(3)
 
         def start():
             return self.add_router(name, zone, relay.port, ports)
