Forget how slowly requests started before the queue was empty

What callers saw: streams that had begun were broken off, and requests refused as overloaded, while the queue was short and endpoints had room within half a second. Cause: the wait of a request is estimated from the time between two starts. That time also counted what had passed before anybody waited, up to a second, and one such value stayed in force for as long as nobody waited again. A router whose first request had waited for the layers to be placed took each later start for one a second, so of the streams that broke off at once all but two were given up. The two new unit tests fail on the code before: 910 ms in place of 10 ms, and a refusal at 14 s. Change: only time in which requests wait counts, and a value older than 5 s is forgotten when requests begin to wait. While they go on waiting it stays, so that an overload is still refused at once.

--- a/include/auburnlb/coordination/wait_queue.hpp
+++ b/include/auburnlb/coordination/wait_queue.hpp
@@ -33,9 +33,12 @@
 {
     /// In order of arrival.
     std::vector<waiting_request> waiting_;
-    /// Moving average of the time between two starts. Zero until the first
-    /// interval was measured.
+    /// Since when requests have been waiting. Meaningless if none waits.
+    time_point busy_since_{};
+    /// Moving average of the time between two starts. Zero if no interval was
+    /// measured recently.
     nanoseconds start_interval_{0};
+    time_point measured_at_{};
     time_point last_start_{};
 
     bool operator==(wait_queue const&) const = default;
@@ -47,9 +50,9 @@
 /// Removes a request from the queue, if it is there.
 void remove_waiting(wait_queue& queue, std::uint64_t ticket);
 
-/// Records that a request was started. The start interval is updated only while
-/// requests wait, because an empty queue does not show how fast the endpoints
-/// could start more requests.
+/// Records that a request was started. The start interval is measured only
+/// while requests wait, because an empty queue does not show how fast the
+/// endpoints could start more requests.
 void record_start(wait_queue& queue, time_point now);
 
 /// Returns the tickets of the waiting requests in the order in which they are
--- a/src/coordination/wait_queue.cpp
+++ b/src/coordination/wait_queue.cpp
@@ -17,6 +17,10 @@
 /// endpoint and not by the usual rate.
 constexpr milliseconds max_interval{1'000};
 
+/// When requests begin to wait, an interval that was measured longer ago than
+/// this tells nothing of the endpoints that they wait for.
+constexpr milliseconds interval_lifetime{5'000};
+
 /// Bounds of the time after which a refused caller should retry. Earlier, the
 /// queue would still be the same; later, the caller would wait for no reason.
 constexpr milliseconds min_retry_after{300};
@@ -31,6 +35,14 @@
 
 void add_waiting(wait_queue& queue, waiting_request const& request)
 {
+    if (queue.waiting_.empty())
+    {
+        queue.busy_since_ = request.arrived_;
+        if (request.arrived_ - queue.measured_at_ > interval_lifetime)
+        {
+            queue.start_interval_ = nanoseconds(0);
+        }
+    }
     queue.waiting_.push_back(request);
 }
 
@@ -42,14 +54,15 @@
 
 void record_start(wait_queue& queue, time_point now)
 {
-    bool const is_busy = !queue.waiting_.empty();
+    time_point const since = std::max(queue.last_start_, queue.busy_since_);
     nanoseconds const interval =
-        std::min<nanoseconds>(now - queue.last_start_, max_interval);
+        std::min<nanoseconds>(now - since, max_interval);
     queue.last_start_ = now;
-    if (!is_busy)
+    if (queue.waiting_.empty())
     {
         return;
     }
+    queue.measured_at_ = now;
     if (queue.start_interval_ == nanoseconds(0))
     {
         queue.start_interval_ = interval;
--- a/test/coordination/wait_queue_test.cpp
+++ b/test/coordination/wait_queue_test.cpp
@@ -128,6 +128,29 @@
     EXPECT_GT(count_on_time(ordered), 5 * count_on_time(by_arrival));
 }
 
+TEST(wait_queue, the_time_before_requests_waited_is_no_wait)
+{
+    wait_queue queue;
+    record_start(queue, at(0));
+    add_waiting(queue, request(1, 1, 900));
+    record_start(queue, at(910));
+    EXPECT_EQ(queue.start_interval_, milliseconds(10));
+}
+
+TEST(wait_queue, one_slow_start_of_long_ago_refuses_nobody)
+{
+    wait_queue queue;
+    add_waiting(queue, request(1, 1, 0));
+    record_start(queue, at(1'000));
+    remove_waiting(queue, 1);
+    for (std::uint64_t ticket = 2; ticket <= 20; ++ticket)
+    {
+        waiting_request const entry = request(ticket, 1, 15'000);
+        EXPECT_FALSE(would_expire(queue, entry)) << ticket;
+        add_waiting(queue, entry);
+    }
+}
+
 TEST(wait_queue, a_request_waits_for_the_end_of_a_backoff_while_it_has_time)
 {
     waiting_request const waiting = request(1, 0, 0);
