Let a router use retries that others leave

What callers saw: streams that were broken off, and 502, after an engine had failed, while other routers had retries left that nobody used. Cause: the fleet's limit on retries is divided evenly among the routers, which hold to it each by itself; engines do not fail evenly. With 103 routers each has about 4 retries in 10 s and a fifth of its own requests. Change: a stream or call that would be lost waits up to 0.4 s while others are asked. Who is asked, and when, is decided in retry_borrowing; what is lent and borrowed in retry_window. A loan may be used for 1 s and is lost to its lender for 1 s and a window, so that in any window the fleet stays within its limit: a property test plays three routers that lend at random. Not changed: a router that ends with loans out forgets them; its successor gets its slack over a window from its start.

--- a/include/auburnlb/coordination/attempt_outcome.hpp
+++ b/include/auburnlb/coordination/attempt_outcome.hpp
@@ -40,6 +40,8 @@
     bool has_time_ = true;
     /// Whether the retry budget allows another attempt.
     bool has_budget_ = true;
+    /// Whether another router may lend a retry.
+    bool may_borrow_ = false;
     /// Whether the request is suspected of crashing endpoints.
     bool is_suspect_ = false;
     /// Whether an earlier attempt may have run the request.
@@ -55,6 +57,8 @@
 {
     /// Send the request again.
     retry,
+    /// Wait for a retry that another router lends.
+    await_budget,
     /// Respond that the request has not run and will not run.
     respond_not_run,
     /// Respond that the outcome is not known.
--- a/include/auburnlb/coordination/retry_window.hpp
+++ b/include/auburnlb/coordination/retry_window.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <vector>
 
 #include "auburnlb/state/clock.hpp"
 
@@ -22,9 +23,20 @@
     bool operator==(retry_limits const&) const = default;
 };
 
+/// Retries of one router that another router may use.
+struct retry_loan
+{
+    std::uint32_t count_ = 0;
+    /// For the lender, when it may use them again itself.
+    time_point end_{};
+
+    bool operator==(retry_loan const&) const = default;
+};
+
 /// Requests and retries of one service at one router.
-/// Invariant: in any window, the retries are at most
-/// ratio * requests + slack / routers, reduced by a safety margin.
+/// Invariant: in any window, the retries and those lent to other routers are at
+/// most ratio * requests + slack / routers, reduced by a safety margin.
+/// Borrowed retries are in addition to that, as their lender counts them.
 struct retry_window
 {
     /// Counts of a short period that starts at begin_.
@@ -41,6 +53,8 @@
     /// then: a previous process may have used it, and a new one does not know
     /// yet how many routers share it.
     time_point began_{};
+    std::vector<retry_loan> lent_;
+    std::vector<retry_loan> borrowed_;
 
     bool operator==(retry_window const&) const = default;
 };
@@ -54,7 +68,19 @@
 bool try_acquire_retry(retry_window& window, retry_limits const& limits,
                        std::uint32_t routers, time_point now);
 
-/// Returns the number of retries that the limits still allow now.
+/// Lends retries to another router, at most half of those that are left, so
+/// that the lender can still repeat requests of its own.
+/// @return the number lent, at most wanted
+std::uint32_t lend_retries(retry_window& window, retry_limits const& limits,
+                           std::uint32_t routers, std::uint32_t wanted,
+                           time_point now);
+
+/// Adds retries that another router has lent.
+/// @param asked_at time of this router's request, before they were lent
+void borrow_retries(retry_window& window, std::uint32_t count,
+                    time_point asked_at);
+
+/// Returns the number of retries that are left now, with the borrowed ones.
 double retries_left(retry_window& window, retry_limits const& limits,
                     std::uint32_t routers, time_point now);
 
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -67,6 +67,15 @@
         endpoint_load load_;
     };
 
+    /// The failed attempt that another one is to follow.
+    struct awaited_retry
+    {
+        attempt_outcome outcome_ = attempt_outcome::broken;
+        /// For the log.
+        char const* reason_ = "";
+        time_point end_{};
+    };
+
     /// Returns false and responds if the request cannot be served.
     bool admit();
     bool find_route();
@@ -107,6 +116,14 @@
     /// new one.
     milliseconds max_idle_time(std::string const& endpoint_id) const;
     void end_attempt(attempt_outcome outcome, char const* reason);
+    /// Retries after a failed attempt, or responds.
+    void follow_attempt(attempt_outcome outcome, char const* reason,
+                        time_point now);
+    void await_retry(attempt_outcome outcome, char const* reason,
+                     time_point now);
+    /// Goes on when the wait for a borrowed retry is over.
+    void check_awaited_retry(time_point now);
+    void stop_awaiting_retry();
     void retry(attempt_outcome outcome, char const* reason, time_point now);
     attempt_limits current_limits(attempt_outcome outcome,
                                   time_point now) const;
@@ -169,6 +186,8 @@
     /// The same, and the trait of the request itself.
     request_traits traits_;
     bool is_waiting_ = false;
+    /// Set while the request waits for a retry of another router.
+    std::optional<awaited_retry> awaited_retry_;
     bool has_ended_ = false;
 
     // The attempt in progress.
--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -70,6 +70,8 @@
     void poll_now(time_point now);
     /// Routers of the same data centre that answered recently.
     std::vector<watch_candidate> watch_candidates(time_point now) const;
+    /// Addresses of the polled routers that answered the last request.
+    std::vector<std::string> responding_routers() const;
 
 private:
     struct peer
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -20,6 +20,7 @@
 #include "auburnlb/router/local_server.hpp"
 #include "auburnlb/router/peer_exchange.hpp"
 #include "auburnlb/router/placement_controller.hpp"
+#include "auburnlb/router/retry_exchange.hpp"
 #include "auburnlb/router/router_core.hpp"
 #include "auburnlb/router/store_feed.hpp"
 
@@ -105,6 +106,7 @@
     store_feed configuration_feed_;
     store_feed endpoint_feed_;
     peer_exchange peers_;
+    retry_exchange retries_;
     placement_controller placement_;
     crash_store crash_store_;
     listener caller_listener_;
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -18,6 +18,7 @@
 #include "auburnlb/coordination/endpoint_directory.hpp"
 #include "auburnlb/coordination/interrupted_runs.hpp"
 #include "auburnlb/coordination/link_budget.hpp"
+#include "auburnlb/coordination/retry_borrowing.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
 #include "auburnlb/router/connection_pool.hpp"
@@ -41,6 +42,7 @@
     /// The requests in the queue, by ticket.
     std::map<std::uint64_t, std::shared_ptr<forwarded_request>> waiting_;
     retry_window retries_;
+    retry_borrowing borrowing_;
     link_budget links_;
 };
 
--- a/src/coordination/attempt_outcome.cpp
+++ b/src/coordination/attempt_outcome.cpp
@@ -84,21 +84,29 @@
 attempt_decision decide_after(attempt_outcome outcome,
                               attempt_limits const& limits)
 {
-    if (denial_after(outcome, limits) == attempt_denial::none)
+    attempt_denial const denial = denial_after(outcome, limits);
+    if (denial == attempt_denial::none)
     {
         return attempt_decision::retry;
     }
+    bool const may_wait =
+        denial == attempt_denial::budget && limits.may_borrow_;
     if (limits.has_delivered_)
     {
-        return attempt_decision::abort_response;
+        return may_wait ? attempt_decision::await_budget
+                        : attempt_decision::abort_response;
     }
     if (outcome == attempt_outcome::failed)
     {
         return attempt_decision::forward_error;
     }
-    return is_certainly_not_run(outcome) && !limits.may_have_run_
-               ? attempt_decision::respond_not_run
-               : attempt_decision::respond_unknown;
+    // The caller may send it again, which takes no retry.
+    if (is_certainly_not_run(outcome) && !limits.may_have_run_)
+    {
+        return attempt_decision::respond_not_run;
+    }
+    return may_wait ? attempt_decision::await_budget
+                    : attempt_decision::respond_unknown;
 }
 
 } // namespace auburnlb
--- a/src/coordination/retry_window.cpp
+++ b/src/coordination/retry_window.cpp
@@ -3,6 +3,7 @@
 #include "auburnlb/coordination/retry_window.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace auburnlb
 {
@@ -17,6 +18,13 @@
 /// the routers' clocks and for requests in transit.
 constexpr double used_share = 0.8;
 
+/// A borrower may use a loan for this long after it asked for it. What is lent
+/// is lost to the lender until then and for a window after.
+constexpr milliseconds loan_lifetime{1'000};
+
+/// Part of the retries left that a router lends.
+constexpr double lendable_share = 0.5;
+
 retry_window::slot& current_slot(retry_window& window,
                                  retry_limits const& limits, time_point now)
 {
@@ -34,20 +42,30 @@
     return window.slots_.back();
 }
 
-} // namespace
+void expire_loans(std::vector<retry_loan>& loans, time_point now)
+{
+    std::erase_if(loans, [now](retry_loan const& loan)
+                  { return loan.count_ == 0 || loan.end_ <= now; });
+}
 
-void record_request(retry_window& window, retry_limits const& limits,
-                    time_point now)
+double count_of(std::vector<retry_loan> const& loans)
 {
-    ++current_slot(window, limits, now).requests_;
+    double count = 0;
+    for (retry_loan const& each : loans)
+    {
+        count += each.count_;
+    }
+    return count;
 }
 
-double retries_left(retry_window& window, retry_limits const& limits,
-                    std::uint32_t routers, time_point now)
+/// Returns the retries left of this router's own.
+double own_retries_left(retry_window& window, retry_limits const& limits,
+                        std::uint32_t routers, time_point now)
 {
     current_slot(window, limits, now);
+    expire_loans(window.lent_, now);
     double requests = 0;
-    double retries = 0;
+    double retries = count_of(window.lent_);
     for (retry_window::slot const& each : window.slots_)
     {
         requests += each.requests_;
@@ -60,15 +78,58 @@
     return (limits.ratio_ * requests + shared) * used_share - retries;
 }
 
+} // namespace
+
+void record_request(retry_window& window, retry_limits const& limits,
+                    time_point now)
+{
+    ++current_slot(window, limits, now).requests_;
+}
+
 bool try_acquire_retry(retry_window& window, retry_limits const& limits,
                        std::uint32_t routers, time_point now)
 {
+    if (own_retries_left(window, limits, routers, now) >= 1)
+    {
+        ++current_slot(window, limits, now).retries_;
+        return true;
+    }
     if (retries_left(window, limits, routers, now) < 1)
     {
         return false;
     }
-    ++current_slot(window, limits, now).retries_;
+    --window.borrowed_.front().count_;
     return true;
 }
 
+std::uint32_t lend_retries(retry_window& window, retry_limits const& limits,
+                           std::uint32_t routers, std::uint32_t wanted,
+                           time_point now)
+{
+    double const lendable =
+        own_retries_left(window, limits, routers, now) * lendable_share;
+    auto const count = std::min(wanted, static_cast<std::uint32_t>(std::max(
+                                            0.0, std::floor(lendable))));
+    if (count > 0)
+    {
+        window.lent_.push_back(
+            {count, now + loan_lifetime + limits.window_ + slot_length});
+    }
+    return count;
+}
+
+void borrow_retries(retry_window& window, std::uint32_t count,
+                    time_point asked_at)
+{
+    window.borrowed_.push_back({count, asked_at + loan_lifetime});
+}
+
+double retries_left(retry_window& window, retry_limits const& limits,
+                    std::uint32_t routers, time_point now)
+{
+    expire_loans(window.borrowed_, now);
+    return own_retries_left(window, limits, routers, now) +
+           count_of(window.borrowed_);
+}
+
 } // namespace auburnlb
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -336,7 +336,11 @@
     auto const keep_alive = shared_from_this();
     if (now < deadline_)
     {
-        if (connection_ != nullptr)
+        if (awaited_retry_)
+        {
+            check_awaited_retry(now);
+        }
+        else if (connection_ != nullptr)
         {
             check_stall(now);
         }
@@ -440,6 +444,7 @@
     auto const keep_alive = shared_from_this();
     time_point const now = core_.clock_.now();
     release_reservations();
+    stop_awaiting_retry();
     caller_->set_disconnect_handler(nullptr);
     core_.active_.erase(keep_alive);
     record_metrics(outcome, now);
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -103,6 +103,18 @@
     return found;
 }
 
+std::vector<std::string> peer_exchange::responding_routers() const
+{
+    std::vector<std::string> routers = peers_to_poll();
+    std::erase_if(routers,
+                  [this](std::string const& address)
+                  {
+                      peer const& each = peers_.at(address);
+                      return !each.last_response_at_ || each.failed_polls_ > 0;
+                  });
+    return routers;
+}
+
 milliseconds peer_exchange::poll_interval_for(peer const& peer,
                                               std::size_t polled) const
 {
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -39,6 +39,10 @@
 /// engines respond to probes.
 constexpr int max_slow_stalls = 4;
 
+/// Longest wait for a retry of another router. Its callers' streams stand still
+/// meanwhile.
+constexpr milliseconds max_retry_wait{400};
+
 /// Upper limit of sends per request, including the first one.
 constexpr std::uint32_t max_sends = 5;
 
@@ -68,6 +72,9 @@
     double const left = retries_left(runtime.retries_, core_.options_.retries_,
                                      core_.router_count_, now);
     limits.has_budget_ = outcome == attempt_outcome::not_sent || left >= 1;
+    bool const has_waited = awaited_retry_ && now >= awaited_retry_->end_;
+    limits.may_borrow_ = core_.live_router_count_ > 1 && !has_waited &&
+                         may_borrow(runtime.borrowing_, now);
     return limits;
 }
 
@@ -97,6 +104,12 @@
     }
     record_attempt_outcome(outcome, now);
     release_reservations();
+    follow_attempt(outcome, reason, now);
+}
+
+void forwarded_request::follow_attempt(attempt_outcome outcome,
+                                       char const* reason, time_point now)
+{
     attempt_limits const limits = current_limits(outcome, now);
     last_denial_ = denial_after(outcome, limits);
     switch (decide_after(outcome, limits))
@@ -104,6 +117,9 @@
     case attempt_decision::retry:
         retry(outcome, reason, now);
         return;
+    case attempt_decision::await_budget:
+        await_retry(outcome, reason, now);
+        return;
     case attempt_decision::respond_not_run:
         send_error(status_unavailable, refusal_reason::engine_failed,
                    retry_delay());
@@ -123,6 +139,37 @@
     }
 }
 
+void forwarded_request::await_retry(attempt_outcome outcome, char const* reason,
+                                    time_point now)
+{
+    awaited_retry_ = {outcome, reason, now + max_retry_wait};
+    ++service().borrowing_.waiting_;
+    core_.metrics_.add("auburnlb_router_awaited_retries_total",
+                       std::string("reason=\"") + to_string(outcome) + "\"");
+}
+
+void forwarded_request::check_awaited_retry(time_point now)
+{
+    awaited_retry const awaited = *awaited_retry_;
+    attempt_limits const limits = current_limits(awaited.outcome_, now);
+    if (decide_after(awaited.outcome_, limits) ==
+        attempt_decision::await_budget)
+    {
+        return;
+    }
+    stop_awaiting_retry();
+    follow_attempt(awaited.outcome_, awaited.reason_, now);
+}
+
+void forwarded_request::stop_awaiting_retry()
+{
+    if (awaited_retry_)
+    {
+        awaited_retry_.reset();
+        --service().borrowing_.waiting_;
+    }
+}
+
 void forwarded_request::retry(attempt_outcome outcome, char const* reason,
                               time_point now)
 {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -49,6 +49,8 @@
                      protocol.kind_name_(store_kind::endpoints),
                      core_.options_.store_loss_detection_, endpoint_handlers())
     , peers_(core_, core_.http_client_, exchange_handlers())
+    , retries_(core_, core_.http_client_,
+               [this] { return peers_.responding_routers(); })
     , placement_(core_, core_.http_client_)
     , crash_store_(core_, core_.http_client_)
     , caller_listener_(
@@ -216,6 +218,7 @@
     {
         each->on_tick(now);
     }
+    retries_.on_tick(now);
     start_waiting_requests(now);
     flush_log();
     if (now < next_slow_tick_)
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -323,6 +323,10 @@
     {
         return peers_.handle_request(body);
     }
+    if (head.target_ == "/retries")
+    {
+        return retries_.handle_request(body);
+    }
     return {status_not_found, "text/plain", "not found\n"};
 }
 
--- a/test/coordination/attempt_outcome_test.cpp
+++ b/test/coordination/attempt_outcome_test.cpp
@@ -40,6 +40,33 @@
     }
 }
 
+TEST(attempt_outcome, only_what_would_be_lost_waits_for_a_borrowed_retry)
+{
+    attempt_limits limits = repeatable();
+    limits.has_budget_ = false;
+    limits.may_borrow_ = true;
+    limits.may_have_run_ = true;
+    EXPECT_EQ(decide_after(attempt_outcome::broken, limits),
+              attempt_decision::await_budget);
+    EXPECT_EQ(decide_after(attempt_outcome::failed, limits),
+              attempt_decision::forward_error);
+    limits.has_delivered_ = true;
+    EXPECT_EQ(decide_after(attempt_outcome::failed, limits),
+              attempt_decision::await_budget);
+    limits.has_time_ = false;
+    EXPECT_EQ(decide_after(attempt_outcome::broken, limits),
+              attempt_decision::abort_response);
+}
+
+TEST(attempt_outcome, what_has_not_run_does_not_wait_for_a_borrowed_retry)
+{
+    attempt_limits limits = repeatable();
+    limits.has_budget_ = false;
+    limits.may_borrow_ = true;
+    EXPECT_EQ(decide_after(attempt_outcome::refused, limits),
+              attempt_decision::respond_not_run);
+}
+
 TEST(attempt_outcome, what_forbids_another_attempt_is_named)
 {
     attempt_outcome const outcome = attempt_outcome::broken;
--- a/test/coordination/retry_window_test.cpp
+++ b/test/coordination/retry_window_test.cpp
@@ -1,4 +1,5 @@
 // Tests of the retry limit in a sliding window.
+#include <algorithm>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -143,3 +144,97 @@
         RC_ASSERT(retries <= limits.ratio_ * requests + limits.slack_ / 2);
     }
 }
+
+TEST(retry_window, a_router_lends_half_of_what_is_left)
+{
+    retry_window lender;
+    retry_window borrower;
+    double const before = retries_left(lender, limits, 2, later);
+    double const own = retries_left(borrower, limits, 2, later);
+    std::uint32_t const lent = lend_retries(lender, limits, 2, 1'000, later);
+    EXPECT_EQ(lent, static_cast<std::uint32_t>(before / 2));
+    EXPECT_EQ(retries_left(lender, limits, 2, later), before - lent);
+    borrow_retries(borrower, lent, later);
+    EXPECT_EQ(retries_left(borrower, limits, 2, later), own + lent);
+    EXPECT_EQ(take_all(borrower, 2, later), static_cast<int>(own + lent));
+}
+
+TEST(retry_window, a_router_lends_no_more_than_is_wanted_and_keeps_the_last)
+{
+    retry_window lender;
+    EXPECT_EQ(lend_retries(lender, limits, 2, 3, later), 3U);
+    take_all(lender, 2, later);
+    EXPECT_EQ(lend_retries(lender, limits, 2, 3, later), 0U);
+}
+
+TEST(retry_window, a_loan_that_is_not_used_in_time_is_lost)
+{
+    retry_window borrower;
+    borrow_retries(borrower, 5, later);
+    double const with_loan = retries_left(borrower, limits, 2, later);
+    double const after = retries_left(borrower, limits, 2, later + seconds(2));
+    EXPECT_EQ(after, with_loan - 5);
+}
+
+TEST(retry_window, a_lender_gets_its_retries_back_after_a_window)
+{
+    retry_window lender;
+    double const before = retries_left(lender, limits, 2, later);
+    lend_retries(lender, limits, 2, 10, later);
+    EXPECT_EQ(retries_left(lender, limits, 2, later + seconds(11)),
+              before - 10);
+    EXPECT_EQ(retries_left(lender, limits, 2, later + seconds(12)), before);
+}
+
+RC_GTEST_PROP(retry_window, loans_keep_the_fleet_within_the_limit, ())
+{
+    constexpr std::size_t routers = 3;
+    std::vector<retry_window> windows(routers);
+    std::vector<time_point> requests;
+    std::vector<time_point> retries;
+    time_point now = later;
+    for (int step = 0; step < 600; ++step)
+    {
+        now += milliseconds(*rc::gen::inRange(0, 100));
+        retry_window& own = windows[*rc::gen::inRange<std::size_t>(0, routers)];
+        retry_window& other =
+            windows[*rc::gen::inRange<std::size_t>(0, routers)];
+        switch (*rc::gen::inRange(0, 4))
+        {
+        case 0:
+            record_request(own, limits, now);
+            requests.push_back(now);
+            break;
+        case 1:
+            // The reply takes as long as the lender's answer may.
+            borrow_retries(own,
+                           &own == &other
+                               ? 0
+                               : lend_retries(other, limits, routers, 10, now),
+                           now - milliseconds(*rc::gen::inRange(0, 200)));
+            break;
+        default:
+            if (try_acquire_retry(own, limits, routers, now))
+            {
+                retries.push_back(now);
+            }
+        }
+    }
+    auto const count = [](std::vector<time_point> const& times,
+                          time_point first, time_point last)
+    {
+        return static_cast<double>(std::count_if(times.begin(), times.end(),
+                                                 [first, last](time_point at) {
+                                                     return first <= at &&
+                                                            at <= last;
+                                                 }));
+    };
+    for (time_point const first : retries)
+    {
+        time_point const last = first + limits.window_;
+        double const allowed =
+            limits.ratio_ * count(requests, first - limits.window_, last) +
+            limits.slack_;
+        RC_ASSERT(count(retries, first, last) <= allowed);
+    }
+}
--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -82,6 +82,7 @@
         self.text = ""
         self.is_whole = False
         self.times = []
+        self.ended_at = None
         connection = http.client.HTTPConnection("127.0.0.1", router.callers, timeout=20)
         fields = {"Host": HOST, "Authorization": f"Token {KEY}",
                   "Auburnlb-Request-Id": request_id, "Auburnlb-Deadline-Ms": "8000",
@@ -104,6 +105,7 @@
         except (http.client.HTTPException, OSError):
             pass
         finally:
+            self.ended_at = time.monotonic()
             connection.close()
 
 
