Reproduce a request that waits for crashed engines and crashes them again

Evidence: six routers in three data centres, nine engines that come back 4 s after they crashed, and one request twenty times a second. What is new in the test is that no engine is left for longer than the time to settle.

--- a/test/process/crashing_request_test.py
+++ b/test/process/crashing_request_test.py
@@ -32,14 +32,14 @@
         kind = "crashing" if body == CRASHING_BODY else "sound"
         return in_background(Caller, router, "POST", path, f"{kind}-{number}", {}, body)
 
-    def press(self, system, fleet, seconds, first=0, **options):
+    def press(self, system, fleet, seconds, first=0, interval_s=REQUEST_INTERVAL_S, **options):
         """Sends the crashing request again and again; returns when, and how many
         runs there were by then."""
         samples = []
-        for number in range(first, first + int(seconds / REQUEST_INTERVAL_S)):
+        for number in range(first, first + int(seconds / interval_s)):
             samples.append((time.monotonic(), fleet.runs("crashing-")))
             self.send(system, number, **options)
-            time.sleep(REQUEST_INTERVAL_S)
+            time.sleep(interval_s)
         return samples
 
     def check_late_runs(self, fleet, samples):
@@ -64,6 +64,10 @@
                 self.fleet(system, extra=["--restart-at-once"]) as fleet:
             self.check_late_runs(fleet, self.press(system, fleet, 12))
 
+    def test_request_stops_reaching_engines_that_are_all_gone_for_some_seconds(self):
+        with PlatformCluster() as system, self.fleet(system, back_s=SETTLE_S + 1) as fleet:
+            self.check_late_runs(fleet, self.press(system, fleet, 12, interval_s=0.05))
+
     def test_request_stops_reaching_plain_endpoints_that_it_crashes(self):
         with PlatformCluster() as system, self.fleet(system, desks=6) as fleet:
             self.check_late_runs(fleet, self.press(system, fleet, 12, path="/book/x"))
