Take a plain service's response that breaks off in its head for a lost one

What callers saw: a 200 with an empty body, framed as whole, where an endpoint behind a companion had stopped in the middle of its response's head and closed; for a keyed call it would have been kept and replayed as the outcome. Cause: libcurl reports success once it has read a status line, although the connection ended before the empty line after the fields; and it takes a response with neither a length nor chunks for whole wherever it ends. A server that closes after "200 OK" gave 200; after a head without a length, 200 with no body. Both tests fail on the code before. Change: a response counts only if its head is complete; a success with no content also needs a length or chunks, or status 204. Both are lost, so the call's outcome is unknown. Errors without a length, and fields after a chunked body, are passed on as before (tests).

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -30,6 +30,8 @@
     http_request request_;
     http_client::response_handler handler_;
     http_response response_;
+    /// Whether the empty line after the header fields has come.
+    bool is_head_complete_ = false;
     /// Bytes of the body passed to libcurl. Never decreases.
     std::size_t body_sent_ = 0;
     curl_slist* header_list_ = nullptr;
@@ -67,14 +69,18 @@
 std::size_t on_header(char* data, std::size_t size, std::size_t count,
                       void* context)
 {
-    auto& response = static_cast<transfer*>(context)->response_;
+    auto& running = *static_cast<transfer*>(context);
+    auto& response = running.response_;
     std::string const line(data, size * count);
     if (line.rfind("HTTP/", 0) == 0)
     {
         // A status line starts a new header block, for example after "100".
         response.headers_.clear();
+        running.is_head_complete_ = false;
         return size * count;
     }
+    // Fields after the body follow the empty line.
+    running.is_head_complete_ |= trim(line).empty();
     auto const colon = line.find(':');
     if (colon != std::string::npos)
     {
@@ -200,6 +206,36 @@
     return bytes;
 }
 
+/// Returns whether the response ended before a body that it must have. The end
+/// of the connection alone does not show that a success without content is
+/// whole.
+bool is_cut_before_body(transfer const& running, long status)
+{
+    constexpr long first_success = 200;
+    constexpr long first_redirection = 300;
+    constexpr long no_content = 204;
+    http_headers const& headers = running.response_.headers_;
+    bool const must_have_body =
+        status >= first_success && status < first_redirection &&
+        status != no_content && running.request_.method_ != "HEAD";
+    return must_have_body && running.response_.body_.empty() &&
+           find_header(headers, "Content-Length").empty() &&
+           find_header(headers, "Transfer-Encoding").empty();
+}
+
+/// Returns why a response that libcurl takes for complete is not; null if it
+/// is.
+char const* incompleteness(transfer const& running, long status)
+{
+    if (!running.is_head_complete_)
+    {
+        return "the response ended within its head";
+    }
+    return is_cut_before_body(running, status)
+               ? "the response ended before its body"
+               : nullptr;
+}
+
 error_code classify(CURLcode code, long written)
 {
     switch (code)
@@ -414,6 +450,11 @@
                                   curl_easy_strerror(code)));
         return;
     }
+    if (char const* const reason = incompleteness(*done, status))
+    {
+        done->handler_(make_error(error_code::response_lost, *done, reason));
+        return;
+    }
     done->response_.status_ = static_cast<int>(status);
     done->handler_(std::move(done->response_));
 }
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <future>
+#include <thread>
 
 #include <asio.hpp>
 #include <gtest/gtest.h>
@@ -55,6 +56,44 @@
     std::uint16_t port_ = acceptor_.local_endpoint().port();
 };
 
+/// A server that writes these bytes in response to one request, whatever it is,
+/// and closes the connection.
+class raw_server
+{
+public:
+    explicit raw_server(std::string bytes)
+        : thread_([this, bytes = std::move(bytes)] { serve(bytes); })
+    {
+    }
+    ~raw_server() { thread_.join(); }
+    raw_server(raw_server const&) = delete;
+    raw_server& operator=(raw_server const&) = delete;
+
+    std::string url() const { return fakes::loopback_url(port_) + "/x"; }
+
+private:
+    void serve(std::string const& bytes)
+    {
+        asio::ip::tcp::socket socket = acceptor_.accept();
+        asio::streambuf request;
+        asio::read_until(socket, request, "\r\n\r\n");
+        asio::write(socket, asio::buffer(bytes));
+    }
+
+    asio::io_context io_;
+    asio::ip::tcp::acceptor acceptor_{io_,
+                                      {asio::ip::address_v4::loopback(), 0}};
+    std::uint16_t port_ = acceptor_.local_endpoint().port();
+    std::thread thread_;
+};
+
+result<http_response> receive(std::string bytes)
+{
+    raw_server const server(std::move(bytes));
+    http_client client;
+    return client.send_and_wait({"GET", server.url(), {}, {}});
+}
+
 } // namespace
 
 TEST(http_client, returns_status_headers_and_body)
@@ -139,6 +178,56 @@
     EXPECT_EQ(answer.error().code_, error_code::timeout);
 }
 
+TEST(http_client, a_response_that_breaks_off_in_its_head_is_lost)
+{
+    for (std::string const bytes :
+         {"", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Pa",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"})
+    {
+        SCOPED_TRACE(bytes);
+        auto const response = receive(bytes);
+        ASSERT_FALSE(response) << response.value().status_;
+        EXPECT_EQ(response.error().code_, error_code::response_lost);
+    }
+}
+
+TEST(http_client, a_success_that_ends_before_its_body_is_lost)
+{
+    for (std::string const bytes :
+         {"HTTP/1.1 200 OK\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npa",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npa"})
+    {
+        SCOPED_TRACE(bytes);
+        auto const response = receive(bytes);
+        ASSERT_FALSE(response) << response.value().body_;
+        EXPECT_EQ(response.error().code_, error_code::response_lost);
+    }
+}
+
+TEST(http_client, a_response_without_a_length_ends_with_its_connection)
+{
+    auto const success = receive("HTTP/1.1 200 OK\r\n\r\npan");
+    ASSERT_TRUE(success) << to_string(success.error());
+    EXPECT_EQ(success.value().body_, "pan");
+    auto const failure = receive("HTTP/1.1 409 Conflict\r\n\r\n");
+    ASSERT_TRUE(failure) << to_string(failure.error());
+    EXPECT_EQ(failure.value().status_, 409);
+    auto const empty = receive("HTTP/1.1 204 No Content\r\n\r\n");
+    ASSERT_TRUE(empty) << to_string(empty.error());
+}
+
+TEST(http_client, fields_after_a_body_are_no_head_that_breaks_off)
+{
+    auto const response = receive("HTTP/1.1 200 OK\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n"
+                                  "3\r\npan\r\n0\r\nX-Sum: 1\r\n\r\n");
+    ASSERT_TRUE(response) << to_string(response.error());
+    EXPECT_EQ(response.value().body_, "pan");
+}
+
 TEST(http_client, fails_what_still_runs_when_destroyed)
 {
     silent_listener const listener;
