Count crashes of one request each, however close together they are

What callers saw: engines that had come back after they were crashed by one request were crashed by it again, and the streams on them broke off: three ends under a request, some seconds with no engine, then four and more sends of what had waited. Cause: crashes within 50 ms of each other counted as one, since endpoints may be lost together for a reason that no request gave, such as a rack. But a request that crashes an engine at once and is sent again crashes the next one within 20 ms: two crashes that can't have a cause in common, as the request was sent to the second endpoint after the first one had ended. So after three ends the routers knew of two crashes or one; the others' copies waited for engines and were all released when the first came back. Two new unit tests fail on the code before. Change: close crashes count as one only if no request was interrupted by both of the moment; that also counts for the parts of its prompt. What has succeeded before is judged by time alone, as before: usual requests are in progress at each endpoint when several are lost. Different requests of endpoints lost at once still count once (a test).

--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -27,6 +27,8 @@
 /// it contains no slash.
 std::string request_trait(request_fingerprint fingerprint);
 
+bool is_request_trait(std::string const& trait);
+
 /// Returns a trait for each part of a prompt, as all routers know it.
 /// Identifiers that are too long to be exchanged are left out.
 request_traits prompt_traits(std::string const& service,
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -165,6 +165,11 @@
     return "request:" + to_hex(fingerprint);
 }
 
+bool is_request_trait(std::string const& trait)
+{
+    return trait.find('/') == std::string::npos;
+}
+
 request_traits prompt_traits(std::string const& service,
                              std::vector<std::string> const& part_ids)
 {
--- a/src/coordination/crash_evaluation.cpp
+++ b/src/coordination/crash_evaluation.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <limits>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -63,28 +64,60 @@
     return index;
 }
 
-/// Counts crashes that may have a common cause once.
-std::size_t count_moments(crash_causes const& state,
-                          trait_crashes const& of_trait)
+/// Returns which requests with the trait the crash interrupted.
+std::set<std::string> requests_with(endpoint_crash const& crash,
+                                    std::string const& trait)
 {
-    milliseconds const common_cause = state.successes_.contains(of_trait.first)
-                                          ? common_cause_time_after_success
-                                          : common_cause_time;
-    std::vector<time_point> times;
-    for (endpoint_crash const* const each : of_trait.second)
+    std::set<std::string> found;
+    for (request_traits const& request : crash.requests_)
     {
-        times.push_back(each->at_);
+        if (request.contains(trait))
+        {
+            std::copy_if(request.begin(), request.end(),
+                         std::inserter(found, found.end()), is_request_trait);
+        }
     }
-    std::sort(times.begin(), times.end());
+    return found;
+}
+
+bool intersects(std::set<std::string> const& left,
+                std::set<std::string> const& right)
+{
+    return std::any_of(left.begin(), left.end(),
+                       [&right](std::string const& each)
+                       { return right.contains(each); });
+}
+
+/// Counts crashes that may have a common cause once. One request is in progress
+/// at one endpoint, so if it was interrupted by two crashes, it was sent again
+/// after the first one.
+std::size_t count_moments(crash_causes const& state,
+                          trait_crashes const& of_trait)
+{
+    auto const& [trait, crashes] = of_trait;
+    bool const has_succeeded = state.successes_.contains(trait);
+    milliseconds const common_cause =
+        has_succeeded ? common_cause_time_after_success : common_cause_time;
+    crash_list ordered = crashes;
+    std::sort(ordered.begin(), ordered.end(),
+              [](endpoint_crash const* left, endpoint_crash const* right)
+              { return left->at_ < right->at_; });
     std::size_t count = 0;
     time_point counted{};
-    for (time_point const at : times)
+    std::set<std::string> interrupted;
+    for (endpoint_crash const* const each : ordered)
     {
-        if (count == 0 || at - counted > common_cause)
+        std::set<std::string> requests = requests_with(*each, trait);
+        bool const is_separate =
+            count == 0 || each->at_ - counted > common_cause ||
+            (!has_succeeded && intersects(requests, interrupted));
+        if (is_separate)
         {
             ++count;
-            counted = at;
+            counted = each->at_;
+            interrupted.clear();
         }
+        interrupted.merge(requests);
     }
     return count;
 }
--- a/test/coordination/crash_causes_test.cpp
+++ b/test/coordination/crash_causes_test.cpp
@@ -249,6 +249,40 @@
     EXPECT_FALSE(router.refuses({request_trait(8)}));
 }
 
+TEST(crash_causes,
+     retries_that_crash_endpoints_at_once_are_crashes_of_their_own)
+{
+    observer router;
+    for (int number = 0; number < 3; ++number)
+    {
+        EXPECT_FALSE(router.refuses(crashing_request));
+        router.crash("run" + std::to_string(number), crashing_request,
+                     start + milliseconds(10) * number);
+    }
+    EXPECT_TRUE(router.refuses(crashing_request));
+}
+
+TEST(crash_causes, retries_count_against_the_part_that_crashes_endpoints)
+{
+    observer router;
+    request_traits const first{"m/bad", request_trait(7)};
+    router.crash("run0", first, start);
+    router.crash("run1", first, start + milliseconds(20));
+    router.crash("run2", {"m/bad", request_trait(8)}, start + seconds(1));
+    EXPECT_TRUE(router.refuses({"m/bad", request_trait(9)}));
+}
+
+TEST(crash_causes, different_requests_of_endpoints_lost_at_once_are_not_refused)
+{
+    observer router;
+    for (std::uint64_t number = 0; number < 5; ++number)
+    {
+        router.crash("run" + std::to_string(number),
+                     {"m/popular", request_trait(number)}, start);
+    }
+    EXPECT_FALSE(router.refuses({"m/popular", request_trait(9)}));
+}
+
 TEST(crash_causes, a_request_that_crashed_endpoints_is_known_for_ten_minutes)
 {
     observer router;
