Count crashes that only the endpoint's successor shows

What callers saw: one request that crashed engine after engine, where the address of a crashed engine does not refuse connections: behind a relay, or on a host that is down. Cause: a crash was counted only if its proof came within 2 s of the cut. A platform needs about three seconds to notice an end and as long to start a successor, which is the only proof where no connection is refused; and by then the list had forgotten the run that the successor replaces. Change: the proof may come within 10 s. A cut run remembers its address, and a later run there shows its end. What a probe of the same run answers in between is still no crash.

--- a/include/auburnlb/coordination/interrupted_runs.hpp
+++ b/include/auburnlb/coordination/interrupted_runs.hpp
@@ -10,6 +10,7 @@
 
 #include "auburnlb/coordination/crash_causes.hpp"
 #include "auburnlb/state/clock.hpp"
+#include "auburnlb/state/endpoint_record.hpp"
 
 namespace auburnlb
 {
@@ -19,6 +20,8 @@
     struct run
     {
         std::string endpoint_run_;
+        /// Where the endpoint listened.
+        std::string address_;
         /// Those that may be why the endpoint crashed.
         request_traits traits_;
         time_point at_{};
@@ -37,8 +40,12 @@
 /// known to have ended.
 std::optional<endpoint_crash>
 record_interrupted_run(interrupted_runs& interrupted,
-                       std::string const& endpoint_run,
-                       request_traits const& traits, time_point now);
+                       interrupted_runs::run const& run);
+
+/// Returns the endpoints' runs that cut off requests at this address, and that
+/// another run has taken the place of. The list may have forgotten them before.
+std::vector<std::string> runs_replaced_by(interrupted_runs const& interrupted,
+                                          endpoint_record const& record);
 
 /// Called when an endpoint's run is known to have ended. Returns its crash if
 /// it interrupted requests.
--- a/src/coordination/interrupted_runs.cpp
+++ b/src/coordination/interrupted_runs.cpp
@@ -2,6 +2,7 @@
 #include "auburnlb/coordination/interrupted_runs.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace auburnlb
 {
@@ -10,28 +11,43 @@
 {
 
 /// How long after or before the cut of a run its endpoint may be found to have
-/// ended. The platform's list may be what tells so.
-constexpr milliseconds confirmation_time{2'000};
+/// ended. Where connections are not refused, the platform's list tells so, once
+/// another endpoint has started in its place.
+constexpr milliseconds confirmation_time{10'000};
 
 } // namespace
 
 std::optional<endpoint_crash>
 record_interrupted_run(interrupted_runs& interrupted,
-                       std::string const& endpoint_run,
-                       request_traits const& traits, time_point now)
+                       interrupted_runs::run const& run)
 {
-    if (traits.empty())
+    if (run.traits_.empty())
     {
         return std::nullopt;
     }
-    interrupted.runs_.push_back({endpoint_run, traits, now});
-    auto const ended = interrupted.ended_at_.find(endpoint_run);
+    interrupted.runs_.push_back(run);
+    auto const ended = interrupted.ended_at_.find(run.endpoint_run_);
     bool const is_crash = ended != interrupted.ended_at_.end() &&
-                          now - ended->second <= confirmation_time;
-    return is_crash ? confirm_crash(interrupted, endpoint_run, now)
+                          run.at_ - ended->second <= confirmation_time;
+    return is_crash ? confirm_crash(interrupted, run.endpoint_run_, run.at_)
                     : std::nullopt;
 }
 
+std::vector<std::string> runs_replaced_by(interrupted_runs const& interrupted,
+                                          endpoint_record const& record)
+{
+    std::set<std::string> runs;
+    for (interrupted_runs::run const& each : interrupted.runs_)
+    {
+        if (each.address_ == record.address_ &&
+            each.endpoint_run_ != run_id_of(record))
+        {
+            runs.insert(each.endpoint_run_);
+        }
+    }
+    return {runs.begin(), runs.end()};
+}
+
 std::optional<endpoint_crash> confirm_crash(interrupted_runs& interrupted,
                                             std::string const& endpoint_run,
                                             time_point now)
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -232,14 +232,16 @@
 void forwarded_request::record_interrupted_run(time_point now)
 {
     core_.metrics_.add("auburnlb_router_interrupted_runs_total");
-    std::string const run = run_id_of(reservations_.front().endpoint_->record_);
+    endpoint_record const& record = reservations_.front().endpoint_->record_;
     auto const progress =
         is_streaming_ ? std::optional(progress_) : std::nullopt;
-    if (auto const crash = auburnlb::record_interrupted_run(
-            core_.interrupted_runs_, run,
-            possible_causes(fingerprint_, prompt_traits_, progress, now), now))
+    interrupted_runs::run const run{
+        run_id_of(record), record.address_,
+        possible_causes(fingerprint_, prompt_traits_, progress, now), now};
+    if (auto const crash =
+            auburnlb::record_interrupted_run(core_.interrupted_runs_, run))
     {
-        core_.on_crash_(run, *crash);
+        core_.on_crash_(run.endpoint_run_, *crash);
     }
 }
 
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -93,8 +93,10 @@
 void router::on_record(endpoint_record const& record, record_age age)
 {
     has_endpoints_ = true;
-    std::vector<std::string> const replaced =
-        replaced_runs(core_.directory_, record);
+    std::vector<std::string> ended = replaced_runs(core_.directory_, record);
+    std::vector<std::string> const forgotten =
+        runs_replaced_by(core_.interrupted_runs_, record);
+    ended.insert(ended.end(), forgotten.begin(), forgotten.end());
     endpoint_change const change =
         apply_record(core_.directory_, record, age, core_.clock_.now());
     switch (change)
@@ -102,7 +104,7 @@
     case endpoint_change::joined:
     case endpoint_change::replaced:
         core_.pool_.close_idle(record.address_);
-        std::for_each(replaced.begin(), replaced.end(),
+        std::for_each(ended.begin(), ended.end(),
                       [this](std::string const& run) { on_run_ended(run); });
         log(log_level::info,
             change == endpoint_change::joined ? log_event::peer_joined
--- a/test/process/crashing_request_test.py
+++ b/test/process/crashing_request_test.py
@@ -68,6 +68,11 @@
         with PlatformCluster() as system, self.fleet(system, back_s=SETTLE_S + 1) as fleet:
             self.check_late_runs(fleet, self.press(system, fleet, 12, interval_s=0.05))
 
+    def test_request_stops_reaching_engines_whose_end_shows_when_they_are_replaced(self):
+        with PlatformCluster() as system, \
+                self.fleet(system, back_s=SETTLE_S, has_relays=True) as fleet:
+            self.check_late_runs(fleet, self.press(system, fleet, 18))
+
     def test_request_stops_reaching_plain_endpoints_that_it_crashes(self):
         with PlatformCluster() as system, self.fleet(system, desks=6) as fleet:
             self.check_late_runs(fleet, self.press(system, fleet, 12, path="/book/x"))
