Send each call to a plain service on a connection of its own

What callers saw: another caller's response, where a service behind a companion writes a response twice on a connection that stays open: a 200 or 503 of the call before in place of their own, for a keyed call kept and replayed as the outcome. Cause: the second copy arrives when libcurl has already given the connection to the next call; it looks for unread bytes only before. Responses of plain services name no request, so the router's check of ids has nothing to go by here. Change: a connection carries one call. A companion runs beside its endpoint, so that is a connection on the same host for each call; its cost was not measured.

--- a/include/auburnlb/transport/http_client.hpp
+++ b/include/auburnlb/transport/http_client.hpp
@@ -23,6 +23,9 @@
     http_headers headers_;
     std::string body_;
     milliseconds timeout_{5'000};
+    /// Whether the request may follow others on their connection. A faulty
+    /// server that repeats a response on it can't be noticed then.
+    bool may_reuse_connection_ = true;
 };
 
 struct http_response
--- a/src/companion/call_proxy.cpp
+++ b/src/companion/call_proxy.cpp
@@ -168,6 +168,7 @@
     request.headers_ = call.headers_;
     request.body_ = call.body_;
     request.timeout_ = std::max(timeout, min_wait);
+    request.may_reuse_connection_ = false;
     time_point const started = clock_.now();
     http_.send(std::move(request),
                locked_handler<http_response>(
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -194,6 +194,11 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &running);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &running);
+    if (!request.may_reuse_connection_)
+    {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
     set_headers(easy, running);
     set_body(easy, running);
 }
--- a/test/companion/call_proxy_test.cpp
+++ b/test/companion/call_proxy_test.cpp
@@ -15,6 +15,7 @@
 #include "auburnlb/protocol/claim_shards.hpp"
 #include "fake_plain_service.hpp"
 #include "fake_platform.hpp"
+#include "repeating_server.hpp"
 
 namespace auburnlb
 {
@@ -71,7 +72,8 @@
     void start_proxy(std::size_t index)
     {
         call_proxy_options options;
-        options.endpoint_url_ = services_[index].base_url();
+        options.endpoint_url_ =
+            endpoint_url_.empty() ? services_[index].base_url() : endpoint_url_;
         options.service_ = "desk";
         options.address_ = address_of(index);
         options.incarnation_ = next_incarnation_++;
@@ -213,6 +215,8 @@
     metrics_registry metrics_;
     std::shared_ptr<service_config const> config_;
     std::size_t max_in_progress_ = 1'000;
+    /// Used in place of the fake services if it is set.
+    std::string endpoint_url_;
     incarnation_id next_incarnation_ = 10;
     std::uint64_t next_request_ = 1;
     std::mutex mutex_;
@@ -237,6 +241,18 @@
     EXPECT_EQ(executions_of("w/a"), 1U);
 }
 
+TEST_F(call_proxy_test, a_repeated_response_is_not_that_of_the_next_call)
+{
+    fakes::repeating_server const server;
+    endpoint_url_ = server.base_url();
+    start(1);
+    for (int number = 1; number <= 20; ++number)
+    {
+        EXPECT_EQ(call(0, "w/" + std::to_string(number)).body_,
+                  std::to_string(number));
+    }
+}
+
 TEST_F(call_proxy_test, concurrent_calls_with_one_key_run_once)
 {
     start(1);
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include "fake_http.hpp"
+#include "repeating_server.hpp"
 
 namespace auburnlb
 {
@@ -151,6 +152,21 @@
     }
 }
 
+TEST(http_client, a_repeated_response_is_not_that_of_one_on_a_new_connection)
+{
+    fakes::repeating_server const server;
+    http_client client;
+    for (int number = 1; number <= 20; ++number)
+    {
+        http_request request{"GET", server.base_url() + "/x", {}, {}};
+        request.may_reuse_connection_ = false;
+        auto const response = client.send_and_wait(std::move(request));
+        ASSERT_TRUE(response) << to_string(response.error());
+        EXPECT_EQ(response.value().body_, std::to_string(number));
+        std::this_thread::sleep_for(milliseconds(number % 2 == 0 ? 20 : 0));
+    }
+}
+
 TEST(http_client, says_unreachable_when_nobody_listens)
 {
     std::uint16_t port = 0;
