Use no result of an earlier batch of steps

What callers saw: the same token again, or one of another position, where an engine behind a companion writes a response once more on a kept connection and the next batch has the same streams. Cause: results were matched to steps by their streams alone. An engine that answers each batch with the result of position 3 was believed for position 4 before, and is not now (the response counts as lost, so the stream goes on elsewhere). Change: a result may name its step's first position; one that names another is not used. Engines that name none are believed as before. The stand-in engine names it.

--- a/fakes/engine_core.cpp
+++ b/fakes/engine_core.cpp
@@ -132,6 +132,7 @@
 engine_step_result engine_core::run(engine_step const& step)
 {
     engine_step_result result;
+    result.position_ = step.position_;
     result.stream_ = step.stream_;
     result.failure_ = check(step);
     if (!result.failure_.empty())
--- a/fakes/fake_engine.cpp
+++ b/fakes/fake_engine.cpp
@@ -58,12 +58,16 @@
     json rendered{{"results", json::array()}};
     for (auto const& result : results)
     {
-        rendered["results"].push_back(
-            {{"stream", result.stream_},
-             {"failure", result.failure_},
-             {"outputs", result.outputs_},
-             {"end", result.is_end_},
-             {"cached_tokens", result.cached_tokens_}});
+        json each{{"stream", result.stream_},
+                  {"failure", result.failure_},
+                  {"outputs", result.outputs_},
+                  {"end", result.is_end_},
+                  {"cached_tokens", result.cached_tokens_}};
+        if (result.position_)
+        {
+            each["position"] = *result.position_;
+        }
+        rendered["results"].push_back(std::move(each));
     }
     return rendered.dump();
 }
--- a/include/auburnlb/transport/engine_client.hpp
+++ b/include/auburnlb/transport/engine_client.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
     bool is_end_ = false;
     /// Prompt tokens found in the prefix cache.
     std::uint32_t cached_tokens_ = 0;
+    /// First position of the step; unset if the engine does not name it.
+    std::optional<std::uint32_t> position_ = std::nullopt;
 };
 
 struct engine_status
--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -38,6 +38,10 @@
     parsed.outputs_ = value.value("outputs", std::vector<std::string>{});
     parsed.is_end_ = value.value("end", false);
     parsed.cached_tokens_ = value.value("cached_tokens", 0U);
+    if (auto const position = value.find("position"); position != value.end())
+    {
+        parsed.position_ = position->get<std::uint32_t>();
+    }
     return parsed;
 }
 
@@ -56,26 +60,46 @@
     return parsed;
 }
 
+/// Identifies a step among those of all batches.
+struct step_key
+{
+    std::string stream_;
+    std::uint32_t position_ = 0;
+};
+
+/// Throws if the result is of another step, as in a response that a faulty
+/// engine writes again.
+void check_step(engine_step_result const& result, step_key const& expected)
+{
+    if (result.stream_ != expected.stream_)
+    {
+        throw std::runtime_error("a result is for stream " + result.stream_ +
+                                 " in place of " + expected.stream_);
+    }
+    if (result.position_.value_or(expected.position_) != expected.position_)
+    {
+        throw std::runtime_error("a result of stream " + result.stream_ +
+                                 " is for position " +
+                                 std::to_string(*result.position_));
+    }
+}
+
 std::vector<engine_step_result>
-parse_results(json const& value, std::vector<std::string> const& streams)
+parse_results(json const& value, std::vector<step_key> const& steps)
 {
     std::vector<engine_step_result> parsed;
     for (auto const& entry : value.at("results"))
     {
         parsed.push_back(parse_step_result(entry));
     }
-    if (parsed.size() != streams.size())
+    if (parsed.size() != steps.size())
     {
         throw std::runtime_error("the number of results differs from the "
                                  "number of steps");
     }
-    for (std::size_t index = 0; index < streams.size(); ++index)
+    for (std::size_t index = 0; index < steps.size(); ++index)
     {
-        if (parsed[index].stream_ != streams[index])
-        {
-            throw std::runtime_error("result " + std::to_string(index) +
-                                     " is for stream " + parsed[index].stream_);
-        }
+        check_step(parsed[index], steps[index]);
     }
     return parsed;
 }
@@ -134,18 +158,18 @@
                         handler<std::vector<engine_step_result>> handler)
 {
     json body{{"steps", json::array()}};
-    std::vector<std::string> streams;
+    std::vector<step_key> keys;
     for (auto const& step : steps)
     {
         body["steps"].push_back(to_json(step));
-        streams.push_back(step.stream_);
+        keys.push_back({step.stream_, step.position_});
     }
     http_request request{
         "POST", base_url_ + "/v1/steps", {}, body.dump(), timeout};
     send_request<std::vector<engine_step_result>>(
         http_, std::move(request), "run steps", base_url_,
-        [streams = std::move(streams)](json const& value)
-        { return parse_results(value, streams); },
+        [keys = std::move(keys)](json const& value)
+        { return parse_results(value, keys); },
         std::move(handler));
 }
 
--- a/test/transport/engine_client_test.cpp
+++ b/test/transport/engine_client_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include "fake_engine.hpp"
+#include "fake_http.hpp"
 #include "reference_model.hpp"
 
 namespace auburnlb
@@ -99,6 +100,34 @@
     EXPECT_EQ(answer, fakes::expected_answer("mend the pan", 8, 5));
 }
 
+TEST(engine_client, a_repeated_result_is_not_that_of_the_next_step)
+{
+    auto const server = fakes::fake_http_server::start(
+        0,
+        [](incoming_request const&,
+           std::shared_ptr<fakes::fake_reply> const& reply)
+        {
+            reply->send({200,
+                         {},
+                         R"({"results": [{"stream": "s", "position": 3,
+                                          "outputs": ["pan"]}]})"});
+        });
+    http_client http;
+    engine_client client(http, fakes::loopback_url(server->port()));
+    auto const run = [&client](std::uint32_t position)
+    {
+        return wait_for<std::vector<engine_step_result>>(
+            [&](auto handler) {
+                client.run({{"s", position, {"in"}, 0, 0, true}}, seconds(5),
+                           handler);
+            });
+    };
+    EXPECT_TRUE(run(3));
+    auto const next = run(4);
+    ASSERT_FALSE(next);
+    EXPECT_EQ(next.error().code_, error_code::response_lost);
+}
+
 TEST(engine_client, a_replay_of_tokens_continues_the_same_answer)
 {
     served_engine engine(fast_options({0, 8}));
