Send one copy of a request at a time once it was cut

What callers saw: streams broken off at several engines at once, when engines had come back that one request had ended before and copies of it had waited for them. Cause: a request is refused from its third crash on. Until then each copy is sent as soon as an engine has room, also while it is not yet known whether the engine of another copy has ended; where connections are not refused that takes seconds. Change: a request that was in progress at a crash, or was cut by an endpoint that has not answered since, and that has never succeeded, is sent once at a time by a router. Copies are told 503 and to return after a second; they have not run. A request's own retries go on as before, and so does every request without a copy: only the same caller, path and body make one.

--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -136,6 +136,20 @@
 /// Returns whether a request with these traits must not reach an endpoint.
 bool is_refused(crash_causes const& state, request_traits const& traits);
 
+/// What the crashes and successes so far say of a request.
+enum class request_record
+{
+    /// It was in progress at no crash.
+    clean,
+    /// It was, and has never succeeded.
+    unproven,
+    /// It has succeeded.
+    sound,
+};
+
+request_record record_of(crash_causes const& state,
+                         request_fingerprint fingerprint);
+
 /// Returns whether a request with these traits should not be tried again.
 bool is_suspected(crash_causes const& state, request_traits const& traits);
 
--- a/include/auburnlb/coordination/interrupted_runs.hpp
+++ b/include/auburnlb/coordination/interrupted_runs.hpp
@@ -25,6 +25,8 @@
         /// Those that may be why the endpoint crashed.
         request_traits traits_;
         time_point at_{};
+        /// The endpoint has answered since, and it is not known by which run.
+        bool was_answered_ = false;
 
         bool operator==(run const&) const = default;
     };
@@ -58,6 +60,15 @@
 void dismiss_runs(interrupted_runs& interrupted,
                   std::string const& endpoint_run, time_point asked_at);
 
+/// Handles an answer that does not tell which run of the endpoint gave it.
+void record_answer(interrupted_runs& interrupted,
+                   std::string const& endpoint_run, time_point asked_at);
+
+/// Returns whether a run of the request was cut off by an endpoint that has not
+/// answered since.
+bool is_unresolved(interrupted_runs const& interrupted,
+                   request_fingerprint fingerprint);
+
 /// Returns whether requests were cut off by the endpoint's run after this time,
 /// and it is not known whether it has ended.
 bool awaits_confirmation(interrupted_runs const& interrupted,
--- a/include/auburnlb/router/endpoint_prober.hpp
+++ b/include/auburnlb/router/endpoint_prober.hpp
@@ -14,6 +14,22 @@
 namespace auburnlb
 {
 
+/// What probes tell of an endpoint's run. An endpoint that was asked at some
+/// time answered after it.
+struct probe_handlers
+{
+    std::function<void(std::string const& run)> on_ended_ =
+        [](std::string const&) {
+        };
+    std::function<void(std::string const& run, time_point asked_at)> on_alive_ =
+        [](std::string const&, time_point) {
+        };
+    /// The endpoint answered, and it is not known in which run.
+    std::function<void(std::string const& run, time_point asked_at)>
+        on_answer_ = [](std::string const&, time_point) {
+        };
+};
+
 /// Requests the reports of engines, to distinguish lost engines from slow ones.
 /// Not thread-safe.
 class endpoint_prober
@@ -29,16 +45,9 @@
     {
     }
 
-    /// Sets the functions that are called with the endpoint's run: one when it
-    /// has ended, and one when it was alive at some time after asked_at.
-    void
-    set_handlers(std::function<void(std::string const& endpoint_run)> on_ended,
-                 std::function<void(std::string const& endpoint_run,
-                                    time_point asked_at)>
-                     on_alive)
+    void set_handlers(probe_handlers handlers)
     {
-        on_ended_ = std::move(on_ended);
-        on_alive_ = std::move(on_alive);
+        handlers_ = std::move(handlers);
     }
 
     /// Sends a probe, unless one is pending or was sent recently.
@@ -57,11 +66,7 @@
     platform_protocol const& protocol_;
     clock_source const& clock_;
     metrics_registry& metrics_;
-    std::function<void(std::string const&)> on_ended_ = [](std::string const&) {
-    };
-    std::function<void(std::string const&, time_point)> on_alive_ =
-        [](std::string const&, time_point) {
-        };
+    probe_handlers handlers_;
 };
 
 } // namespace auburnlb
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -141,6 +141,11 @@
     void probe_interrupted_run();
     /// Refuses a request that is known to crash endpoints.
     void refuse_crashing();
+    /// Whether another copy of the request is to show first that it crashes no
+    /// endpoint.
+    bool must_follow_copy() const;
+    bool is_copy_in_progress() const;
+    void refuse_copy();
     /// Ends a request that may have run, so that it cannot be refused. Returns
     /// whether it may have.
     bool end_if_begun();
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -239,6 +239,18 @@
                        { return state.suspects_.contains(trait); });
 }
 
+request_record record_of(crash_causes const& state,
+                         request_fingerprint fingerprint)
+{
+    std::string const trait = request_trait(fingerprint);
+    if (state.successes_.contains(trait))
+    {
+        return request_record::sound;
+    }
+    return state.last_crash_.contains(trait) ? request_record::unproven
+                                             : request_record::clean;
+}
+
 bool may_have_crashed(response_progress const& progress, time_point now)
 {
     return progress.events_ <= max_events_before_crash ||
--- a/src/coordination/interrupted_runs.cpp
+++ b/src/coordination/interrupted_runs.cpp
@@ -79,6 +79,29 @@
         { return run.endpoint_run_ == endpoint_run && run.at_ <= asked_at; });
 }
 
+void record_answer(interrupted_runs& interrupted,
+                   std::string const& endpoint_run, time_point asked_at)
+{
+    for (interrupted_runs::run& run : interrupted.runs_)
+    {
+        if (run.endpoint_run_ == endpoint_run && run.at_ <= asked_at)
+        {
+            run.was_answered_ = true;
+        }
+    }
+}
+
+bool is_unresolved(interrupted_runs const& interrupted,
+                   request_fingerprint fingerprint)
+{
+    std::string const trait = request_trait(fingerprint);
+    return std::any_of(interrupted.runs_.begin(), interrupted.runs_.end(),
+                       [&trait](interrupted_runs::run const& run) {
+                           return !run.was_answered_ &&
+                                  run.traits_.contains(trait);
+                       });
+}
+
 bool awaits_confirmation(interrupted_runs const& interrupted,
                          std::string const& endpoint_run, time_point since)
 {
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -55,7 +55,7 @@
         to_string(failure));
     if (is_refused)
     {
-        on_ended_(run_id_of(endpoint->record_));
+        handlers_.on_ended_(run_id_of(endpoint->record_));
     }
 }
 
@@ -78,6 +78,8 @@
     if (!report)
     {
         count("answered");
+        handlers_.on_answer_(run_id_of(endpoint->record_),
+                             endpoint->probe_sent_);
         return;
     }
     on_report(*endpoint, report.value(), now);
@@ -96,11 +98,11 @@
     }
     if (status == run_status::alive)
     {
-        on_alive_(run_id_of(record), endpoint.probe_sent_);
+        handlers_.on_alive_(run_id_of(record), endpoint.probe_sent_);
     }
     if (status == run_status::ended)
     {
-        on_ended_(run_id_of(record));
+        handlers_.on_ended_(run_id_of(record));
     }
 }
 
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -38,6 +38,10 @@
 /// A started stream precedes all requests that have not started.
 constexpr std::int32_t started_stream_priority = -1;
 
+/// Retry-After while another copy of a request may be crashing its endpoint:
+/// the end of an endpoint usually shows sooner.
+constexpr milliseconds copy_retry_delay{1'000};
+
 /// Retry-After for callers of plain services.
 constexpr milliseconds plain_retry_delay{30};
 
@@ -116,9 +120,36 @@
         refuse_crashing();
         return false;
     }
+    if (must_follow_copy())
+    {
+        refuse_copy();
+        return false;
+    }
     return true;
 }
 
+bool forwarded_request::must_follow_copy() const
+{
+    request_record const record = record_of(core_.crash_causes_, fingerprint_);
+    if (send_count_ > 0 || record == request_record::sound)
+    {
+        return false;
+    }
+    return is_unresolved(core_.interrupted_runs_, fingerprint_) ||
+           (record == request_record::unproven && is_copy_in_progress());
+}
+
+bool forwarded_request::is_copy_in_progress() const
+{
+    return std::any_of(core_.active_.begin(), core_.active_.end(),
+                       [this](std::shared_ptr<forwarded_request> const& each)
+                       {
+                           return each.get() != this &&
+                                  each->connection_ != nullptr &&
+                                  each->fingerprint_ == fingerprint_;
+                       });
+}
+
 bool forwarded_request::is_known_to_crash() const
 {
     return is_refused(core_.crash_causes_, traits_);
@@ -260,6 +291,14 @@
     }
 }
 
+void forwarded_request::refuse_copy()
+{
+    is_waiting_ = false;
+    core_.metrics_.add("auburnlb_router_refused_copies_total");
+    send_error(status_unavailable, refusal_reason::suspected_crash,
+               copy_retry_delay);
+}
+
 bool forwarded_request::end_if_begun()
 {
     if (caller_->has_begun_response())
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -44,6 +44,11 @@
         refuse_crashing();
         return true;
     }
+    if (must_follow_copy())
+    {
+        refuse_copy();
+        return true;
+    }
     bool const is_started =
         is_model() ? start_on_path(now) : start_on_endpoint(now);
     if (is_started)
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -99,9 +99,13 @@
         return opened.error();
     }
     core_.prober_.set_handlers(
-        [this](std::string const& run) { on_run_ended(run); },
-        [this](std::string const& run, time_point asked_at)
-        { dismiss_runs(core_.interrupted_runs_, run, asked_at); });
+        {[this](std::string const& run) { on_run_ended(run); },
+         [this](std::string const& run, time_point asked_at)
+         { dismiss_runs(core_.interrupted_runs_, run, asked_at); },
+         [this](std::string const& run, time_point asked_at)
+         {
+             record_answer(core_.interrupted_runs_, run, asked_at);
+         }});
     // A restarted router must not repeat the revisions of the previous process.
     core_.crash_causes_.revision_ = static_cast<std::uint64_t>(
         core_.clock_.now().time_since_epoch() / milliseconds(1));
--- a/test/coordination/crash_causes_test.cpp
+++ b/test/coordination/crash_causes_test.cpp
@@ -283,6 +283,19 @@
     EXPECT_FALSE(router.refuses({"m/popular", request_trait(9)}));
 }
 
+TEST(crash_causes, a_request_is_unproven_from_a_crash_to_its_first_success)
+{
+    observer router;
+    EXPECT_EQ(record_of(router.causes_, 7), request_record::clean);
+    router.crash("run0", crashing_request, start);
+    EXPECT_EQ(record_of(router.causes_, 7), request_record::unproven);
+    EXPECT_EQ(record_of(router.causes_, 8), request_record::clean);
+    router.success(crashing_request, start + seconds(1));
+    EXPECT_EQ(record_of(router.causes_, 7), request_record::sound);
+    router.crash("run1", crashing_request, start + seconds(2));
+    EXPECT_EQ(record_of(router.causes_, 7), request_record::sound);
+}
+
 TEST(crash_causes, a_request_that_crashed_endpoints_is_known_for_ten_minutes)
 {
     observer router;
--- a/test/coordination/interrupted_runs_test.cpp
+++ b/test/coordination/interrupted_runs_test.cpp
@@ -92,6 +92,20 @@
     EXPECT_FALSE(awaits_confirmation(interrupted, "a@1", start));
 }
 
+TEST(interrupted_runs, a_cut_is_resolved_by_an_answer_of_its_endpoint)
+{
+    interrupted_runs interrupted;
+    EXPECT_FALSE(is_unresolved(interrupted, 7));
+    record_interrupted_run(interrupted, cut);
+    EXPECT_TRUE(is_unresolved(interrupted, 7));
+    EXPECT_FALSE(is_unresolved(interrupted, 8));
+    record_answer(interrupted, "a@1", before);
+    EXPECT_TRUE(is_unresolved(interrupted, 7));
+    record_answer(interrupted, "a@1", start);
+    EXPECT_FALSE(is_unresolved(interrupted, 7));
+    EXPECT_TRUE(confirm_crash(interrupted, "a@1", start));
+}
+
 TEST(interrupted_runs, everything_is_forgotten_in_time)
 {
     interrupted_runs interrupted;
--- a/test/process/crashing_request_test.py
+++ b/test/process/crashing_request_test.py
@@ -73,6 +73,17 @@
                 self.fleet(system, back_s=SETTLE_S, has_relays=True) as fleet:
             self.check_late_runs(fleet, self.press(system, fleet, 18))
 
+    def test_copy_of_a_request_that_has_just_been_cut_is_not_sent(self):
+        with PlatformCluster() as system, \
+                self.fleet(system, back_s=60, has_relays=True) as fleet:
+            self.send(system, 0).result()
+            runs = fleet.runs("crashing-")
+            self.assertGreater(runs, 0)
+            copy = self.send(system, len(system.routers)).result()
+            self.assertEqual(fleet.runs("crashing-"), runs)
+            self.assertEqual(copy.status, 503)
+            self.assertIn("retry-after", copy.headers)
+
     def test_request_stops_reaching_plain_endpoints_that_it_crashes(self):
         with PlatformCluster() as system, self.fleet(system, desks=6) as fleet:
             self.check_late_runs(fleet, self.press(system, fleet, 12, path="/book/x"))
