--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -49,6 +49,8 @@
 constexpr milliseconds call_timeout{300};
 constexpr milliseconds registration_retry{500};
 constexpr unsigned unavailable = 503;
+/// Tells an end by a request from one by a fault of this program.
+constexpr int crashed_exit_code = 3;
 
 /// Addresses of a path's other parts.
 std::vector<std::string> other_parts(http_head const& head)
@@ -403,7 +405,7 @@
     {
         if (!options_.restarts_at_once_)
         {
-            std::_Exit(EXIT_FAILURE);
+            std::_Exit(crashed_exit_code);
         }
         server_.drop_connections();
         std::uint64_t const born = state_.born_;
