Keep the check of a response's end apart from the HTTP client

What callers saw: nothing. Change: response_end, without libcurl. The tests are those of the client.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -11,6 +11,8 @@
 
 #include <curl/curl.h>
 
+#include "response_end.hpp"
+
 namespace auburnlb
 {
 
@@ -211,36 +213,6 @@
     return bytes;
 }
 
-/// Returns whether the response ended before a body that it must have. The end
-/// of the connection alone does not show that a success without content is
-/// whole.
-bool is_cut_before_body(transfer const& running, long status)
-{
-    constexpr long first_success = 200;
-    constexpr long first_redirection = 300;
-    constexpr long no_content = 204;
-    http_headers const& headers = running.response_.headers_;
-    bool const must_have_body =
-        status >= first_success && status < first_redirection &&
-        status != no_content && running.request_.method_ != "HEAD";
-    return must_have_body && running.response_.body_.empty() &&
-           find_header(headers, "Content-Length").empty() &&
-           find_header(headers, "Transfer-Encoding").empty();
-}
-
-/// Returns why a response that libcurl takes for complete is not; null if it
-/// is.
-char const* incompleteness(transfer const& running, long status)
-{
-    if (!running.is_head_complete_)
-    {
-        return "the response ended within its head";
-    }
-    return is_cut_before_body(running, status)
-               ? "the response ended before its body"
-               : nullptr;
-}
-
 error_code classify(CURLcode code, long written)
 {
     switch (code)
@@ -455,12 +427,13 @@
                                   curl_easy_strerror(code)));
         return;
     }
-    if (char const* const reason = incompleteness(*done, status))
+    done->response_.status_ = static_cast<int>(status);
+    if (char const* const reason = incompleteness(
+            done->request_, done->response_, done->is_head_complete_))
     {
         done->handler_(make_error(error_code::response_lost, *done, reason));
         return;
     }
-    done->response_.status_ = static_cast<int>(status);
     done->handler_(std::move(done->response_));
 }
 
