Wait for a borrowed retry no longer than its limit

When the wait was over, the decision was taken again without it, and a new wait began if the routers' round was still on. Change: what was decided with the wait is what is done. No test of its own: the tests' rounds end within the limit; retry_budget_test passes.

--- a/include/auburnlb/coordination/retry_window.hpp
+++ b/include/auburnlb/coordination/retry_window.hpp
@@ -27,7 +27,7 @@
 struct retry_loan
 {
     std::uint32_t count_ = 0;
-    /// For the lender, when it may use them again itself.
+    /// Until then the borrower may use them, or the lender may not.
     time_point end_{};
 
     bool operator==(retry_loan const&) const = default;
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -117,8 +117,8 @@
     milliseconds max_idle_time(std::string const& endpoint_id) const;
     void end_attempt(attempt_outcome outcome, char const* reason);
     /// Retries after a failed attempt, or responds.
-    void follow_attempt(attempt_outcome outcome, char const* reason,
-                        time_point now);
+    void follow_attempt(attempt_outcome outcome, attempt_limits const& limits,
+                        char const* reason, time_point now);
     void await_retry(attempt_outcome outcome, char const* reason,
                      time_point now);
     /// Goes on when the wait for a borrowed retry is over.
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -104,13 +104,13 @@
     }
     record_attempt_outcome(outcome, now);
     release_reservations();
-    follow_attempt(outcome, reason, now);
+    follow_attempt(outcome, current_limits(outcome, now), reason, now);
 }
 
 void forwarded_request::follow_attempt(attempt_outcome outcome,
+                                       attempt_limits const& limits,
                                        char const* reason, time_point now)
 {
-    attempt_limits const limits = current_limits(outcome, now);
     last_denial_ = denial_after(outcome, limits);
     switch (decide_after(outcome, limits))
     {
@@ -158,7 +158,7 @@
         return;
     }
     stop_awaiting_retry();
-    follow_attempt(awaited.outcome_, awaited.reason_, now);
+    follow_attempt(awaited.outcome_, limits, awaited.reason_, now);
 }
 
 void forwarded_request::stop_awaiting_retry()
