Let a silent attempt go on beside the one sent in its place

What callers saw: a stream was broken off, or an idempotent call ended with 502, though its engine was sound and went on after a second.

Cause: check_stall closed the connection to a silent endpoint before the next attempt had been sent, let alone answered. If that attempt was refused, found no capacity, broke or fell silent too, nothing was left that could still answer. The class: giving up what may be sound for what may fail.

Fix: the silent attempt is superseded instead of closed. Both go on; the first that makes progress is kept and the other is cancelled. If the second one cannot go on (refused, broken, no capacity, no retry left), the request returns to the first one. What belongs to one attempt moves into endpoint_attempt.

--- a/include/auburnlb/router/connection_pool.hpp
+++ b/include/auburnlb/router/connection_pool.hpp
@@ -65,6 +65,9 @@
     void begin(std::string_view request, response_receiver& receiver,
                bool is_head = false);
 
+    /// Hands the rest of the exchange in progress to another receiver.
+    void set_receiver(response_receiver& receiver) { receiver_ = &receiver; }
+
     /// Closes the connection, which makes the endpoint cancel the request. The
     /// receiver is not called any more.
     void cancel();
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -11,11 +11,12 @@
 
 #include "auburnlb/coordination/attempt_outcome.hpp"
 #include "auburnlb/coordination/attempted_endpoints.hpp"
-#include "auburnlb/coordination/path_choice.hpp"
 #include "auburnlb/coordination/response_check.hpp"
+#include "auburnlb/coordination/stall_decision.hpp"
 #include "auburnlb/protocol/event_splitter.hpp"
 #include "auburnlb/router/caller_connection.hpp"
 #include "auburnlb/router/connection_pool.hpp"
+#include "auburnlb/router/endpoint_attempt.hpp"
 #include "auburnlb/router/router_core.hpp"
 #include "auburnlb/state/refusal.hpp"
 
@@ -39,6 +40,9 @@
     forwarded_request(router_core& core,
                       std::shared_ptr<caller_connection> caller, http_head head,
                       std::string body, time_point received);
+    forwarded_request(forwarded_request const&) = delete;
+    forwarded_request& operator=(forwarded_request const&) = delete;
+    ~forwarded_request() override;
 
     /// Sends the request if an endpoint has capacity. Returns true if it was
     /// sent or has ended.
@@ -60,12 +64,9 @@
     void on_exchange_failed(exchange_failure failure) override;
 
 private:
-    /// An engine or endpoint of an attempt, and the load reserved there.
-    struct reservation
-    {
-        endpoint_ptr endpoint_;
-        endpoint_load load_;
-    };
+    /// An attempt that made no progress and goes on beside the one that was
+    /// sent in its place.
+    class superseded_attempt;
 
     /// The failed attempt that another one is to follow.
     struct awaited_retry
@@ -96,15 +97,19 @@
     void send(endpoint_ptr const& first, std::vector<path_part> const& path,
               time_point now);
     path_demand make_demand(time_point now) const;
+    /// @param excluded_first_id may not be the first engine; empty for none
     std::optional<path_choice> find_path(path_demand const& demand,
+                                         std::string const& excluded_first_id,
                                          time_point now) const;
+    /// The first endpoint of the superseded attempt; empty if there is none.
+    std::string superseded_endpoint() const;
     double expected_output_tokens() const;
 
     /// Applies what the response says about the endpoint's availability.
     void read_notices(time_point now);
     /// Applies the rate limit that the response names.
     void read_rate_limit(time_point now);
-    void on_events(std::string_view piece);
+    void on_events(event_batch const& batch);
     /// Records that the stream produced events. Comments are no progress: a
     /// stalled engine may go on sending them.
     void record_progress(std::uint32_t events);
@@ -115,6 +120,8 @@
     /// Returns how long the attempt's connection may have been idle; 0 for a
     /// new one.
     milliseconds max_idle_time(std::string const& endpoint_id) const;
+    /// Replaces the attempt by one that has not been sent.
+    void begin_attempt(path_choice path);
     void end_attempt(attempt_outcome outcome, char const* reason);
     /// Retries after a failed attempt, or responds.
     void follow_attempt(attempt_outcome outcome, attempt_limits const& limits,
@@ -124,21 +131,24 @@
     /// Goes on when the wait for a borrowed retry is over.
     void check_awaited_retry(time_point now);
     void stop_awaiting_retry();
-    void retry(attempt_outcome outcome, char const* reason, time_point now);
+    void retry(endpoint_attempt const& last, attempt_outcome outcome,
+               char const* reason, time_point now);
     attempt_limits current_limits(attempt_outcome outcome,
                                   time_point now) const;
     void record_attempt_outcome(attempt_outcome outcome, time_point now);
-    void record_failure(attempt_outcome outcome, time_point now);
+    void record_failure(endpoint_attempt const& attempt,
+                        attempt_outcome outcome, time_point now);
     /// Records the engines of the path that have not responded to a probe since
     /// the last progress. Returns whether there are any.
     bool record_unresponsive(time_point now);
     /// Probes the engines of the path that have shown no activity since that
     /// time.
     void probe_unresponsive(time_point since);
-    void record_refusal(time_point now);
-    void record_interrupted_run(time_point now);
-    /// Probes the endpoint if it may have crashed.
-    void probe_interrupted_run();
+    void record_refusal(endpoint_attempt const& attempt, time_point now);
+    void record_interrupted_run(endpoint_attempt const& attempt,
+                                time_point now);
+    /// Probes the attempt's endpoint if it may have crashed.
+    void probe_interrupted_run(endpoint_attempt const& attempt);
     /// Refuses a request that is known to crash endpoints.
     void refuse_crashing();
     /// Whether another copy of the request is to show first that it crashes no
@@ -150,8 +160,25 @@
     /// whether it may have.
     bool end_if_begun();
     void check_stall(time_point now);
+    void follow_stall(stall_decision decision, bool is_lost, time_point now);
     milliseconds stall_timeout() const;
     bool has_alternative(time_point now) const;
+    /// Whether another attempt can be sent to another first endpoint than the
+    /// one in progress.
+    bool has_separate_alternative(time_point now) const;
+
+    /// Sends another attempt while the silent one goes on. The first of the two
+    /// that makes progress is kept.
+    void supersede(char const* reason, time_point now);
+    /// Returns to the superseded attempt, which replaces the one in progress or
+    /// the wait for one. Returns false if there is none.
+    bool resume_superseded(char const* cause);
+    /// Closes the superseded attempt, if there is one.
+    void drop_superseded(char const* cause);
+    void fail_superseded(attempt_outcome outcome);
+    void on_superseded_head(http_head const& head);
+    void on_superseded_body(std::string_view piece);
+    void on_superseded_end();
     /// Returns when the first backoff ends of the endpoints that a new attempt
     /// may be sent to.
     /// @param is_new_request whether the attempts so far do not count
@@ -163,7 +190,6 @@
                     std::optional<milliseconds> retry_after);
     void record_metrics(char const* outcome, time_point now);
     void end_request(char const* outcome, unsigned status);
-    void release_reservations();
     bool is_stream() const { return route_->kind_ == route_kind::stream; }
     /// Whether the service is a model that is split over engines.
     bool is_model() const;
@@ -195,25 +221,10 @@
     std::optional<awaited_retry> awaited_retry_;
     bool has_ended_ = false;
 
-    // The attempt in progress.
-    std::shared_ptr<pooled_connection> connection_;
-    std::vector<reservation> reservations_;
-    path_choice path_;
-    http_head response_head_;
-    endpoint_response response_;
-    std::string response_body_;
-    /// The bytes of response_body_.
-    budgeted_bytes buffered_bytes_;
-    bool is_streaming_ = false;
-    /// The connection has carried other requests, whose responses may come.
-    bool is_connection_reused_ = false;
-    time_point sent_at_{};
-    time_point last_progress_at_{};
-    response_progress progress_;
-    bool is_prompt_success_recorded_ = false;
-    /// Moving average of the time between two events.
-    nanoseconds mean_event_gap_{0};
-    milliseconds stall_extension_{0};
+    /// The attempt in progress, or the last one. Never null.
+    std::unique_ptr<endpoint_attempt> attempt_;
+    /// Invariant: nothing of an attempt since was passed on to the caller.
+    std::unique_ptr<superseded_attempt> superseded_;
 
     // Over all attempts.
     attempt_denial last_denial_ = attempt_denial::none;
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -59,6 +59,7 @@
     request_quarantined = 404,
     request_ended = 405,
     crash_counted = 406,
+    superseded_attempt_resumed = 407,
     engine_lost = 500,
     engine_back = 501,
     claim_home_taken = 600,
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -1,5 +1,5 @@
 // Validation, queueing, timeouts and completion of a request.
-#include "auburnlb/router/forwarded_request.hpp"
+#include "superseded_attempt.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -87,7 +87,7 @@
     , received_(received)
     , routes_(core.routes_)
     , ticket_(++core.last_ticket_)
-    , buffered_bytes_(core.buffered_responses_)
+    , attempt_(std::make_unique<endpoint_attempt>(core.buffered_responses_))
 {
 }
 
@@ -145,7 +145,8 @@
                        [this](std::shared_ptr<forwarded_request> const& each)
                        {
                            return each.get() != this &&
-                                  each->connection_ != nullptr &&
+                                  (each->superseded_ != nullptr ||
+                                   each->attempt_->connection_ != nullptr) &&
                                   each->fingerprint_ == fingerprint_;
                        });
 }
@@ -240,7 +241,8 @@
     }
     // Once a stream has started, the caller's patience is counted from the last
     // event.
-    time_point const since = event_count_ > 0 ? last_progress_at_ : received_;
+    time_point const since =
+        event_count_ > 0 ? attempt_->last_progress_at_ : received_;
     if (event_count_ > 0)
     {
         entry.priority_ = started_stream_priority;
@@ -274,6 +276,10 @@
 void forwarded_request::refuse_waiting(time_point)
 {
     is_waiting_ = false;
+    if (resume_superseded("no_capacity"))
+    {
+        return;
+    }
     if (!end_if_begun())
     {
         send_error(status_unavailable, refusal_reason::overloaded,
@@ -379,12 +385,13 @@
         {
             check_awaited_retry(now);
         }
-        else if (connection_ != nullptr)
+        else if (attempt_->connection_ != nullptr)
         {
             check_stall(now);
         }
         return;
     }
+    drop_superseded("ended");
     if (is_waiting_)
     {
         remove_waiting(service().queue_, ticket_);
@@ -392,11 +399,7 @@
         refuse_waiting(now);
         return;
     }
-    if (connection_ != nullptr)
-    {
-        connection_->cancel();
-        connection_.reset();
-    }
+    close_connection(*attempt_);
     if (caller_->has_begun_response())
     {
         caller_->abort_response();
@@ -410,11 +413,7 @@
 void forwarded_request::on_caller_left()
 {
     auto const keep_alive = shared_from_this();
-    if (connection_ != nullptr)
-    {
-        connection_->cancel();
-        connection_.reset();
-    }
+    close_connection(*attempt_);
     if (is_waiting_)
     {
         remove_waiting(service().queue_, ticket_);
@@ -443,15 +442,6 @@
     end_request(to_string(reason), status);
 }
 
-void forwarded_request::release_reservations()
-{
-    for (reservation const& each : reservations_)
-    {
-        subtract_load(*each.endpoint_, each.load_);
-    }
-    reservations_.clear();
-}
-
 void forwarded_request::record_metrics(char const* outcome, time_point now)
 {
     metrics_registry& metrics = core_.metrics_;
@@ -482,7 +472,8 @@
     }
     auto const keep_alive = shared_from_this();
     time_point const now = core_.clock_.now();
-    release_reservations();
+    release_reservations(*attempt_);
+    drop_superseded("ended");
     stop_awaiting_retry();
     caller_->set_disconnect_handler(nullptr);
     core_.active_.erase(keep_alive);
@@ -506,7 +497,7 @@
           first_event_at_ ? ms_text(*first_event_at_ - received_) : ""},
          {"gap_ms", ms_text(longest_event_gap_)},
          {"total_ms", ms_text(now - received_)},
-         {"path", to_string(path_.path_)}},
+         {"path", to_string(attempt_->path_.path_)}},
         "the request has ended");
 }
 
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -1,5 +1,5 @@
 // Handling of failed attempts: health records, stall detection and retries.
-#include "auburnlb/router/forwarded_request.hpp"
+#include "superseded_attempt.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -90,20 +90,16 @@
     {
         may_have_run_ = true;
     }
-    record_failure(outcome, now);
+    record_failure(*attempt_, outcome, now);
 }
 
 void forwarded_request::end_attempt(attempt_outcome outcome, char const* reason)
 {
     auto const keep_alive = shared_from_this();
     time_point const now = core_.clock_.now();
-    if (connection_ != nullptr)
-    {
-        connection_->cancel();
-        connection_.reset();
-    }
+    close_connection(*attempt_);
     record_attempt_outcome(outcome, now);
-    release_reservations();
+    release_reservations(*attempt_);
     follow_attempt(outcome, current_limits(outcome, now), reason, now);
 }
 
@@ -112,10 +108,17 @@
                                        char const* reason, time_point now)
 {
     last_denial_ = denial_after(outcome, limits);
-    switch (decide_after(outcome, limits))
+    attempt_decision const decision = decide_after(outcome, limits);
+    bool const goes_on = decision == attempt_decision::retry ||
+                         decision == attempt_decision::await_budget;
+    if (!goes_on && resume_superseded(to_string(outcome)))
+    {
+        return;
+    }
+    switch (decision)
     {
     case attempt_decision::retry:
-        retry(outcome, reason, now);
+        retry(*attempt_, outcome, reason, now);
         return;
     case attempt_decision::await_budget:
         await_retry(outcome, reason, now);
@@ -129,8 +132,9 @@
                    std::nullopt);
         return;
     case attempt_decision::forward_error:
-        caller_->send_response(response_head_, response_body_);
-        end_request("endpoint_error", response_head_.status_);
+        caller_->send_response(attempt_->response_head_,
+                               attempt_->response_body_);
+        end_request("endpoint_error", attempt_->response_head_.status_);
         return;
     case attempt_decision::abort_response:
         caller_->abort_response();
@@ -170,7 +174,8 @@
     }
 }
 
-void forwarded_request::retry(attempt_outcome outcome, char const* reason,
+void forwarded_request::retry(endpoint_attempt const& last,
+                              attempt_outcome outcome, char const* reason,
                               time_point now)
 {
     if (outcome != attempt_outcome::not_sent)
@@ -185,13 +190,13 @@
          {"peer", sent_to_.last_id_},
          {"reason", to_string(outcome)},
          {"events", std::to_string(event_count_)},
-         {"began", is_streaming_ ? "true" : "false"},
-         {"backoff_ms", response_.backoff_
-                            ? std::to_string(response_.backoff_->count())
+         {"began", last.is_streaming_ ? "true" : "false"},
+         {"backoff_ms", last.response_.backoff_
+                            ? std::to_string(last.response_.backoff_->count())
                             : ""},
-         {"leaving", response_.is_leaving_ ? "true" : "false"},
+         {"leaving", last.response_.is_leaving_ ? "true" : "false"},
          {"parts", to_string(prompt_traits_)},
-         {"path", to_string(path_.path_)}},
+         {"path", to_string(last.path_.path_)}},
         reason);
     if (!try_start(now))
     {
@@ -199,29 +204,31 @@
     }
 }
 
-void forwarded_request::record_failure(attempt_outcome outcome, time_point now)
+void forwarded_request::record_failure(endpoint_attempt const& attempt,
+                                       attempt_outcome outcome, time_point now)
 {
-    if (reservations_.empty())
+    if (attempt.reservations_.empty())
     {
         return;
     }
-    endpoint_health& first_health = reservations_.front().endpoint_->health_;
+    endpoint_health& first_health =
+        attempt.reservations_.front().endpoint_->health_;
     switch (outcome)
     {
     case attempt_outcome::not_sent:
         record_health_signal(first_health, health_signal::unreachable, now);
-        probe_interrupted_run();
+        probe_interrupted_run(attempt);
         return;
     case attempt_outcome::refused:
-        record_refusal(now);
+        record_refusal(attempt, now);
         return;
     case attempt_outcome::failed:
         record_health_signal(first_health, health_signal::failure, now);
         return;
     case attempt_outcome::broken:
         record_health_signal(first_health, health_signal::failure, now);
-        record_interrupted_run(now);
-        core_.prober_.probe(reservations_.front().endpoint_);
+        record_interrupted_run(attempt, now);
+        core_.prober_.probe(attempt.reservations_.front().endpoint_);
         return;
     case attempt_outcome::silent:
         // The unresponsive engines were recorded when the stall was detected.
@@ -229,12 +236,14 @@
     }
 }
 
-void forwarded_request::record_interrupted_run(time_point now)
+void forwarded_request::record_interrupted_run(endpoint_attempt const& attempt,
+                                               time_point now)
 {
     core_.metrics_.add("auburnlb_router_interrupted_runs_total");
-    endpoint_record const& record = reservations_.front().endpoint_->record_;
+    endpoint_record const& record =
+        attempt.reservations_.front().endpoint_->record_;
     auto const progress =
-        is_streaming_ ? std::optional(progress_) : std::nullopt;
+        attempt.is_streaming_ ? std::optional(attempt.progress_) : std::nullopt;
     interrupted_runs::run const run{
         run_id_of(record), record.address_,
         possible_causes(fingerprint_, prompt_traits_, progress, now), now};
@@ -245,9 +254,9 @@
     }
 }
 
-void forwarded_request::probe_interrupted_run()
+void forwarded_request::probe_interrupted_run(endpoint_attempt const& attempt)
 {
-    endpoint_ptr const& endpoint = reservations_.front().endpoint_;
+    endpoint_ptr const& endpoint = attempt.reservations_.front().endpoint_;
     if (awaits_confirmation(core_.interrupted_runs_,
                             run_id_of(endpoint->record_),
                             endpoint->probe_sent_))
@@ -256,17 +265,19 @@
     }
 }
 
-void forwarded_request::record_refusal(time_point now)
+void forwarded_request::record_refusal(endpoint_attempt const& attempt,
+                                       time_point now)
 {
-    known_endpoint* faulty = reservations_.front().endpoint_.get();
-    for (reservation const& each : reservations_)
+    known_endpoint* faulty = attempt.reservations_.front().endpoint_.get();
+    for (endpoint_reservation const& each : attempt.reservations_)
     {
-        if (each.endpoint_->record_.address_ == response_.faulty_address_)
+        if (each.endpoint_->record_.address_ ==
+            attempt.response_.faulty_address_)
         {
             faulty = each.endpoint_.get();
         }
     }
-    if (response_head_.status_ == status_misdirected)
+    if (attempt.response_head_.status_ == status_misdirected)
     {
         faulty->layers_missing_until_ = now + missing_layers_backoff;
     }
@@ -276,10 +287,10 @@
 bool forwarded_request::record_unresponsive(time_point now)
 {
     bool is_found = false;
-    for (reservation const& each : reservations_)
+    for (endpoint_reservation const& each : attempt_->reservations_)
     {
         known_endpoint& endpoint = *each.endpoint_;
-        if (has_failed_since(endpoint, last_progress_at_))
+        if (has_failed_since(endpoint, attempt_->last_progress_at_))
         {
             record_health_signal(endpoint.health_, health_signal::silence, now);
             is_found = true;
@@ -290,7 +301,7 @@
 
 void forwarded_request::probe_unresponsive(time_point since)
 {
-    for (reservation const& each : reservations_)
+    for (endpoint_reservation const& each : attempt_->reservations_)
     {
         if (!has_responded_since(*each.endpoint_, since))
         {
@@ -306,15 +317,17 @@
         return std::chrono::duration_cast<milliseconds>(
             route_->latency_target_ * call_stall_factor);
     }
-    if (!is_streaming_ || mean_event_gap_ == nanoseconds(0))
+    if (!attempt_->is_streaming_ || attempt_->mean_event_gap_ == nanoseconds(0))
     {
-        return clamp_ms(first_event_stall_factor * path_.first_event_ms_,
-                        min_first_event_stall_timeout,
-                        max_first_event_stall_timeout);
+        return clamp_ms(
+            first_event_stall_factor * attempt_->path_.first_event_ms_,
+            min_first_event_stall_timeout, max_first_event_stall_timeout);
     }
     double const observed =
-        std::chrono::duration<double, std::milli>(mean_event_gap_).count();
-    return clamp_ms(stall_gap_factor * std::max(observed, path_.event_gap_ms_),
+        std::chrono::duration<double, std::milli>(attempt_->mean_event_gap_)
+            .count();
+    return clamp_ms(stall_gap_factor *
+                        std::max(observed, attempt_->path_.event_gap_ms_),
                     min_gap_stall_timeout, max_gap_stall_timeout);
 }
 
@@ -325,13 +338,13 @@
         return;
     }
     milliseconds const limit = stall_timeout();
-    auto const idle_time = now - last_progress_at_;
-    bool const is_model = !path_.path_.parts_.empty();
+    auto const idle_time = now - attempt_->last_progress_at_;
+    bool const is_model = !attempt_->path_.path_.parts_.empty();
     if (is_model && idle_time >= limit / 2)
     {
         probe_unresponsive(now - limit / 2);
     }
-    if (idle_time < limit + stall_extension_)
+    if (idle_time < limit + attempt_->stall_extension_)
     {
         return;
     }
@@ -343,16 +356,35 @@
         return;
     }
     attempt_limits const limits = current_limits(attempt_outcome::silent, now);
-    if (decide_after(attempt_outcome::silent, limits) ==
-            attempt_decision::retry &&
-        has_alternative(now))
+    stalled_attempt stalled;
+    stalled.idle_time_ = idle_time;
+    stalled.caller_patience_ = route_->caller_stall_timeout_;
+    stalled.has_ended_engine_ = has_ended_engine(*attempt_);
+    stalled.has_alternative_ = decide_after(attempt_outcome::silent, limits) ==
+                                   attempt_decision::retry &&
+                               has_alternative(now);
+    stalled.has_separate_alternative_ =
+        stalled.has_alternative_ && has_separate_alternative(now);
+    follow_stall(decide_after_stall(stalled), is_lost, now);
+}
+
+void forwarded_request::follow_stall(stall_decision decision, bool is_lost,
+                                     time_point now)
+{
+    char const* const reason = is_lost ? "an engine is lost" : "no progress";
+    switch (decision)
     {
-        end_attempt(attempt_outcome::silent,
-                    is_lost ? "an engine is lost" : "no progress");
+    case stall_decision::wait:
+        // The endpoint may still make progress.
+        attempt_->stall_extension_ += stall_timeout();
+        return;
+    case stall_decision::supersede:
+        supersede(reason, now);
+        return;
+    case stall_decision::give_up:
+        end_attempt(attempt_outcome::silent, reason);
         return;
     }
-    // No alternative exists, and the endpoint may still make progress.
-    stall_extension_ += limit;
 }
 
 } // namespace auburnlb
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -1,5 +1,5 @@
 // Handling of the response to an attempt: stream events and whole responses.
-#include "auburnlb/router/forwarded_request.hpp"
+#include "superseded_attempt.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -30,14 +30,14 @@
 
 void forwarded_request::on_response_head(http_head const& head)
 {
-    response_head_ = head;
-    response_ = core_.protocol_.read_response_(head);
-    progress_.began_at_ = core_.clock_.now();
-    read_rate_limit(progress_.began_at_);
-    read_notices(progress_.began_at_);
-    is_streaming_ =
-        is_stream() && is_success(head.status_) && response_.is_signed_;
-    if (is_streaming_ && !caller_->has_begun_response())
+    attempt_->response_head_ = head;
+    attempt_->response_ = core_.protocol_.read_response_(head);
+    attempt_->progress_.began_at_ = core_.clock_.now();
+    read_rate_limit(attempt_->progress_.began_at_);
+    read_notices(attempt_->progress_.began_at_);
+    attempt_->is_streaming_ = is_stream() && is_success(head.status_) &&
+                              attempt_->response_.is_signed_;
+    if (attempt_->is_streaming_ && !caller_->has_begun_response())
     {
         caller_->begin_response(head);
     }
@@ -45,32 +45,34 @@
 
 void forwarded_request::read_notices(time_point now)
 {
-    if (reservations_.empty())
+    if (attempt_->reservations_.empty())
     {
         return;
     }
-    if (response_.is_leaving_)
+    if (attempt_->response_.is_leaving_)
     {
         core_.metrics_.add("auburnlb_router_leaving_responses_total");
     }
-    if (response_.backoff_)
+    if (attempt_->response_.backoff_)
     {
         core_.metrics_.add("auburnlb_router_backoff_responses_total");
     }
-    apply_notices(*reservations_.front().endpoint_, response_, now);
+    apply_notices(*attempt_->reservations_.front().endpoint_,
+                  attempt_->response_, now);
 }
 
 void forwarded_request::read_rate_limit(time_point now)
 {
     bool const is_of_endpoint =
-        response_.is_signed_ || response_.is_not_executed_;
-    if (!is_of_endpoint || reservations_.empty())
+        attempt_->response_.is_signed_ || attempt_->response_.is_not_executed_;
+    if (!is_of_endpoint || attempt_->reservations_.empty())
     {
         return;
     }
-    known_endpoint& endpoint = *reservations_.front().endpoint_;
-    std::optional<double> const named = response_.rate_limit_;
-    if (record_named_limit(endpoint.rate_limit_, named, sent_at_, now))
+    known_endpoint& endpoint = *attempt_->reservations_.front().endpoint_;
+    std::optional<double> const named = attempt_->response_.rate_limit_;
+    if (record_named_limit(endpoint.rate_limit_, named, attempt_->sent_at_,
+                           now))
     {
         log(log_level::info, log_event::rate_limit_changed,
             {{"peer", endpoint.record_.id_},
@@ -82,23 +84,23 @@
 
 void forwarded_request::on_response_body(std::string_view piece)
 {
-    if (is_streaming_)
+    if (attempt_->is_streaming_)
     {
-        on_events(piece);
+        on_events(events_.feed(piece));
         return;
     }
-    if (response_body_.size() + piece.size() > max_plain_response_bytes ||
-        !buffered_bytes_.try_add(piece.size()))
+    if (attempt_->response_body_.size() + piece.size() >
+            max_plain_response_bytes ||
+        !attempt_->buffered_bytes_.try_add(piece.size()))
     {
         end_attempt(attempt_outcome::broken, "the response is too large");
         return;
     }
-    response_body_.append(piece);
+    attempt_->response_body_.append(piece);
 }
 
-void forwarded_request::on_events(std::string_view piece)
+void forwarded_request::on_events(event_batch const& batch)
 {
-    event_batch const batch = events_.feed(piece);
     if (batch.events_ > 0)
     {
         record_progress(batch.events_);
@@ -118,28 +120,31 @@
 
 void forwarded_request::record_progress(std::uint32_t events)
 {
+    drop_superseded("overtaken");
     time_point const now = core_.clock_.now();
-    nanoseconds const gap = now - last_progress_at_;
+    nanoseconds const gap = now - attempt_->last_progress_at_;
     if (event_count_ > 0)
     {
         longest_event_gap_ = std::max(longest_event_gap_, gap);
     }
     first_event_at_ = first_event_at_.value_or(now);
-    mean_event_gap_ =
-        mean_event_gap_ == nanoseconds(0)
+    attempt_->mean_event_gap_ =
+        attempt_->mean_event_gap_ == nanoseconds(0)
             ? gap
-            : mean_event_gap_ + std::chrono::duration_cast<nanoseconds>(
-                                    (gap - mean_event_gap_) * gap_weight);
+            : attempt_->mean_event_gap_ +
+                  std::chrono::duration_cast<nanoseconds>(
+                      (gap - attempt_->mean_event_gap_) * gap_weight);
     on_first_event(now);
-    last_progress_at_ = now;
+    attempt_->last_progress_at_ = now;
     event_count_ += events;
-    progress_.events_ += events;
-    if (!is_prompt_success_recorded_ && is_success(progress_, now))
+    attempt_->progress_.events_ += events;
+    if (!attempt_->is_prompt_success_recorded_ &&
+        is_success(attempt_->progress_, now))
     {
-        is_prompt_success_recorded_ = true;
+        attempt_->is_prompt_success_recorded_ = true;
         record_success(core_.crash_causes_, prompt_traits_, now);
     }
-    for (reservation const& each : reservations_)
+    for (endpoint_reservation const& each : attempt_->reservations_)
     {
         each.endpoint_->last_progress_ = now;
     }
@@ -147,7 +152,7 @@
 
 void forwarded_request::on_first_event(time_point now)
 {
-    for (reservation& each : reservations_)
+    for (endpoint_reservation& each : attempt_->reservations_)
     {
         if (each.load_.prefill_backlog_ > 0)
         {
@@ -161,8 +166,8 @@
 
 void forwarded_request::on_response_end()
 {
-    connection_.reset();
-    if (is_streaming_)
+    attempt_->connection_.reset();
+    if (attempt_->is_streaming_)
     {
         finish_stream();
         return;
@@ -178,7 +183,8 @@
                     "the stream ended within an event");
         return;
     }
-    if (!response_head_.is_framed_ && progress_.events_ == 0)
+    if (!attempt_->response_head_.is_framed_ &&
+        attempt_->progress_.events_ == 0)
     {
         // Without a length or chunks, the end of the connection tells nothing.
         end_attempt(attempt_outcome::broken,
@@ -187,20 +193,20 @@
     }
     record_success(core_.crash_causes_, traits_, core_.clock_.now());
     caller_->end_response();
-    end_request("complete", response_head_.status_);
+    end_request("complete", attempt_->response_head_.status_);
 }
 
 response_facts forwarded_request::facts_of_response() const
 {
     response_facts facts;
-    facts.is_success_ = is_success(response_head_.status_);
-    facts.is_server_error_ = is_server_error(response_head_.status_);
-    facts.is_signed_ = response_.is_signed_;
-    facts.is_not_executed_ = response_.is_not_executed_;
-    facts.names_request_ = !response_.request_id_.empty();
-    facts.is_connection_reused_ = is_connection_reused_;
-    facts.is_unframed_and_empty_ = !response_head_.is_framed_ &&
-                                   response_body_.empty() &&
+    facts.is_success_ = is_success(attempt_->response_head_.status_);
+    facts.is_server_error_ = is_server_error(attempt_->response_head_.status_);
+    facts.is_signed_ = attempt_->response_.is_signed_;
+    facts.is_not_executed_ = attempt_->response_.is_not_executed_;
+    facts.names_request_ = !attempt_->response_.request_id_.empty();
+    facts.is_connection_reused_ = attempt_->is_connection_reused_;
+    facts.is_unframed_and_empty_ = !attempt_->response_head_.is_framed_ &&
+                                   attempt_->response_body_.empty() &&
                                    head_.method_ != "HEAD";
     facts.has_begun_ = caller_->has_begun_response();
     return facts;
@@ -214,19 +220,19 @@
         return;
     }
     time_point const now = core_.clock_.now();
-    for (reservation const& each : reservations_)
+    for (endpoint_reservation const& each : attempt_->reservations_)
     {
         record_health_signal(each.endpoint_->health_, health_signal::success,
                              now);
     }
     record_success(core_.crash_causes_, traits_, now);
-    caller_->send_response(response_head_, response_body_);
-    end_request("complete", response_head_.status_);
+    caller_->send_response(attempt_->response_head_, attempt_->response_body_);
+    end_request("complete", attempt_->response_head_.status_);
 }
 
 void forwarded_request::on_exchange_failed(exchange_failure failure)
 {
-    connection_.reset();
+    attempt_->connection_.reset();
     switch (failure)
     {
     case exchange_failure::not_connected:
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -1,5 +1,5 @@
 // Choice of the endpoints for a request, reservations, and sending.
-#include "auburnlb/router/forwarded_request.hpp"
+#include "superseded_attempt.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -103,7 +103,9 @@
 }
 
 std::optional<path_choice>
-forwarded_request::find_path(path_demand const& demand, time_point now) const
+forwarded_request::find_path(path_demand const& demand,
+                             std::string const& excluded_first_id,
+                             time_point now) const
 {
     model_profile const& model = *service_entry_->model_;
     std::vector<path_engine> engines;
@@ -111,6 +113,9 @@
          endpoints_of(core_.directory_, service_name_))
     {
         engines.push_back(to_path_engine(*each, model, now));
+        path_engine& engine = engines.back();
+        engine.may_be_first_ =
+            engine.may_be_first_ && engine.id_ != excluded_first_id;
     }
     return choose_path(engines, model, demand);
 }
@@ -128,31 +133,39 @@
     double const events =
         static_cast<double>(caller_request_.max_output_tokens_) /
         std::max(1U, service_entry_->model_->steps_per_event_);
-    double const longest_ms =
-        (path_.first_event_ms_ + events * path_.event_gap_ms_) *
-        late_stream_margin;
+    double const longest_ms = (attempt_->path_.first_event_ms_ +
+                               events * attempt_->path_.event_gap_ms_) *
+                              late_stream_margin;
     auto const left = core_.stop_began_at_ + core_.options_.stop_limit_ -
                       process_exit_reserve - now;
     return milliseconds(static_cast<std::int64_t>(longest_ms)) < left;
 }
 
+void forwarded_request::begin_attempt(path_choice path)
+{
+    time_point const last_progress_at = attempt_->last_progress_at_;
+    attempt_ = std::make_unique<endpoint_attempt>(core_.buffered_responses_);
+    attempt_->last_progress_at_ = last_progress_at;
+    attempt_->path_ = std::move(path);
+}
+
 bool forwarded_request::start_on_path(time_point now)
 {
     path_demand const demand = make_demand(now);
-    auto path = find_path(demand, now);
+    auto path = find_path(demand, superseded_endpoint(), now);
     if (!path)
     {
         return false;
     }
-    path_ = std::move(*path);
+    begin_attempt(std::move(*path));
     if (core_.is_stopping_ && !can_finish_before_stop(now))
     {
         refuse_for_stop();
         return true;
     }
     consume_crossings(service().links_, *service_entry_->model_, demand,
-                      path_.crossings_);
-    for (path_part const& part : path_.path_.parts_)
+                      attempt_->path_.crossings_);
+    for (path_part const& part : attempt_->path_.path_.parts_)
     {
         auto const layers =
             static_cast<double>(part.layers_.end_ - part.layers_.first_);
@@ -161,9 +174,10 @@
         endpoint_ptr const& endpoint =
             core_.directory_.endpoints_[part.endpoint_id_];
         add_load(*endpoint, load);
-        reservations_.push_back({endpoint, load});
+        attempt_->reservations_.push_back({endpoint, load});
     }
-    send(reservations_.front().endpoint_, path_.path_.parts_, now);
+    send(attempt_->reservations_.front().endpoint_,
+         attempt_->path_.path_.parts_, now);
     return true;
 }
 
@@ -176,10 +190,10 @@
     {
         return false;
     }
+    begin_attempt({});
     endpoint_load const load{1, 0, 0};
     add_load(*endpoint, load);
-    reservations_.push_back({endpoint, load});
-    path_ = {};
+    attempt_->reservations_.push_back({endpoint, load});
     send(endpoint, {}, now);
     return true;
 }
@@ -218,22 +232,15 @@
     record_send(first->rate_limit_, now);
     ++send_count_;
     record_attempt(sent_to_, request.endpoint_id_);
-    sent_at_ = now;
-    last_progress_at_ = now;
-    progress_ = {};
-    is_prompt_success_recorded_ = false;
-    mean_event_gap_ = nanoseconds(0);
-    stall_extension_ = milliseconds(0);
-    is_streaming_ = false;
-    response_head_ = {};
-    response_ = {};
-    response_body_.clear();
-    buffered_bytes_.release();
+    attempt_->sent_at_ = now;
+    attempt_->last_progress_at_ = now;
     events_.discard_partial_event();
-    connection_ = core_.pool_.acquire(first->record_.address_, max_idle);
-    is_connection_reused_ = connection_->is_reused();
-    connection_->begin(core_.protocol_.write_request_(head_, body_, request),
-                       *this, head_.method_ == "HEAD");
+    attempt_->connection_ =
+        core_.pool_.acquire(first->record_.address_, max_idle);
+    attempt_->is_connection_reused_ = attempt_->connection_->is_reused();
+    attempt_->connection_->begin(
+        core_.protocol_.write_request_(head_, body_, request), *this,
+        head_.method_ == "HEAD");
 }
 
 milliseconds
@@ -253,13 +260,25 @@
 
 bool forwarded_request::has_alternative(time_point now) const
 {
-    if (service_entry_ != nullptr && service_entry_->model_)
+    if (is_model())
     {
-        return find_path(make_demand(now), now).has_value();
+        return find_path(make_demand(now), superseded_endpoint(), now)
+            .has_value();
     }
     return choose_endpoint(endpoints_of(core_.directory_, service_name_),
                            core_.options_.data_centre_, sent_to_.ids_,
                            now) != nullptr;
 }
 
+bool forwarded_request::has_separate_alternative(time_point now) const
+{
+    if (!is_model() || superseded_ != nullptr)
+    {
+        return has_alternative(now);
+    }
+    std::string const& first =
+        attempt_->reservations_.front().endpoint_->record_.id_;
+    return find_path(make_demand(now), first, now).has_value();
+}
+
 } // namespace auburnlb
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -65,6 +65,7 @@
     {log_event::request_quarantined, "request_quarantined"},
     {log_event::request_ended, "request_ended"},
     {log_event::crash_counted, "crash_counted"},
+    {log_event::superseded_attempt_resumed, "superseded_attempt_resumed"},
     {log_event::engine_lost, "engine_lost"},
     {log_event::engine_back, "engine_back"},
     {log_event::claim_home_taken, "claim_home_taken"},
