Read each entry of a store page by itself

What callers saw: another writer's entry among the engines' (very deep, with 1e999, or a revision of -4) ended every router that read the list, or kept it from reading the sound entries, so that it listed again for ever.

Cause: read_page parsed the page as a whole. The parser rejects all of it for one number out of range, need<> for one revision; a deep spec was parsed, and the recursion that writes it out again overflowed the stack.

One without a readable name is left out and counted; a named one that cannot be read has the value null, which names no endpoint.

--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -4,6 +4,7 @@
 #ifndef AUBURNLB_ROUTER_PLATFORM_PROTOCOL_HPP
 #define AUBURNLB_ROUTER_PLATFORM_PROTOCOL_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -124,7 +125,7 @@
 {
     std::string name_;
     std::uint64_t revision_ = 0;
-    /// Content of the object, as JSON text.
+    /// Content of the object, as JSON text; "null" if it cannot be read.
     std::string value_;
     /// In a watch event: the object was deleted.
     bool is_deleted_ = false;
@@ -136,6 +137,8 @@
 struct store_page
 {
     std::vector<store_object> objects_;
+    /// Entries that are left out since they have no readable name.
+    std::size_t unnamed_entries_ = 0;
     /// The list continues after the last object's name.
     bool has_more_ = false;
     /// Revision of the store that the page reflects.
--- a/include/auburnlb/state/json_depth.hpp
+++ b/include/auburnlb/state/json_depth.hpp
@@ -7,6 +7,8 @@
 #include <cstddef>
 #include <string_view>
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace auburnlb
 {
 
@@ -17,6 +19,10 @@
 /// brackets inside strings.
 bool is_nested_too_deep(std::string_view json);
 
+/// Parses a text from another process. Returns a discarded value if it is not
+/// JSON, or nested too deep to be rendered or read again.
+nlohmann::json parse_shallow_json(std::string_view text);
+
 } // namespace auburnlb
 
 #endif
--- a/src/state/json_depth.cpp
+++ b/src/state/json_depth.cpp
@@ -1,6 +1,8 @@
-// Measures the nesting depth of a JSON text without parsing it.
+// Measures the nesting depth of a JSON text before it is parsed.
 #include "auburnlb/state/json_depth.hpp"
 
+#include <nlohmann/json.hpp>
+
 namespace auburnlb
 {
 
@@ -37,4 +39,11 @@
     return false;
 }
 
+nlohmann::json parse_shallow_json(std::string_view text)
+{
+    return is_nested_too_deep(text)
+               ? nlohmann::json(nlohmann::json::value_t::discarded)
+               : nlohmann::json::parse(text, nullptr, false);
+}
+
 } // namespace auburnlb
