Limit the depth of every JSON text that a router reads

What callers saw: a router ended that got a text of 200,000 nested arrays where it expected a number or a string: an entry's field, an engine's report, the configuration, a message of another router.

Cause: the parser doesn't recurse, but quoting the odd value in the error does.

Evidence: odd_entries.a_deep_field_is_rejected_before_it_is_quoted ended with signal 11 (exit code 139) while read_json parsed without a limit.

--- a/src/router/crash_store.cpp
+++ b/src/router/crash_store.cpp
@@ -8,6 +8,7 @@
 
 #include "auburnlb/router/crash_messages.hpp"
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/json_depth.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -95,7 +96,7 @@
     {
         revision_ = object.revision_;
     }
-    json const value = json::parse(object.value_);
+    json const value = parse_shallow_json(object.value_);
     // Hosts' clocks differ, and the age only decides when a crash is forgotten.
     milliseconds const age(std::max<std::int64_t>(
         0, unix_ms() - value.at("written_ms").get<std::int64_t>()));
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -10,6 +10,7 @@
 
 #include "auburnlb/router/crash_messages.hpp"
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/json_depth.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -168,7 +169,7 @@
 local_response peer_exchange::handle_request(std::string const& body)
 try
 {
-    json const request = json::parse(body, nullptr, false);
+    json const request = parse_shallow_json(body);
     if (!request.is_object())
     {
         return {status_bad_request, "text/plain",
@@ -296,7 +297,7 @@
     peer.sent_causes_ = sent_causes;
     try
     {
-        read_state(address, peer, json::parse(reply.value().body_), now);
+        read_state(address, peer, parse_shallow_json(reply.value().body_), now);
     }
     catch (json::exception const& failure)
     {
--- a/src/router/placement_lease.cpp
+++ b/src/router/placement_lease.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/json_depth.hpp"
 
 namespace auburnlb
 {
@@ -18,7 +19,7 @@
 
 std::string read_holder(std::string const& value)
 {
-    auto const document = nlohmann::json::parse(value, nullptr, false);
+    auto const document = parse_shallow_json(value);
     auto const holder =
         document.is_object() ? document.find("holder") : document.end();
     bool const is_readable = holder != document.end() && holder->is_string();
--- a/src/router/retry_exchange.cpp
+++ b/src/router/retry_exchange.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/json_depth.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -33,7 +34,7 @@
 /// Returns the retries in a reply; 0 if it is not one of a router.
 std::uint32_t read_lent(http_reply const& reply)
 {
-    json const value = json::parse(reply.body_, nullptr, false);
+    json const value = parse_shallow_json(reply.body_);
     auto const lent = value.is_object() ? value.find("lent") : value.end();
     bool const is_readable = lent != value.end() && lent->is_number_unsigned();
     return is_readable ? lent->get<std::uint32_t>() : 0;
@@ -52,7 +53,7 @@
 
 local_response retry_exchange::handle_request(std::string const& body)
 {
-    json const request = json::parse(body, nullptr, false);
+    json const request = parse_shallow_json(body);
     if (!request.is_object())
     {
         return reject("the request is not a JSON object");
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -8,6 +8,7 @@
 
 #include "auburnlb/router/forwarded_request.hpp"
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/json_depth.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -388,9 +389,7 @@
             }
             for (store_object const& each : page.value().objects_)
             {
-                auto const value =
-                    nlohmann::json::parse(each.value_, nullptr, false);
-                add_listed_router(value);
+                add_listed_router(parse_shallow_json(each.value_));
             }
         });
 }
--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -1,6 +1,7 @@
 // Tests of store pages in which another writer left odd entries.
 #include <array>
 #include <string>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -149,3 +150,21 @@
         EXPECT_FALSE(platform::read_page(text)) << text;
     }
 }
+
+TEST(odd_entries, a_deep_field_is_rejected_before_it_is_quoted)
+{
+    for (std::string const& value :
+         {nested_arrays(overflowing_depth), nested_objects(overflowing_depth)})
+    {
+        EXPECT_FALSE(platform::read_endpoint(
+            "a", R"({"service": "s", "address": )" + value + "}"));
+        EXPECT_FALSE(platform::read_report(R"({"sequence": )" + value + "}"));
+        EXPECT_FALSE(
+            platform::read_route_table(R"({"version": )" + value + "}"));
+        auto const lease =
+            platform::read_object(object(R"("lease")", "4", value));
+        ASSERT_TRUE(lease);
+        EXPECT_EQ(lease.value().revision_, 4U);
+        EXPECT_EQ(lease.value().value_, "null");
+    }
+}
