Reject numbers that their field cannot hold

Cause: need<> looked at the type and not at the range.

Evidence: odd_entries.a_number_that_its_field_cannot_hold_is_not_wrapped and odd_entries.a_configuration_with_odd_numbers_is_read_or_rejected failed at the code before (the entries were read).

--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -168,3 +168,53 @@
         EXPECT_EQ(lease.value().value_, "null");
     }
 }
+
+TEST(odd_entries, a_number_that_its_field_cannot_hold_is_not_wrapped)
+{
+    constexpr char sound[] =
+        R"({"service": "s", "address": "10.0.0.9:8080", "zone": "z",
+            "batch-slots": 16, "state": "ready", "sequence": 4,
+            "layers": {"from": 0, "to": 8}})";
+    ASSERT_TRUE(platform::read_endpoint("a", sound));
+    std::array<std::pair<std::string, std::string>, 8> const changes{{
+        {R"("batch-slots": 16)", R"("batch-slots": 4294967297)"},
+        {R"("batch-slots": 16)", R"("batch-slots": 0)"},
+        {R"("batch-slots": 16)", R"("batch-slots": 1e300)"},
+        {R"("sequence": 4)", R"("sequence": 18446744073709551616)"},
+        {R"("sequence": 4)", R"("sequence": -1)"},
+        {R"("to": 8)", R"("to": 4294967304)"},
+        {R"("to": 8)", R"("to": 4000000000)"},
+        {R"("from": 0)", R"("from": 9)"},
+    }};
+    for (auto const& [from, to] : changes)
+    {
+        std::string text = sound;
+        text.replace(text.find(from), from.size(), to);
+        EXPECT_FALSE(platform::read_endpoint("a", text)) << to;
+    }
+}
+
+TEST(odd_entries, a_configuration_with_odd_numbers_is_read_or_rejected)
+{
+    auto const table = [](std::string const& timeout, std::string const& layers,
+                          std::string const& weight)
+    {
+        return platform::read_route_table(
+            R"({"version": 7, "services": [{"name": "s", "engine": {"layers": )" +
+            layers +
+            R"(}}], "routes": [{"name": "r", "host": "h", "path-prefix": "/",
+                "kind": "safe", "timeout-ms": )" +
+            timeout + R"(, "backends": [{"service": "s", "weight": )" + weight +
+            "}]}]}");
+    };
+    ASSERT_TRUE(table("20000", "80", "90"));
+    EXPECT_FALSE(table("-1", "80", "90"));
+    EXPECT_FALSE(table("1e999", "80", "90"));
+    EXPECT_FALSE(table("20000", "4000000000", "90"));
+    EXPECT_FALSE(table("20000", "0", "90"));
+    EXPECT_FALSE(table("20000", "80", "4294967297"));
+    auto const unlimited = table("1e300", "80", "90");
+    ASSERT_TRUE(unlimited);
+    EXPECT_EQ(unlimited.value().routes_.front().timeout_,
+              milliseconds(86'400'000));
+}
