--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -50,7 +50,8 @@
     {
         auto const parsed = std::from_chars(
             address.data() + colon + 1, address.data() + address.size(), port);
-        is_valid = parsed.ec == std::errc{};
+        is_valid = parsed.ec == std::errc{} &&
+                   parsed.ptr == address.data() + address.size();
     }
     if (!is_valid)
     {
--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -194,6 +194,21 @@
     }
 }
 
+TEST(odd_entries, an_address_that_is_no_ip_and_port_names_no_endpoint)
+{
+    for (char const* const address :
+         {"10.0.0.9:70000", "10.0.0.9:0", "10.0.0.9:", "10.0.0.9", "10.0.0:80",
+          "engine:8080", "10.0.0.9:80x", "10.0.0.9:-1", "", ":80",
+          "10.0.0.9:80\\r\\nX: y"})
+    {
+        EXPECT_FALSE(platform::read_endpoint(
+            "a", R"({"service": "s", "zone": "z", "batch-slots": 16,
+                     "state": "ready", "address": ")" +
+                     std::string(address) + R"("})"))
+            << address;
+    }
+}
+
 TEST(odd_entries, a_configuration_with_odd_numbers_is_read_or_rejected)
 {
     auto const table = [](std::string const& timeout, std::string const& layers,
