--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -209,6 +209,20 @@
     }
 }
 
+TEST(odd_entries, a_name_that_would_not_stay_in_its_header_names_no_endpoint)
+{
+    constexpr char sound[] =
+        R"({"service": "s", "address": "10.0.0.9:8080", "zone": "z",
+            "batch-slots": 16, "state": "ready"})";
+    ASSERT_TRUE(platform::read_endpoint("i-7f3a", sound));
+    for (char const* const id : {"", "a\r\nX: y", "a b", "a\x7f", "\xc3\xa4"})
+    {
+        EXPECT_FALSE(platform::read_endpoint(id, sound)) << id;
+    }
+    EXPECT_EQ(platform::write_list_call("servers", "a b\r\n&x=%").target_,
+              "/objects/servers?after=a%20b%0D%0A%26x%3D%25");
+}
+
 TEST(odd_entries, a_configuration_with_odd_numbers_is_read_or_rejected)
 {
     auto const table = [](std::string const& timeout, std::string const& layers,
