Read the entries in another router's message one by one

What callers saw: nothing yet. One value that isn't a text among the endpoints that a router passes on made the router that polls it drop the whole reply, at every poll; so did one odd count of senders. A time of 2^63 ms overflowed.

Fix: an odd value becomes "null", which names no endpoint to use; an odd count is left out; times are cut at an hour, the longest age that is read elsewhere.

--- a/src/router/crash_store.cpp
+++ b/src/router/crash_store.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "auburnlb/router/crash_messages.hpp"
+#include "auburnlb/router/entry_messages.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/json_depth.hpp"
 #include "auburnlb/state/log.hpp"
@@ -98,8 +99,10 @@
     }
     json const value = parse_shallow_json(object.value_);
     // Hosts' clocks differ, and the age only decides when a crash is forgotten.
-    milliseconds const age(std::max<std::int64_t>(
-        0, unix_ms() - value.at("written_ms").get<std::int64_t>()));
+    auto const written = value.at("written_ms").get<double>();
+    milliseconds const age =
+        std::max(milliseconds(0),
+                 read_short_time(static_cast<double>(unix_ms()) - written));
     time_point const now = core_.clock_.now();
     merge_update(core_.crash_causes_,
                  read_crash_causes(value.at("causes"), now - age), now);
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "auburnlb/router/crash_messages.hpp"
+#include "auburnlb/router/entry_messages.hpp"
 
 namespace auburnlb
 {
@@ -223,12 +224,11 @@
     if (auto const left = state.find("stopping_ms");
         left != state.end() && left->is_number_integer())
     {
-        peer.stop_end_ = now + milliseconds(left->get<std::int64_t>());
+        peer.stop_end_ = now + read_short_time(*left);
     }
     peer.data_centre_ = data_centre;
     read_loads(peer, state);
-    peer.senders_ =
-        state.value("senders", std::map<std::string, std::uint32_t>());
+    peer.senders_ = read_senders(state.value("senders", json::object()));
     read_causes(state);
     peer.known_causes_ = state.value("causes_revision", peer.known_causes_);
     apply_unresponsive(state, now);
@@ -257,17 +257,10 @@
     {
         // Entries may have expired while the store was unreachable; missing
         // ones are kept until the store has had time to recover them.
-        core_.directory_.list_trusted_at_ = std::max(
-            core_.directory_.list_trusted_at_,
-            now + milliseconds(entries->at("settling_ms").get<std::int64_t>()));
-        entries_delta delta;
-        delta.version_ = {entries->value("epoch", std::uint64_t{0}),
-                          entries->at("revision").get<std::uint64_t>()};
-        delta.is_full_ = entries->at("whole").get<bool>();
-        delta.changed_ =
-            entries->at("changed").get<std::map<std::string, std::string>>();
-        delta.removed_ = entries->at("removed").get<std::vector<std::string>>();
-        handlers_.on_endpoints_(delta);
+        core_.directory_.list_trusted_at_ =
+            std::max(core_.directory_.list_trusted_at_,
+                     now + read_short_time(entries->at("settling_ms")));
+        handlers_.on_endpoints_(read_entries_delta(*entries));
     }
     newest_version_ = std::max(
         newest_version_,
