Count what happens on callers' connections beside requests

Cause: a close as idle, bytes that crossed a close and were dropped during the linger, requests that had been read behind a last response, and how a caller had left were not counted.

A request is given to its service only once the reader has returned, so that a response that is sent at once finds what was read behind the request; before, these bytes were dropped without being seen.

Evidence: with the reports taken out, four tests of caller_connection fail ("caller.has(caller_event::idle_close)", "run_until_event( read_ahead_dropped)", "(left_closed)", "(left_reset)"); with them all six pass.

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "auburnlb/router/caller_events.hpp"
 #include "auburnlb/router/http_message.hpp"
 #include "auburnlb/router/tcp_channel.hpp"
 #include "auburnlb/state/clock.hpp"
@@ -44,6 +45,7 @@
     virtual bool is_closing() const = 0;
     virtual time_point now() const = 0;
     virtual void on_connection_closed(caller_connection& connection) = 0;
+    virtual void on_caller_event(caller_event, std::string const& /*peer*/) {}
 };
 
 /// One connection of a caller. It handles one request at a time; bytes of later
@@ -102,14 +104,17 @@
     void on_end(channel_end end) override;
     void on_head(http_head head) override;
     void on_body(std::string_view piece) override;
-    void on_message_end() override;
+    /// The rest is done when the reader has returned.
+    void on_message_end() override {}
 
     void read(std::string_view bytes);
     void read_pending();
+    void serve();
     void reject(unsigned status);
     /// Closes the connection and removes it from its service.
     void close(bool is_abrupt);
     void finish_request();
+    void report(caller_event event);
     void append_connection_fields(std::string& out) const;
 
     request_service& service_;
@@ -123,6 +128,7 @@
     /// When the message being read, or the idle time, began.
     time_point phase_began_at_{};
     bool is_serving_ = false;
+    bool is_reading_pending_ = false;
     bool has_begun_response_ = false;
     /// The connection closes after the request in progress.
     bool is_last_request_ = false;
--- /dev/null
+++ b/include/auburnlb/router/caller_events.hpp
@@ -0,0 +1,36 @@
+// What happens on callers' connections beside complete requests, counted so
+// that a request without a response can be explained.
+#ifndef AUBURNLB_ROUTER_CALLER_EVENTS_HPP
+#define AUBURNLB_ROUTER_CALLER_EVENTS_HPP
+
+#include <string>
+
+#include "auburnlb/state/metrics.hpp"
+
+namespace auburnlb
+{
+
+enum class caller_event
+{
+    /// The connection was closed because it was idle.
+    idle_close,
+    /// Bytes, perhaps of a request, arrived after the connection was closed.
+    bytes_after_close,
+    /// Bytes behind the last request, perhaps of another one, were dropped.
+    read_ahead_dropped,
+    /// The caller closed its sending half while its request was in progress.
+    left_closed,
+    /// The caller reset the connection while its request was in progress.
+    left_reset,
+    /// Bytes sent to the caller were not acknowledged while its request was in
+    /// progress.
+    left_timed_out,
+};
+
+/// Counts the event, and logs those in which a request may have been dropped.
+void record_caller_event(metrics_registry& metrics, caller_event event,
+                         std::string const& peer);
+
+} // namespace auburnlb
+
+#endif
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -51,6 +51,10 @@
     bool is_closing() const override { return core_.is_stopping_; }
     time_point now() const override { return core_.clock_.now(); }
     void on_connection_closed(caller_connection& connection) override;
+    void on_caller_event(caller_event event, std::string const& peer) override
+    {
+        record_caller_event(core_.metrics_, event, peer);
+    }
 
 private:
     void schedule_tick();
--- a/include/auburnlb/router/tcp_channel.hpp
+++ b/include/auburnlb/router/tcp_channel.hpp
@@ -68,7 +68,9 @@
     /// Sends buffered bytes, closes the sending half, and reads without a
     /// receiver until the linger time is over: closing a socket with unread
     /// bytes would reset the connection and could lose the end of the response.
-    void close_gracefully(milliseconds linger);
+    /// @param on_dropped called at most once, when such bytes arrive
+    void close_gracefully(milliseconds linger,
+                          std::function<void()> on_dropped = nullptr);
 
     bool is_open() const { return socket_.is_open(); }
     /// Number of buffered bytes.
@@ -78,6 +80,8 @@
     /// Whether no bytes are buffered.
     bool is_drained() const { return unsent_.empty(); }
     bool has_sent_anything() const { return has_sent_; }
+    /// Whether the connection ended because the peer acknowledged nothing.
+    bool has_timed_out() const { return has_timed_out_; }
     std::string const& peer() const { return peer_; }
 
 private:
@@ -97,6 +101,9 @@
     bool is_waiting_writable_ = false;
     bool is_closing_gracefully_ = false;
     bool has_sent_ = false;
+    bool has_timed_out_ = false;
+    /// Null once called.
+    std::function<void()> on_dropped_;
 };
 
 } // namespace auburnlb
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -51,6 +51,16 @@
     }
 }
 
+caller_event how_caller_left(channel_end end, bool has_timed_out)
+{
+    if (end == channel_end::closed)
+    {
+        return caller_event::left_closed;
+    }
+    return has_timed_out ? caller_event::left_timed_out
+                         : caller_event::left_reset;
+}
+
 } // namespace
 
 caller_connection::caller_connection(request_service& service,
@@ -81,39 +91,50 @@
         return;
     }
     read(bytes);
+    read_pending();
 }
 
 void caller_connection::read(std::string_view bytes)
 {
-    while (!bytes.empty() && !is_serving_ && !is_closed_)
+    if (!reader_.is_inside_message())
     {
-        if (!reader_.is_inside_message())
-        {
-            phase_began_at_ = service_.now();
-        }
-        http_read_result const read = reader_.read(bytes);
-        bytes.remove_prefix(std::min(read.consumed_, bytes.size()));
-        if (is_closed_)
-        {
-            return;
-        }
-        if (read.status_ == http_read_status::malformed)
-        {
-            reject(status_bad_request);
-        }
-        else if (read.status_ == http_read_status::head_too_large)
-        {
-            reject(status_header_fields_too_large);
-        }
-        else if (is_body_too_large_)
-        {
-            reject(status_payload_too_large);
-        }
+        phase_began_at_ = service_.now();
     }
-    if (!is_closed_)
+    http_read_result const read = reader_.read(bytes);
+    if (read.status_ == http_read_status::malformed)
     {
-        pending_.append(bytes);
+        reject(status_bad_request);
+    }
+    else if (read.status_ == http_read_status::head_too_large)
+    {
+        reject(status_header_fields_too_large);
+    }
+    else if (is_body_too_large_)
+    {
+        reject(status_payload_too_large);
+    }
+    else if (read.status_ == http_read_status::message_end)
+    {
+        // The response must find what was read behind the request.
+        pending_ = bytes.substr(std::min(read.consumed_, bytes.size()));
+        serve();
+    }
+}
+
+void caller_connection::read_pending()
+{
+    // A response that is sent within serve() leaves the rest to this loop.
+    if (std::exchange(is_reading_pending_, true))
+    {
+        return;
     }
+    auto const keep_alive = shared_from_this();
+    while (!pending_.empty() && !is_serving_ && !is_closed_)
+    {
+        std::string const bytes = std::exchange(pending_, {});
+        read(bytes);
+    }
+    is_reading_pending_ = false;
 }
 
 void caller_connection::on_head(http_head head)
@@ -138,12 +159,8 @@
     body_.append(piece);
 }
 
-void caller_connection::on_message_end()
+void caller_connection::serve()
 {
-    if (is_body_too_large_)
-    {
-        return;
-    }
     is_serving_ = true;
     has_begun_response_ = false;
     is_last_request_ = !head_.is_keep_alive_;
@@ -156,6 +173,10 @@
     auto const keep_alive = shared_from_this();
     disconnect_handler* const handler =
         std::exchange(disconnect_handler_, nullptr);
+    if (is_serving_ && !is_closed_)
+    {
+        report(how_caller_left(end, channel_->has_timed_out()));
+    }
     close(end == channel_end::broken);
     if (handler != nullptr)
     {
@@ -243,22 +264,16 @@
     phase_began_at_ = service_.now();
     if (is_last_request_)
     {
+        if (!pending_.empty())
+        {
+            report(caller_event::read_ahead_dropped);
+        }
         close(false);
         return;
     }
     read_pending();
 }
 
-void caller_connection::read_pending()
-{
-    if (pending_.empty())
-    {
-        return;
-    }
-    std::string const bytes = std::exchange(pending_, {});
-    read(bytes);
-}
-
 void caller_connection::reject(unsigned status)
 {
     is_last_request_ = true;
@@ -281,15 +296,25 @@
     }
     else
     {
-        channel_->close_gracefully(close_linger);
+        channel_->close_gracefully(
+            close_linger,
+            [&service = service_, peer = channel_->peer()] {
+                service.on_caller_event(caller_event::bytes_after_close, peer);
+            });
     }
     service_.on_connection_closed(*this);
 }
 
+void caller_connection::report(caller_event event)
+{
+    service_.on_caller_event(event, channel_->peer());
+}
+
 void caller_connection::close_if_idle()
 {
     if (is_idle() && !is_closed_)
     {
+        report(caller_event::idle_close);
         close(false);
     }
 }
@@ -305,6 +330,7 @@
     {
         if (now - phase_began_at_ > limits.idle_timeout_ && is_idle())
         {
+            report(caller_event::idle_close);
             close(false);
         }
         return;
--- /dev/null
+++ b/src/router/caller_events.cpp
@@ -0,0 +1,56 @@
+// Metrics and log lines of callers' connections.
+#include "auburnlb/router/caller_events.hpp"
+
+#include "auburnlb/state/log.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+void record_dropped_bytes(metrics_registry& metrics, char const* reason,
+                          std::string const& peer)
+{
+    metrics.add("auburnlb_router_caller_bytes_dropped_total",
+                "reason=\"" + std::string(reason) + "\"");
+    log(log_level::info, log_event::caller_bytes_dropped,
+        {{"peer", peer}, {"reason", reason}},
+        "bytes of a caller, perhaps a request, were dropped");
+}
+
+void count_caller_left(metrics_registry& metrics, char const* how)
+{
+    metrics.add("auburnlb_router_callers_left_total",
+                "how=\"" + std::string(how) + "\"");
+}
+
+} // namespace
+
+void record_caller_event(metrics_registry& metrics, caller_event event,
+                         std::string const& peer)
+{
+    switch (event)
+    {
+    case caller_event::idle_close:
+        metrics.add("auburnlb_router_idle_closes_total");
+        return;
+    case caller_event::bytes_after_close:
+        record_dropped_bytes(metrics, "after_close", peer);
+        return;
+    case caller_event::read_ahead_dropped:
+        record_dropped_bytes(metrics, "read_ahead", peer);
+        return;
+    case caller_event::left_closed:
+        count_caller_left(metrics, "closed");
+        return;
+    case caller_event::left_reset:
+        count_caller_left(metrics, "reset");
+        return;
+    case caller_event::left_timed_out:
+        count_caller_left(metrics, "timed_out");
+        return;
+    }
+}
+
+} // namespace auburnlb
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -163,13 +163,22 @@
     }
     if (failure)
     {
+        has_timed_out_ = failure == asio::error::timed_out;
         report_end(failure == asio::error::eof ? channel_end::closed
                                                : channel_end::broken);
         return;
     }
     // Waits first, since the receiver may close the channel.
     wait_readable();
-    if (receiver_ != nullptr && !is_closing_gracefully_)
+    if (is_closing_gracefully_)
+    {
+        if (auto const on_dropped = std::exchange(on_dropped_, nullptr))
+        {
+            on_dropped();
+        }
+        return;
+    }
+    if (receiver_ != nullptr)
     {
         receiver_->on_bytes({read_buffer().data(), length});
     }
@@ -246,17 +255,20 @@
 void tcp_channel::close()
 {
     receiver_ = nullptr;
+    on_dropped_ = nullptr;
     asio::error_code ignored;
     socket_.close(ignored);
 }
 
-void tcp_channel::close_gracefully(milliseconds linger)
+void tcp_channel::close_gracefully(milliseconds linger,
+                                   std::function<void()> on_dropped)
 {
     if (!is_open() || is_closing_gracefully_)
     {
         return;
     }
     is_closing_gracefully_ = true;
+    on_dropped_ = std::move(on_dropped);
     receiver_ = nullptr;
     if (unsent_.empty())
     {
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -1,6 +1,9 @@
-// Tests of when a caller's connection counts as idle.
+// Tests of when a caller's connection counts as idle, what is read on it, and
+// what becomes of requests that cross its close.
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -8,7 +11,6 @@
 #include <gtest/gtest.h>
 
 #include "auburnlb/router/caller_connection.hpp"
-#include "auburnlb/transport/steady_clock.hpp"
 
 using namespace auburnlb;
 using asio::ip::tcp;
@@ -16,7 +18,9 @@
 namespace
 {
 
-/// Answers each request with an empty response.
+std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// Answers each request with an empty response, at once or when told to.
 class answering_service final : public request_service
 {
 public:
@@ -24,27 +28,44 @@
                std::string, time_point) override
     {
         ++requests_;
-        http_head head;
-        head.status_ = 200;
-        caller->send_response(head, "");
+        in_progress_ = std::move(caller);
+        if (answers_at_once_)
+        {
+            answer();
+        }
     }
-    caller_limits limits() const override { return {}; }
-    bool is_closing() const override { return true; }
+    caller_limits limits() const override { return limits_; }
+    bool is_closing() const override { return is_closing_; }
     time_point now() const override { return clock_.now(); }
     void on_connection_closed(caller_connection&) override { ++closed_; }
+    void on_caller_event(caller_event event, std::string const&) override
+    {
+        events_.push_back(event);
+    }
 
+    void answer()
+    {
+        http_head head;
+        head.status_ = 200;
+        std::exchange(in_progress_, nullptr)->send_response(head, "");
+    }
+
+    manual_clock clock_;
+    caller_limits limits_;
+    bool is_closing_ = false;
+    bool answers_at_once_ = true;
+    std::shared_ptr<caller_connection> in_progress_;
+    std::vector<caller_event> events_;
     int requests_ = 0;
     int closed_ = 0;
-
-private:
-    steady_clock_source clock_;
 };
 
 /// A caller and the router's end of its connection.
 struct connected_caller
 {
     explicit connected_caller(asio::io_context& io)
-        : socket_(io)
+        : io_(io)
+        , socket_(io)
     {
         tcp::acceptor acceptor(
             io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
@@ -54,6 +75,59 @@
         connection_->start();
     }
 
+    void send(std::string const& bytes)
+    {
+        asio::write(socket_, asio::buffer(bytes));
+    }
+
+    /// Runs the router until the condition holds; false if it did not for long.
+    template <class Condition>
+    bool run_until(Condition condition)
+    {
+        auto const end =
+            std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!condition())
+        {
+            if (std::chrono::steady_clock::now() > end)
+            {
+                return false;
+            }
+            io_.restart();
+            io_.run_one_for(std::chrono::milliseconds(10));
+        }
+        return true;
+    }
+
+    bool run_until_requests(int count)
+    {
+        return run_until([&] { return service_.requests_ >= count; });
+    }
+
+    bool run_until_event(caller_event event)
+    {
+        return run_until([&] { return has(event); });
+    }
+
+    /// Runs the router for a moment, in which it must not do something.
+    void run_a_moment()
+    {
+        io_.restart();
+        io_.run_for(std::chrono::milliseconds(50));
+    }
+
+    bool has(caller_event event) const
+    {
+        return std::count(service_.events_.begin(), service_.events_.end(),
+                          event) > 0;
+    }
+
+    void tick_after(milliseconds time)
+    {
+        service_.clock_.advance(time);
+        connection_->on_tick(service_.clock_.now());
+    }
+
+    asio::io_context& io_;
     answering_service service_;
     tcp::socket socket_;
     std::shared_ptr<caller_connection> connection_;
@@ -65,15 +139,10 @@
 {
     asio::io_context io;
     connected_caller caller(io);
-    std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
-    asio::write(caller.socket_, asio::buffer(request));
+    caller.send(request);
     caller.connection_->close_if_idle();
     EXPECT_EQ(caller.service_.closed_, 0);
-    while (caller.service_.requests_ == 0 && caller.service_.closed_ == 0)
-    {
-        io.run_one();
-    }
-    EXPECT_EQ(caller.service_.requests_, 1);
+    EXPECT_TRUE(caller.run_until_requests(1));
 }
 
 TEST(caller_connection, a_connection_without_a_request_is_closed_as_idle)
@@ -82,4 +151,47 @@
     connected_caller caller(io);
     caller.connection_->close_if_idle();
     EXPECT_EQ(caller.service_.closed_, 1);
+    EXPECT_TRUE(caller.has(caller_event::idle_close));
+}
+
+TEST(caller_connection, a_request_that_crosses_the_close_is_counted)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.connection_->close_if_idle();
+    caller.send(request);
+    EXPECT_TRUE(caller.run_until_event(caller_event::bytes_after_close));
+    EXPECT_EQ(caller.service_.requests_, 0);
+}
+
+TEST(caller_connection, a_request_behind_the_last_response_is_counted)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.send("GET /x HTTP/1.1\r\nConnection: close\r\n\r\n" + request);
+    EXPECT_TRUE(caller.run_until_event(caller_event::read_ahead_dropped));
+    EXPECT_EQ(caller.service_.requests_, 1);
+}
+
+TEST(caller_connection, a_caller_that_closes_during_its_request_is_counted)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.service_.answers_at_once_ = false;
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(1));
+    caller.socket_.close();
+    EXPECT_TRUE(caller.run_until_event(caller_event::left_closed));
+}
+
+TEST(caller_connection, a_caller_that_resets_during_its_request_is_counted)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.service_.answers_at_once_ = false;
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(1));
+    caller.socket_.set_option(asio::socket_base::linger(true, 0));
+    caller.socket_.close();
+    EXPECT_TRUE(caller.run_until_event(caller_event::left_reset));
 }
