Keep the idle time that callers were promised

What callers saw: beside a change that shortens the idle limit, a request on a kept connection got neither a response nor a refusal.

Cause: connections were closed as idle by the limit in force now. A shorter limit closed at once all that had rested longer, though their last response had named the older limit in Keep-Alive and callers use such a connection up to its end. The close also came at the promised moment itself, so that a request sent at the end of the time crossed it.

A connection keeps the limit that its last response announced, or that of its accept before the first one; a longer limit holds at once. The close comes one second after the promised time.

Evidence: with the old rule put back, three new tests fail (a_shorter_idle_limit_closes_no_connection_early and ..._spares_ connections_without_request, the_whole_announced_idle_time_can_be_used: "service_.closed_ Which is: 1", expected 0). With the change all ten tests of caller_connection pass.

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -21,6 +21,10 @@
 
 class caller_connection;
 
+/// How much longer than announced a connection stays open: a request that the
+/// caller sends at the end of the time is still on its way then.
+inline constexpr milliseconds idle_close_margin{1'000};
+
 /// Is notified when the caller of a request disconnects.
 class disconnect_handler
 {
@@ -115,6 +119,7 @@
     void close(bool is_abrupt);
     void finish_request();
     void report(caller_event event);
+    bool is_idle_time_over(time_point now) const;
     void append_connection_fields(std::string& out) const;
 
     request_service& service_;
@@ -127,6 +132,9 @@
     std::string pending_;
     /// When the message being read, or the idle time, began.
     time_point phase_began_at_{};
+    /// The idle time that the caller relies on: that of the last response or,
+    /// before the first one, of the limits when the connection was accepted.
+    milliseconds announced_idle_timeout_;
     bool is_serving_ = false;
     bool is_reading_pending_ = false;
     bool has_begun_response_ = false;
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -70,6 +70,7 @@
     , reader_(http_reader::message_kind::request, *this,
               service.limits().max_header_bytes_)
     , phase_began_at_(service.now())
+    , announced_idle_timeout_(service.limits().idle_timeout_)
 {
 }
 
@@ -194,7 +195,7 @@
     append_field(out, "Keep-Alive",
                  "timeout=" +
                      std::to_string(std::chrono::duration_cast<seconds>(
-                                        service_.limits().idle_timeout_)
+                                        announced_idle_timeout_)
                                         .count()));
 }
 
@@ -202,6 +203,7 @@
                                       std::string_view body)
 {
     is_last_request_ = is_last_request_ || service_.is_closing();
+    announced_idle_timeout_ = service_.limits().idle_timeout_;
     std::string out;
     append_status_line(out, head.status_);
     append_fields(out, head);
@@ -217,6 +219,7 @@
 {
     has_begun_response_ = true;
     is_last_request_ = is_last_request_ || service_.is_closing();
+    announced_idle_timeout_ = service_.limits().idle_timeout_;
     std::string out;
     append_status_line(out, head.status_);
     append_fields(out, head);
@@ -319,6 +322,14 @@
     }
 }
 
+bool caller_connection::is_idle_time_over(time_point now) const
+{
+    // A shorter limit holds from the next response on, which tells the caller.
+    milliseconds const allowed =
+        std::max(announced_idle_timeout_, service_.limits().idle_timeout_);
+    return now - phase_began_at_ > allowed + idle_close_margin;
+}
+
 void caller_connection::on_tick(time_point now)
 {
     if (is_serving_ || is_closed_)
@@ -328,7 +339,7 @@
     caller_limits const limits = service_.limits();
     if (!reader_.is_inside_message())
     {
-        if (now - phase_began_at_ > limits.idle_timeout_ && is_idle())
+        if (is_idle_time_over(now) && is_idle())
         {
             report(caller_event::idle_close);
             close(false);
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -195,3 +195,50 @@
     caller.socket_.close();
     EXPECT_TRUE(caller.run_until_event(caller_event::left_reset));
 }
+
+TEST(caller_connection, a_shorter_idle_limit_closes_no_connection_early)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.service_.limits_.idle_timeout_ = milliseconds(20'000);
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(1));
+    caller.service_.limits_.idle_timeout_ = milliseconds(1'000);
+    caller.tick_after(milliseconds(20'000));
+    EXPECT_EQ(caller.service_.closed_, 0);
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(2));
+    // This response has announced the shorter limit.
+    caller.tick_after(milliseconds(1'000));
+    EXPECT_EQ(caller.service_.closed_, 0);
+    caller.tick_after(idle_close_margin + milliseconds(1));
+    EXPECT_EQ(caller.service_.closed_, 1);
+}
+
+TEST(caller_connection, a_shorter_idle_limit_spares_connections_without_request)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.service_.limits_.idle_timeout_ = milliseconds(1'000);
+    caller.tick_after(caller_limits{}.idle_timeout_);
+    EXPECT_EQ(caller.service_.closed_, 0);
+}
+
+TEST(caller_connection, a_longer_idle_limit_holds_at_once)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.service_.limits_.idle_timeout_ = milliseconds(60'000);
+    caller.tick_after(milliseconds(59'000));
+    EXPECT_EQ(caller.service_.closed_, 0);
+}
+
+TEST(caller_connection, the_whole_announced_idle_time_can_be_used)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(1));
+    caller.tick_after(caller_limits{}.idle_timeout_ + milliseconds(100));
+    EXPECT_EQ(caller.service_.closed_, 0);
+}
