Hold a request to the limits in force when it began

What callers saw: a request that was within the limits when its caller began to send it was rejected (413, 408) and its connection closed, since the configuration changed meanwhile; and on kept connections a larger limit for heads never came into force (431 for proper requests).

Cause: the body limit and the timeouts were those in force at each check, the head limit that of the connection's accept.

The limits are taken when a message begins, for all of it.

Evidence: with the old rule three new tests fail: a_smaller_body_limit_spares_a_request_that_has_begun and a_larger_head_limit_holds_for_kept_connections (the request is not served within 5 s), a_shorter_head_timeout_spares_a_request_that_has_ begun ("service_.closed_ Which is: 1").

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -130,6 +130,8 @@
     std::string body_;
     /// Bytes received while a request was in progress.
     std::string pending_;
+    /// Those in force when the message being read began.
+    caller_limits message_limits_;
     /// When the message being read, or the idle time, began.
     time_point phase_began_at_{};
     /// The idle time that the caller relies on: that of the last response or,
--- a/include/auburnlb/router/http_message.hpp
+++ b/include/auburnlb/router/http_message.hpp
@@ -118,6 +118,12 @@
         expects_no_body_ = expects_no_body;
     }
 
+    /// Sets the limit of the heads of later messages. Called between messages.
+    void set_max_head_bytes(std::size_t max_head_bytes)
+    {
+        max_head_bytes_ = max_head_bytes;
+    }
+
     /// Whether a message has begun and is incomplete.
     bool is_inside_message() const { return is_inside_; }
     bool is_inside_body() const { return is_inside_ && is_head_done_; }
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -100,6 +100,8 @@
     if (!reader_.is_inside_message())
     {
         phase_began_at_ = service_.now();
+        message_limits_ = service_.limits();
+        reader_.set_max_head_bytes(message_limits_.max_header_bytes_);
     }
     http_read_result const read = reader_.read(bytes);
     if (read.status_ == http_read_status::malformed)
@@ -152,7 +154,7 @@
 
 void caller_connection::on_body(std::string_view piece)
 {
-    if (body_.size() + piece.size() > service_.limits().max_body_bytes_)
+    if (body_.size() + piece.size() > message_limits_.max_body_bytes_)
     {
         is_body_too_large_ = true;
         return;
@@ -336,7 +338,6 @@
     {
         return;
     }
-    caller_limits const limits = service_.limits();
     if (!reader_.is_inside_message())
     {
         if (is_idle_time_over(now) && is_idle())
@@ -348,8 +349,8 @@
     }
     // The body gets as much time again as the head.
     milliseconds const allowed = reader_.is_inside_body()
-                                     ? 2 * limits.header_timeout_
-                                     : limits.header_timeout_;
+                                     ? 2 * message_limits_.header_timeout_
+                                     : message_limits_.header_timeout_;
     if (now - phase_began_at_ > allowed)
     {
         reject(status_request_timeout);
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -242,3 +242,41 @@
     caller.tick_after(caller_limits{}.idle_timeout_ + milliseconds(100));
     EXPECT_EQ(caller.service_.closed_, 0);
 }
+
+TEST(caller_connection, a_smaller_body_limit_spares_a_request_that_has_begun)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.send("POST /x HTTP/1.1\r\nContent-Length: 200\r\n\r\n" +
+                std::string(100, 'x'));
+    caller.run_a_moment();
+    caller.service_.limits_.max_body_bytes_ = 10;
+    caller.send(std::string(100, 'x'));
+    EXPECT_TRUE(caller.run_until_requests(1));
+}
+
+TEST(caller_connection, a_shorter_head_timeout_spares_a_request_that_has_begun)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.send("GET /x HTTP/1.1\r\n");
+    caller.run_a_moment();
+    caller.service_.limits_.header_timeout_ = milliseconds(100);
+    caller.tick_after(milliseconds(1'000));
+    EXPECT_EQ(caller.service_.closed_, 0);
+    caller.tick_after(caller_limits{}.header_timeout_);
+    EXPECT_EQ(caller.service_.closed_, 1);
+}
+
+TEST(caller_connection, a_larger_head_limit_holds_for_kept_connections)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(1));
+    caller.service_.limits_.max_header_bytes_ *= 2;
+    caller.send("GET /x HTTP/1.1\r\nLong: " +
+                std::string(caller_limits{}.max_header_bytes_, 'x') +
+                "\r\n\r\n");
+    EXPECT_TRUE(caller.run_until_requests(2));
+}
