Decide when a request is sent whether it ends before the stop

Callers of a router near the end of its planned stop saw calls cut that it had taken a moment before. Calls were let through by the time of their arrival and a fixed minimum of one second, whatever their deadline, and not looked at again after they had waited; streams that had come within the balancer's notice were never asked about.

planned_stop decides when a request is sent, for calls and streams alike, also after a wait: it is sent if its deadline comes before the answers are due, or if it should end by then. Within the balancer's notice the expected time counts, later the longest; for what must not run twice only the deadline does then. Anything else gets 503 at once, with a time to come back. What may have run is sent again in any case, since it can't be refused.

Before: a non-idempotent call with 20 s, 3.5 s after the signal, at a service that answers after 5 s, got no answer (AssertionError: 0 != 503); a stream of 400 tokens of 40 ms, 0.5 s after the signal, was taken (AssertionError at the 503).

--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -11,6 +11,7 @@
 
 #include "auburnlb/coordination/attempt_outcome.hpp"
 #include "auburnlb/coordination/attempted_endpoints.hpp"
+#include "auburnlb/coordination/planned_stop.hpp"
 #include "auburnlb/coordination/response_check.hpp"
 #include "auburnlb/coordination/stall_decision.hpp"
 #include "auburnlb/protocol/event_splitter.hpp"
@@ -82,11 +83,14 @@
     bool find_route();
     bool find_workspace();
     bool read_caller_request();
-    /// Whether the router stops before a new call could complete.
+    /// Whether the router stops before a new request could complete.
     bool is_too_late_to_begin() const;
-    /// Whether the longest response over the chosen path ends before the router
-    /// stops.
+    /// Whether the request may be sent during the planned stop.
     bool can_finish_before_stop(time_point now) const;
+    /// Returns how long the response takes, with a margin; for a model, over
+    /// the chosen path.
+    milliseconds response_time(double tokens) const;
+    /// Refuses the request for the planned stop, or ends it if it may have run.
     void refuse_for_stop();
     std::int32_t priority() const;
     waiting_request make_queue_entry(time_point now);
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -18,6 +18,7 @@
 #include "auburnlb/coordination/endpoint_directory.hpp"
 #include "auburnlb/coordination/interrupted_runs.hpp"
 #include "auburnlb/coordination/link_budget.hpp"
+#include "auburnlb/coordination/planned_stop.hpp"
 #include "auburnlb/coordination/retry_borrowing.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
@@ -67,6 +68,9 @@
     {
     }
 
+    /// The planned stop, once it has begun.
+    planned_stop stop() const { return {stop_began_at_, options_.stop_limit_}; }
+
     asio::io_context& io_;
     clock_source const& clock_;
     platform_protocol const& protocol_;
--- /dev/null
+++ b/src/coordination/planned_stop.cpp
@@ -0,0 +1,62 @@
+// Decisions on requests during a planned stop.
+#include "auburnlb/coordination/planned_stop.hpp"
+
+#include <algorithm>
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Part of the limit in which the last answers are written.
+constexpr milliseconds answers_reserve{600};
+/// Part of the limit that is reserved for the exit of the process.
+constexpr milliseconds exit_reserve{250};
+/// Neither reserve takes more than this part of a short limit.
+constexpr int max_answers_share = 4;
+constexpr int max_exit_share = 8;
+
+} // namespace
+
+time_point answers_end(planned_stop const& stop)
+{
+    return stop.began_at_ + stop.limit_ -
+           std::min(answers_reserve, stop.limit_ / max_answers_share);
+}
+
+time_point process_end(planned_stop const& stop)
+{
+    return stop.began_at_ + stop.limit_ -
+           std::min(exit_reserve, stop.limit_ / max_exit_share);
+}
+
+bool is_notice_over(planned_stop const& stop, time_point now)
+{
+    return now - stop.began_at_ > balancer_notice_time;
+}
+
+bool may_send(planned_stop const& stop, stopping_request const& request,
+              time_point now)
+{
+    if (request.may_have_run_)
+    {
+        return true;
+    }
+    nanoseconds const left = answers_end(stop) - now;
+    if (left < min_request_time)
+    {
+        return false;
+    }
+    if (request.deadline_ <= answers_end(stop))
+    {
+        return true;
+    }
+    // The load balancer still sends callers here, and few take the longest
+    // time.
+    bool const is_within_notice = !is_notice_over(stop, request.received_);
+    return (is_within_notice ? request.expected_time_ : request.longest_time_) <
+           left;
+}
+
+} // namespace auburnlb
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -20,14 +20,6 @@
 /// platform or from another router.
 constexpr milliseconds unconfigured_retry_delay{500};
 
-/// A stopping router accepts a call only if this much time is left.
-constexpr milliseconds min_call_time{1'000};
-
-/// Retry-After while other routers accept requests.
-constexpr milliseconds other_router_retry_delay{100};
-/// Time from the end of the process until its successor has a configuration.
-constexpr milliseconds restart_time{1'000};
-
 /// Part of the caller's patience that a request may wait in the queue; the rest
 /// is needed to produce the first event.
 constexpr double max_wait_share = 0.7;
@@ -156,13 +148,6 @@
     return is_refused(core_.crash_causes_, traits_);
 }
 
-bool forwarded_request::is_too_late_to_begin() const
-{
-    auto const end = core_.stop_began_at_ + core_.options_.stop_limit_;
-    return core_.is_stopping_ && !is_stream() &&
-           end - received_ < min_call_time;
-}
-
 bool forwarded_request::find_route()
 {
     std::string const* const host = head_.find("host");
@@ -322,31 +307,6 @@
     return false;
 }
 
-void forwarded_request::refuse_for_stop()
-{
-    is_waiting_ = false;
-    if (end_if_begun())
-    {
-        return;
-    }
-    if (core_.is_other_router_accepting_)
-    {
-        send_error(status_unavailable, refusal_reason::entry_stopping,
-                   other_router_retry_delay);
-        return;
-    }
-    // All routers are stopping. The first one to stop is also the first one to
-    // be back.
-    time_point const own_end =
-        core_.stop_began_at_ + core_.options_.stop_limit_;
-    time_point const end =
-        std::min(core_.first_router_stop_end_.value_or(own_end), own_end);
-    auto const left = std::chrono::duration_cast<milliseconds>(
-        std::max(end - core_.clock_.now(), nanoseconds(0)));
-    send_error(status_unavailable, refusal_reason::entry_stopping,
-               left + restart_time);
-}
-
 time_point forwarded_request::backoff_end(bool is_new_request,
                                           time_point now) const
 {
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -10,14 +10,6 @@
 namespace
 {
 
-/// Time after the stop signal during which the load balancer may still send new
-/// callers.
-constexpr milliseconds balancer_notice_time{3'000};
-/// Part of the stop limit that is reserved for the exit of the process.
-constexpr milliseconds process_exit_reserve{500};
-/// The longest response is assumed to take this many times its expected time.
-constexpr double late_stream_margin = 1.5;
-
 /// Maximum idle time of a connection for a request that must not be sent twice:
 /// one that was idle for longer is more likely to be closed by the endpoint at
 /// that moment.
@@ -120,27 +112,6 @@
     return choose_path(engines, model, demand);
 }
 
-bool forwarded_request::can_finish_before_stop(time_point now) const
-{
-    // Requests that arrive this soon after the signal are accepted even if
-    // their responses may be cut off: the load balancer still sends callers
-    // here.
-    if (event_count_ > 0 ||
-        received_ - core_.stop_began_at_ < balancer_notice_time)
-    {
-        return true;
-    }
-    double const events =
-        static_cast<double>(caller_request_.max_output_tokens_) /
-        std::max(1U, service_entry_->model_->steps_per_event_);
-    double const longest_ms = (attempt_->path_.first_event_ms_ +
-                               events * attempt_->path_.event_gap_ms_) *
-                              late_stream_margin;
-    auto const left = core_.stop_began_at_ + core_.options_.stop_limit_ -
-                      process_exit_reserve - now;
-    return milliseconds(static_cast<std::int64_t>(longest_ms)) < left;
-}
-
 void forwarded_request::begin_attempt(path_choice path)
 {
     time_point const last_progress_at = attempt_->last_progress_at_;
@@ -191,6 +162,11 @@
         return false;
     }
     begin_attempt({});
+    if (core_.is_stopping_ && !can_finish_before_stop(now))
+    {
+        refuse_for_stop();
+        return true;
+    }
     endpoint_load const load{1, 0, 0};
     add_load(*endpoint, load);
     attempt_->reservations_.push_back({endpoint, load});
--- /dev/null
+++ b/src/router/request_stop.cpp
@@ -0,0 +1,91 @@
+// Requests during a planned stop of the router.
+#include "superseded_attempt.hpp"
+
+#include <algorithm>
+
+#include "auburnlb/router/http_status.hpp"
+
+namespace auburnlb
+{
+
+namespace
+{
+
+/// Retry-After while other routers accept requests.
+constexpr milliseconds other_router_retry_delay{100};
+
+/// Time from the end of the process until its successor has a configuration.
+constexpr milliseconds restart_time{1'000};
+
+/// A response over a path is assumed to take at most this many times its
+/// expected time.
+constexpr double late_response_margin = 1.5;
+
+/// A call is assumed to take at most this many latency targets.
+constexpr int late_call_targets = 4;
+
+} // namespace
+
+bool forwarded_request::is_too_late_to_begin() const
+{
+    return core_.is_stopping_ && !can_finish_before_stop(core_.clock_.now());
+}
+
+milliseconds forwarded_request::response_time(double tokens) const
+{
+    if (!is_model())
+    {
+        return std::chrono::duration_cast<milliseconds>(
+            route_->latency_target_ * late_call_targets);
+    }
+    // Before a path is chosen, its times are 0.
+    double const events =
+        tokens / std::max(1U, service_entry_->model_->steps_per_event_);
+    double const expected_ms = attempt_->path_.first_event_ms_ +
+                               events * attempt_->path_.event_gap_ms_;
+    return milliseconds(
+        static_cast<std::int64_t>(expected_ms * late_response_margin));
+}
+
+bool forwarded_request::can_finish_before_stop(time_point now) const
+{
+    stopping_request request;
+    request.received_ = received_;
+    request.deadline_ = deadline_;
+    request.may_have_run_ = may_have_run_ || event_count_ > 0;
+    request.expected_time_ =
+        response_time(is_model() ? expected_output_tokens() : 0);
+    // A call that must not run twice is not begun on an estimate.
+    request.longest_time_ =
+        is_retryable() ? response_time(static_cast<double>(
+                             caller_request_.max_output_tokens_))
+                       : std::chrono::ceil<milliseconds>(deadline_ - now);
+    return may_send(core_.stop(), request, now);
+}
+
+void forwarded_request::refuse_for_stop()
+{
+    is_waiting_ = false;
+    if (end_if_begun())
+    {
+        return;
+    }
+    if (core_.is_other_router_accepting_)
+    {
+        send_error(status_unavailable, refusal_reason::entry_stopping,
+                   other_router_retry_delay);
+        return;
+    }
+    // All routers are stopping. The first one to stop is also the first one to
+    // be back.
+    time_point const own_end =
+        core_.stop_began_at_ + core_.options_.stop_limit_;
+    time_point const end =
+        std::min(core_.first_router_stop_end_.value_or(own_end), own_end);
+    auto const left = std::chrono::duration_cast<milliseconds>(
+        std::max(end - core_.clock_.now(), nanoseconds(0)));
+    send_error(status_unavailable, refusal_reason::entry_stopping,
+               left + restart_time);
+}
+
+} // namespace auburnlb
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -28,10 +28,6 @@
 /// capacity: the remaining ones would find none either.
 constexpr int max_failed_starts = 3;
 
-/// How long a stopping router keeps accepting connections: the load balancer
-/// stops sending callers after two failed probes, one second apart.
-constexpr milliseconds balancer_notice_time{3'000};
-
 /// Part of the stop limit that is reserved for the exit of the process.
 constexpr milliseconds process_exit_reserve{250};
 
--- a/test/process/planned_stop_test.py
+++ b/test/process/planned_stop_test.py
@@ -7,17 +7,45 @@
 import unittest
 
 from cluster import wait_until
-from platform_cluster import HOST, KEY, calm, in_background
+from platform_cluster import DESK, HOST, KEY, Caller, calm, expected_events, in_background
 
 # How long the load balancer may go on to send callers.
 NOTICE_S = 3
+# What a step of the engines takes, as their streams show.
+STEP_MS = 20.0
 LONG_DEADLINE = {"Auburnlb-Deadline-Ms": "20000"}
 
 
+def slow_route(name, kind, service=DESK):
+    return {"name": name, "host": HOST, "path-prefix": f"/{name}/", "kind": kind,
+            "timeout-ms": 20_000, "latency-target-ms": 100, "priority": 2,
+            "service": service, "max-attempts": 1, "public": False}
+
+
+ROUTES = (slow_route("order", "unsafe"), slow_route("find", "safe"))
+
+
+def configure(system):
+    """Adds the routes whose timeout is longer than a stop."""
+    system.configure(routes=ROUTES, step_ms=STEP_MS)
+    for router in system.routers:
+        wait_until(lambda router=router: Caller(
+            router, "GET", "/find/x", "probe-find").status == 200, "the routes are known")
+
+
+def call(router, path, request_id, headers=None):
+    method = "GET" if path.startswith("/find") else "POST"
+    return Caller(router, method, path, request_id, headers)
+
+
 def wait_since(began, seconds):
     wait_until(lambda: time.monotonic() >= began + seconds, "time passes")
 
 
+def desks(system):
+    return [name for name in system.engines if name.startswith("desk")]
+
+
 def models(system):
     return [name for name in system.engines if name.startswith("engine")]
 
@@ -47,6 +75,11 @@
 
 class PlannedStopTest(unittest.TestCase):
 
+    def assert_not_run(self, system, answer):
+        self.assertEqual(answer.status, 503)
+        self.assertNotIn(answer.request_id, system.runs()["runs"])
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+
     def test_stream_that_has_begun_gets_no_second_head(self):
         with calm() as system:
             router = system.routers[0]
@@ -71,6 +104,34 @@
             for each in answers:
                 self.assertLessEqual(each.count(b"HTTP/1.1 "), 1, each)
 
+    def test_late_call_that_may_outlast_the_stop_is_not_sent(self):
+        with calm() as system:
+            configure(system)
+            router = system.routers[0]
+            set_fault(system, desks(system), "after 5000")
+            # Holds the process up to the end of its stop.
+            held = in_background(call, router, "/find/x", "held-1", LONG_DEADLINE)
+            wait_until(lambda: system.runs()["runs"].get("held-1"), "the call runs")
+            router.send(signal.SIGTERM)
+            wait_since(time.monotonic(), NOTICE_S + 0.5)
+            self.assert_not_run(system, call(router, "/order/x", "late-1", LONG_DEADLINE))
+            set_fault(system, desks(system), "none")
+            short = call(router, "/order/x", "late-2", {"Auburnlb-Deadline-Ms": "1000"})
+            self.assertEqual((short.status, short.text), (200, "ran late-2"))
+            self.assertEqual(held.result().text, "ran held-1")
+
+    def test_stream_too_long_for_the_stop_is_not_sent_within_the_notice(self):
+        with calm() as system:
+            configure(system)
+            router = system.routers[0]
+            router.send(signal.SIGTERM)
+            wait_since(time.monotonic(), 0.5)
+            self.assert_not_run(system, system.stream(
+                router, "long-1", {**LONG_DEADLINE, "Auburnlb-Token-Counts": "100,400",
+                                   "Auburnlb-Length-Hint": "400"}))
+            short = system.stream(router, "short-1")
+            self.assertEqual((short.status, short.text), (200, expected_events()))
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
