Give each request a final answer at the end of a planned stop

600 ms before its limit the router now ends what is left: what may have run gets 502, a response that has begun is aborted, what was not sent is refused with 503. What waits is refused as soon as it can no longer be sent. The process then ends when the connections have closed, 250 ms before its limit at the latest. E0102 and auburnlb_router_ended_by_stop_total tell how many ended how.

Before: calls at a service that answers after 12 s and streams without an answer ended without one (AssertionError: 0 not found in (502, 504)); a call that waits for its service too (AssertionError: 0 != 503). All pass now. That a begun stream does not look whole held before and is guarded from here on.

--- a/include/auburnlb/coordination/planned_stop.hpp
+++ b/include/auburnlb/coordination/planned_stop.hpp
@@ -1,5 +1,5 @@
-// Decides what a stopping router may still send. No other code makes this
-// decision.
+// Decides what a stopping router may still send, and how it ends what is left
+// when its time is over. No other code makes these decisions.
 #ifndef AUBURNLB_COORDINATION_PLANNED_STOP_HPP
 #define AUBURNLB_COORDINATION_PLANNED_STOP_HPP
 
@@ -52,6 +52,24 @@
 bool may_send(planned_stop const& stop, stopping_request const& request,
               time_point now);
 
+/// How a request ends with the process.
+enum class stop_ending
+{
+    /// The request has not run and will not run.
+    refuse,
+    /// The request may have run; no response has begun.
+    respond_unknown,
+    /// The response has begun; it must not look complete.
+    abort_response,
+};
+
+/// Returns the enumerator's name.
+char const* to_string(stop_ending ending);
+
+/// @param was_sent whether the request is at an endpoint, or may have run at
+/// one
+stop_ending ending_of(bool has_begun_response, bool was_sent);
+
 } // namespace auburnlb
 
 #endif
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -57,6 +57,10 @@
 
     void on_tick(time_point now);
 
+    /// Ends the request if a planned stop leaves it no time. Returns how it has
+    /// ended.
+    std::optional<stop_ending> end_for_stop(time_point now);
+
     void on_caller_left() override;
     bool is_matching_response(http_head const& head) override;
     void on_response_head(http_head const& head) override;
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -63,6 +63,12 @@
     void start_waiting_requests(time_point now);
     void detect_suspension(time_point now);
     void check_stop(time_point now);
+    void close_idle_connections(time_point now);
+    /// Ends the requests that the planned stop leaves no time.
+    void end_requests_for_stop(time_point now);
+    /// Whether no caller waits for an answer.
+    bool has_finished() const;
+    void log_stop() const;
     bool is_ready() const;
 
     void on_configuration(store_object const& object,
@@ -117,6 +123,8 @@
     local_server ready_server_;
     local_server control_server_;
     std::set<std::shared_ptr<caller_connection>> connections_;
+    /// The requests that the planned stop has ended.
+    std::map<stop_ending, std::size_t> stop_endings_;
     asio::steady_timer timer_;
     time_point last_tick_{};
     std::chrono::steady_clock::time_point last_steady_{};
--- a/src/coordination/planned_stop.cpp
+++ b/src/coordination/planned_stop.cpp
@@ -59,4 +59,27 @@
            left;
 }
 
+char const* to_string(stop_ending ending)
+{
+    switch (ending)
+    {
+    case stop_ending::refuse:
+        return "refused";
+    case stop_ending::respond_unknown:
+        return "unknown";
+    case stop_ending::abort_response:
+        return "broken_off";
+    }
+    return "unknown";
+}
+
+stop_ending ending_of(bool has_begun_response, bool was_sent)
+{
+    if (has_begun_response)
+    {
+        return stop_ending::abort_response;
+    }
+    return was_sent ? stop_ending::respond_unknown : stop_ending::refuse;
+}
+
 } // namespace auburnlb
--- a/src/router/request_stop.cpp
+++ b/src/router/request_stop.cpp
@@ -88,4 +88,42 @@
                left + restart_time);
 }
 
+std::optional<stop_ending> forwarded_request::end_for_stop(time_point now)
+{
+    bool const has_not_run = connection_ == nullptr && !may_have_run_;
+    if (now < answers_end(core_.stop()) &&
+        !(is_waiting_ && has_not_run && is_too_late_to_begin()))
+    {
+        return std::nullopt;
+    }
+    auto const keep_alive = shared_from_this();
+    stop_ending const ending =
+        ending_of(caller_->has_begun_response(), !has_not_run);
+    if (connection_ != nullptr)
+    {
+        connection_->cancel();
+        connection_.reset();
+    }
+    if (is_waiting_)
+    {
+        remove_waiting(service().queue_, ticket_);
+        service().waiting_.erase(ticket_);
+    }
+    switch (ending)
+    {
+    case stop_ending::refuse:
+        refuse_for_stop();
+        break;
+    case stop_ending::respond_unknown:
+        send_error(status_bad_gateway, refusal_reason::call_outcome_unknown,
+                   std::nullopt);
+        break;
+    case stop_ending::abort_response:
+        caller_->abort_response();
+        end_request("broken_off", 0);
+        break;
+    }
+    return ending;
+}
+
 } // namespace auburnlb
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -28,9 +28,6 @@
 /// capacity: the remaining ones would find none either.
 constexpr int max_failed_starts = 3;
 
-/// Part of the stop limit that is reserved for the exit of the process.
-constexpr milliseconds process_exit_reserve{250};
-
 } // namespace
 
 router::router(asio::io_context& io, clock_source const& clock,
@@ -150,26 +147,63 @@
     {
         return;
     }
-    auto const elapsed = now - core_.stop_began_at_;
-    if (elapsed > balancer_notice_time)
+    end_requests_for_stop(now);
+    bool const is_done = is_notice_over(core_.stop(), now) && has_finished();
+    if (is_done || now >= process_end(core_.stop()))
+    {
+        log_stop();
+        core_.io_.stop();
+    }
+}
+
+void router::end_requests_for_stop(time_point now)
+{
+    auto const active = core_.active_;
+    for (auto const& each : active)
     {
-        auto const connections = connections_;
-        for (auto const& each : connections)
+        if (auto const ending = each->end_for_stop(now))
         {
-            each->close_if_idle();
+            ++stop_endings_[*ending];
+            core_.metrics_.add("auburnlb_router_ended_by_stop_total",
+                               std::string("ending=\"") + to_string(*ending) +
+                                   "\"");
         }
     }
-    bool const is_done = elapsed > balancer_notice_time &&
-                         core_.active_.empty() && connections_.empty();
-    if (is_done || elapsed > core_.options_.stop_limit_ - process_exit_reserve)
+}
+
+bool router::has_finished() const
+{
+    return core_.active_.empty() && connections_.empty();
+}
+
+void router::close_idle_connections(time_point now)
+{
+    auto const connections = connections_;
+    for (auto const& each : connections)
     {
-        log(log_level::info, log_event::process_stopped,
-            {{"requests", std::to_string(core_.active_.size())}},
-            "the router has stopped");
-        core_.io_.stop();
+        each->on_tick(now);
+        if (core_.is_stopping_ && is_notice_over(core_.stop(), now))
+        {
+            each->close_if_idle();
+        }
     }
 }
 
+void router::log_stop() const
+{
+    auto const count = [this](stop_ending ending)
+    {
+        auto const found = stop_endings_.find(ending);
+        return std::to_string(found == stop_endings_.end() ? 0 : found->second);
+    };
+    log(log_level::info, log_event::process_stopped,
+        {{"requests", std::to_string(core_.active_.size())},
+         {"refused", count(stop_ending::refuse)},
+         {"unknown", count(stop_ending::respond_unknown)},
+         {"broken_off", count(stop_ending::abort_response)}},
+        "the router has stopped");
+}
+
 void router::schedule_tick()
 {
     timer_.expires_after(tick_interval);
@@ -220,6 +254,7 @@
     }
     retries_.on_tick(now);
     start_waiting_requests(now);
+    check_stop(now);
     flush_log();
     if (now < next_slow_tick_)
     {
@@ -236,11 +271,7 @@
     {
         on_record(each, record_age::newest);
     }
-    auto const connections = connections_;
-    for (auto const& each : connections)
-    {
-        each->on_tick(now);
-    }
+    close_idle_connections(now);
     probe_interrupted_runs();
     expire_interrupted_runs(core_.interrupted_runs_, now);
     expire_crash_causes(core_.crash_causes_, now);
@@ -250,7 +281,6 @@
     control_server_.on_tick(now);
     sync_router_list(now);
     update_gauges();
-    check_stop(now);
 }
 
 void router::update_gauges()
--- a/test/coordination/planned_stop_test.cpp
+++ b/test/coordination/planned_stop_test.cpp
@@ -81,4 +81,12 @@
     {
         EXPECT_TRUE(may_send(stop, call, at(milliseconds(ms))));
     }
+    EXPECT_EQ(ending_of(false, true), stop_ending::respond_unknown);
+    EXPECT_EQ(ending_of(true, true), stop_ending::abort_response);
+}
+
+TEST(planned_stop, only_what_was_never_sent_is_refused)
+{
+    EXPECT_EQ(ending_of(false, false), stop_ending::refuse);
+    EXPECT_EQ(ending_of(true, false), stop_ending::abort_response);
 }
--- a/test/process/planned_stop_test.py
+++ b/test/process/planned_stop_test.py
@@ -9,6 +9,8 @@
 from cluster import wait_until
 from platform_cluster import DESK, HOST, KEY, Caller, calm, expected_events, in_background
 
+# The time that a planned stop has, from the signal on.
+STOP_LIMIT_S = 8
 # How long the load balancer may go on to send callers.
 NOTICE_S = 3
 # What a step of the engines takes, as their streams show.
@@ -22,7 +24,8 @@
             "service": service, "max-attempts": 1, "public": False}
 
 
-ROUTES = (slow_route("order", "unsafe"), slow_route("find", "safe"))
+ROUTES = (slow_route("order", "unsafe"), slow_route("find", "safe"),
+          slow_route("nowhere", "unsafe", "nobody"))
 
 
 def configure(system):
@@ -80,6 +83,56 @@
         self.assertNotIn(answer.request_id, system.runs()["runs"])
         self.assertGreater(float(answer.headers["retry-after"]), 0)
 
+    def test_call_in_progress_at_the_end_gets_an_answer(self):
+        with calm() as system:
+            configure(system)
+            router = system.routers[0]
+            set_fault(system, desks(system), "after 12000")
+            router.send(signal.SIGTERM)
+            began = time.monotonic()
+            wait_since(began, 1)
+            calls = [in_background(call, router, path, path[1:], LONG_DEADLINE)
+                     for path in ("/order/x", "/find/x")]
+            for answer in [each.result() for each in calls]:
+                self.assertIn(answer.status, (502, 504), answer.request_id)
+                self.assertTrue(answer.is_whole)
+            self.assertEqual(router.child.wait(20), 0)
+            self.assertLess(time.monotonic() - began, STOP_LIMIT_S)
+
+    def test_call_that_waits_at_the_end_is_refused_as_not_run(self):
+        with calm() as system:
+            configure(system)
+            router = system.routers[0]
+            waiting = in_background(call, router, "/nowhere/x", "waiting-1", LONG_DEADLINE)
+            time.sleep(0.2)
+            router.send(signal.SIGTERM)
+            self.assert_not_run(system, waiting.result())
+            self.assertEqual(router.child.wait(20), 0)
+
+    def test_stream_without_an_answer_at_the_end_gets_one(self):
+        with calm() as system:
+            configure(system)
+            router = system.routers[0]
+            set_fault(system, models(system), "mute")
+            stream = in_background(system.stream, router, "mute-1", LONG_DEADLINE)
+            wait_until(lambda: system.runs()["runs"].get("mute-1"), "the stream runs")
+            router.send(signal.SIGTERM)
+            self.assertIn(stream.result().status, (502, 504))
+            self.assertTrue(stream.result().is_whole)
+            self.assertEqual(router.child.wait(20), 0)
+
+    def test_stream_in_progress_at_the_end_does_not_look_whole(self):
+        with calm() as system:
+            configure(system)
+            router = system.routers[0]
+            set_fault(system, models(system), "held")
+            stream = in_background(system.stream, router, "held-1", LONG_DEADLINE)
+            wait_until(lambda: system.runs()["runs"].get("held-1"), "the stream runs")
+            router.send(signal.SIGTERM)
+            self.assertEqual(stream.result().status, 200)
+            self.assertFalse(stream.result().is_whole)
+            self.assertEqual(router.child.wait(20), 0)
+
     def test_stream_that_has_begun_gets_no_second_head(self):
         with calm() as system:
             router = system.routers[0]
