Write the last answers out before a stopping router ends

Callers that read an answer late got a part of it from a stopping router. The answer says that the connection closes, so the connection counted as closed at once, and the process ended within 100 ms while bytes were still buffered (4.8 of 12.6 MB came). With the process waiting for them, the channel was still closed one second after the close began, with bytes unsent (11.1 and 12.4 MB came in two trials).

The router keeps the closed connections that still write and doesn't end before them, within its limit. A channel lingers from the moment at which its last byte is written; a peer that takes nothing ends it earlier, by the limit for unacknowledged bytes.

The test reads a 12 MB answer 0.3 s late.

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -99,6 +99,12 @@
     }
     /// Bytes that are not yet written to the socket.
     std::size_t unsent_bytes() const { return channel_->unsent_bytes(); }
+    /// Whether bytes are still being written, also after the connection was
+    /// closed.
+    bool is_writing() const
+    {
+        return channel_->is_open() && !channel_->is_drained();
+    }
     /// Closes the connection if no request is in progress.
     void close_if_idle();
     void on_tick(time_point now);
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -66,7 +66,7 @@
     void close_idle_connections(time_point now);
     /// Ends the requests that the planned stop leaves no time.
     void end_requests_for_stop(time_point now);
-    /// Whether no caller waits for an answer.
+    /// Whether nothing is left to answer or to write.
     bool has_finished() const;
     void log_stop() const;
     bool is_ready() const;
@@ -123,6 +123,8 @@
     local_server ready_server_;
     local_server control_server_;
     std::set<std::shared_ptr<caller_connection>> connections_;
+    /// Closed connections whose last bytes are still being written.
+    std::vector<std::shared_ptr<caller_connection>> closing_connections_;
     /// The requests that the planned stop has ended.
     std::map<stop_ending, std::size_t> stop_endings_;
     asio::steady_timer timer_;
--- a/include/auburnlb/router/tcp_channel.hpp
+++ b/include/auburnlb/router/tcp_channel.hpp
@@ -65,9 +65,10 @@
     /// any more.
     void close();
 
-    /// Sends buffered bytes, closes the sending half, and reads without a
-    /// receiver until the linger time is over: closing a socket with unread
-    /// bytes would reset the connection and could lose the end of the response.
+    /// Sends buffered bytes, closes the sending half, and from then on reads
+    /// without a receiver until the linger time is over: closing a socket with
+    /// unread bytes would reset the connection and could lose the end of the
+    /// response. A peer that takes no bytes ends the connection earlier.
     /// @param on_dropped called at most once, when such bytes arrive
     void close_gracefully(milliseconds linger,
                           std::function<void()> on_dropped = nullptr);
@@ -91,6 +92,7 @@
     void read_available();
     void wait_writable();
     void write_unsent();
+    void close_sending_half();
     void report_end(channel_end end);
 
     asio::ip::tcp::socket socket_;
@@ -104,6 +106,8 @@
     bool has_timed_out_ = false;
     /// Null once called.
     std::function<void()> on_dropped_;
+    /// Time for which the closed channel continues to be read.
+    milliseconds linger_{0};
 };
 
 } // namespace auburnlb
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -173,11 +173,18 @@
 
 bool router::has_finished() const
 {
-    return core_.active_.empty() && connections_.empty();
+    return core_.active_.empty() && connections_.empty() &&
+           std::none_of(closing_connections_.begin(),
+                        closing_connections_.end(),
+                        [](std::shared_ptr<caller_connection> const& each)
+                        { return each->is_writing(); });
 }
 
 void router::close_idle_connections(time_point now)
 {
+    std::erase_if(closing_connections_,
+                  [](std::shared_ptr<caller_connection> const& each)
+                  { return !each->is_writing(); });
     auto const connections = connections_;
     for (auto const& each : connections)
     {
@@ -350,7 +357,12 @@
 
 void router::on_connection_closed(caller_connection& connection)
 {
-    connections_.erase(connection.shared_from_this());
+    auto const closed = connection.shared_from_this();
+    connections_.erase(closed);
+    if (closed->is_writing())
+    {
+        closing_connections_.push_back(closed);
+    }
 }
 
 } // namespace auburnlb
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -247,8 +247,7 @@
     }
     if (is_closing_gracefully_)
     {
-        asio::error_code ignored;
-        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        close_sending_half();
     }
 }
 
@@ -269,14 +268,20 @@
     }
     is_closing_gracefully_ = true;
     on_dropped_ = std::move(on_dropped);
+    linger_ = linger;
     receiver_ = nullptr;
     if (unsent_.empty())
     {
-        asio::error_code ignored;
-        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        close_sending_half();
     }
+}
+
+void tcp_channel::close_sending_half()
+{
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     auto timer =
-        std::make_shared<asio::steady_timer>(socket_.get_executor(), linger);
+        std::make_shared<asio::steady_timer>(socket_.get_executor(), linger_);
     timer->async_wait([self = shared_from_this(),
                        timer](asio::error_code const&) { self->close(); });
 }
--- a/test/process/planned_stop_test.py
+++ b/test/process/planned_stop_test.py
@@ -185,6 +185,23 @@
             short = system.stream(router, "short-1")
             self.assertEqual((short.status, short.text), (200, expected_events()))
 
+    def test_answer_that_the_caller_reads_late_is_whole(self):
+        with calm() as system:
+            configure(system)
+            router = system.routers[0]
+            set_fault(system, desks(system), "large")
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+                caller.settimeout(15)
+                caller.connect(("127.0.0.1", router.callers))
+                router.send(signal.SIGTERM)
+                wait_since(time.monotonic(), NOTICE_S)
+                caller.sendall(head_of("POST", "/find/x", "large-1"))
+                time.sleep(0.3)
+                _, _, body = read_all(caller).partition(b"\r\n\r\n")
+            self.assertEqual(len(body), 12 * 1024 * 1024)
+            self.assertEqual(router.child.wait(20), 0)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
