Stop routers under load in the process tests

Streams and calls on kept connections meet a planned stop: calm, with calls that answer 0.7 s late, a second signal, changes of the configuration beside, two routers in turn. Each request gets a whole answer, a 503 that is true, a 502 or a 504, or was neither passed on nor kept longer than 200 ms.

--- a/test/process/planned_stop_test.py
+++ b/test/process/planned_stop_test.py
@@ -3,6 +3,7 @@
 
 import signal
 import socket
+import threading
 import time
 import unittest
 
@@ -13,6 +14,8 @@
 STOP_LIMIT_S = 8
 # How long the load balancer may go on to send callers.
 NOTICE_S = 3
+# A request whose connection ends later than this after its last byte was read.
+READ_SLACK_S = 0.2
 # What a step of the engines takes, as their streams show.
 STEP_MS = 20.0
 LONG_DEADLINE = {"Auburnlb-Deadline-Ms": "20000"}
@@ -76,6 +79,71 @@
     return text
 
 
+class KeptCaller(threading.Thread):
+    """Sends one request after the other on kept connections."""
+
+    def __init__(self, routers, name, paths, until):
+        super().__init__()
+        self.routers, self.caller, self.paths, self.until = routers, name, paths, until
+        self.answers = []
+
+    def run(self):
+        connection, count = None, 0
+        while time.monotonic() < self.until:
+            router = self.routers[count % len(self.routers)]
+            path = self.paths[count % len(self.paths)]
+            request_id = f"{self.caller}-{count}"
+            count += 1
+            try:
+                connection = connection or socket.create_connection(
+                    ("127.0.0.1", router.callers), timeout=15)
+                connection.sendall(head_of("POST", path, request_id))
+            except OSError:
+                # Nothing listens any more, or the connection was closed as idle.
+                connection = None
+                time.sleep(0.02)
+                continue
+            sent_at = time.monotonic()
+            status, is_whole, is_kept = self.read_answer(connection)
+            self.answers.append((request_id, path, status, is_whole,
+                                 time.monotonic() - sent_at))
+            if not is_kept:
+                connection.close()
+                connection = None
+
+    @staticmethod
+    def read_answer(connection):
+        """Gives (status, whether it is whole, whether the connection stays)."""
+        text = b""
+
+        def more():
+            nonlocal text
+            try:
+                piece = connection.recv(65536)
+            except OSError:
+                piece = b""
+            text += piece
+            return bool(piece)
+        while b"\r\n\r\n" not in text:
+            if not more():
+                return 0, False, False
+        head, _, text = text.partition(b"\r\n\r\n")
+        status = int(head.split()[1])
+        fields = head.lower().decode().split("\r\n")
+        is_kept = "connection: close" not in fields
+        length = [line for line in fields if line.startswith("content-length:")]
+        if length:
+            needed = int(length[0].split(":")[1])
+            while len(text) < needed:
+                if not more():
+                    return status, False, False
+            return status, True, is_kept
+        while not text.endswith(b"0\r\n\r\n"):
+            if not more():
+                return status, False, False
+        return status, True, is_kept
+
+
 class PlannedStopTest(unittest.TestCase):
 
     def assert_not_run(self, system, answer):
@@ -202,6 +270,78 @@
             self.assertEqual(len(body), 12 * 1024 * 1024)
             self.assertEqual(router.child.wait(20), 0)
 
+    def check_answers(self, system, callers):
+        """Every request got an answer that is true, or was never read."""
+        runs = system.runs()["runs"]
+        answers = [answer for caller in callers for answer in caller.answers]
+        for request_id, path, status, is_whole, seconds in answers:
+            what = (request_id, path, status, is_whole, round(seconds, 3))
+            if status == 0:
+                self.assertNotIn(request_id, runs, what)
+                self.assertLess(seconds, READ_SLACK_S, what)
+                continue
+            self.assertTrue(is_whole, what)
+            self.assertIn(status, (200, 502, 503, 504), what)
+            if status == 503:
+                self.assertNotIn(request_id, runs, what)
+            if not path.startswith("/stream"):
+                self.assertLessEqual(runs.get(request_id, 0), 1, what)
+        return answers
+
+    def start_load(self, routers, seconds):
+        until = time.monotonic() + seconds
+        paths = ["/book/x", "/stream/x", "/order/x"]
+        callers = [KeptCaller(routers, f"caller{index}", paths[index % 3:] + paths[:index % 3],
+                              until) for index in range(9)]
+        for each in callers:
+            each.start()
+        return callers
+
+    def stop_under_load(self, act, routers=1, seconds=STOP_LIMIT_S + 2):
+        with calm(routers=routers) as system:
+            configure(system)
+            callers = self.start_load(system.routers, seconds)
+            time.sleep(1)
+            act(system)
+            for each in callers:
+                each.join()
+            answers = self.check_answers(system, callers)
+            self.assertGreater(sum(each[2] == 200 for each in answers), 50)
+            for router in system.routers:
+                self.assertEqual(router.child.wait(20), 0)
+
+    def test_load_on_kept_connections(self):
+        self.stop_under_load(lambda system: system.routers[0].send(signal.SIGTERM))
+
+    def test_load_at_calls_that_answer_late(self):
+        def stop(system):
+            set_fault(system, desks(system), "after 700")
+            system.routers[0].send(signal.SIGTERM)
+        self.stop_under_load(stop)
+
+    def test_second_signal_changes_nothing(self):
+        def stop_twice(system):
+            router = system.routers[0]
+            router.send(signal.SIGTERM)
+            time.sleep(0.5)
+            router.send(signal.SIGTERM)
+        self.stop_under_load(stop_twice)
+
+    def test_configuration_change_beside(self):
+        def stop_and_change(system):
+            system.routers[0].send(signal.SIGTERM)
+            for _ in range(4):
+                system.configure(routes=ROUTES, step_ms=STEP_MS)
+                time.sleep(0.7)
+        self.stop_under_load(stop_and_change)
+
+    def test_two_routers_in_turn(self):
+        def stop_both(system):
+            system.routers[0].send(signal.SIGTERM)
+            time.sleep(4)
+            system.routers[1].send(signal.SIGTERM)
+        self.stop_under_load(stop_both, routers=2, seconds=15)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
