--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -25,7 +25,7 @@
 
 
 def configuration(version=1, routes=(), keys=(KEY,), timeout_ms=10_000, book_attempts=1,
-                  step_ms=1.0):
+                  step_ms=1.0, limits=None):
     """The operators' object: a stream route and two plain ones."""
     base = [
         {"name": "stream", "host": HOST, "path-prefix": "/stream/", "kind": "streaming",
@@ -49,7 +49,8 @@
                                        "read-x": 1.0}]}},
                 {"name": DESK, "max-connections": 64}],
             "limits": {"max-header-bytes": 4096, "max-body-bytes": 65536,
-                       "header-timeout-ms": 500, "idle-timeout-ms": 20000},
+                       "header-timeout-ms": 500, "idle-timeout-ms": 20000,
+                       **(limits or {})},
             "tenants": [{"name": "workspace", "api-keys": list(keys)}]}
 
 
