Serve what was read ahead before a stop closes a connection

What callers saw: beside a planned stop, a request that had arrived in the same read as the one before it got neither a response nor a refusal.

Cause: the response to the earlier one said Connection: close, and the later one, read whole, was dropped.

A stop ends a connection only with the response behind which nothing has been read. A caller that itself asked for Connection: close still gets nothing more.

Evidence: before, a_stop_serves_a_request_read_behind_another failed (run_until_requests(2) false, read_ahead_dropped reported); now all of test_router passes.

--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -51,6 +51,13 @@
     }
 }
 
+/// A stop ends a connection once what was read ahead on it has been served.
+bool closes_after_request(request_service const& service,
+                          std::string const& read_ahead)
+{
+    return service.is_closing() && read_ahead.empty();
+}
+
 caller_event how_caller_left(channel_end end, bool has_timed_out)
 {
     if (end == channel_end::closed)
@@ -189,7 +196,7 @@
 
 void caller_connection::append_connection_fields(std::string& out) const
 {
-    if (is_last_request_ || service_.is_closing())
+    if (is_last_request_)
     {
         append_field(out, "Connection", "close");
         return;
@@ -204,7 +211,8 @@
 void caller_connection::send_response(http_head const& head,
                                       std::string_view body)
 {
-    is_last_request_ = is_last_request_ || service_.is_closing();
+    is_last_request_ =
+        is_last_request_ || closes_after_request(service_, pending_);
     announced_idle_timeout_ = service_.limits().idle_timeout_;
     std::string out;
     append_status_line(out, head.status_);
@@ -220,7 +228,8 @@
 void caller_connection::begin_response(http_head const& head)
 {
     has_begun_response_ = true;
-    is_last_request_ = is_last_request_ || service_.is_closing();
+    is_last_request_ =
+        is_last_request_ || closes_after_request(service_, pending_);
     announced_idle_timeout_ = service_.limits().idle_timeout_;
     std::string out;
     append_status_line(out, head.status_);
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -280,3 +280,14 @@
                 "\r\n\r\n");
     EXPECT_TRUE(caller.run_until_requests(2));
 }
+
+TEST(caller_connection, a_stop_serves_a_request_read_behind_another)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.service_.is_closing_ = true;
+    caller.send(request + request);
+    EXPECT_TRUE(caller.run_until_requests(2));
+    EXPECT_TRUE(caller.run_until([&] { return caller.service_.closed_ == 1; }));
+    EXPECT_FALSE(caller.has(caller_event::read_ahead_dropped));
+}
