--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -11,13 +11,13 @@
 // is read; "deny" answers 409; "head" breaks off within the head, and "bare"
 // after it, of an answer without a length, "bare-denial" the same of 409;
 // "repeat" refuses, and writes each refusal once more before the next answer on
-// its connection, "anonymous" the same without ids; "held" begins a stream and
-// sends no event while the fault lasts; "after MS" runs a call and answers that
-// much later; "large" answers a call with 12 MB. A post to /fake/limit sets
-// the rate limit that responses name, an empty one ends it. A post to
-// /fake/backoff sets the backoff in seconds that "shed" asks for. A post to
-// /fake/leave makes all responses say that the engine leaves, one to
-// /fake/register writes its entry again. GET /fake/runs gives the runs by id.
+// its connection, "anonymous" the same without ids; "held" begins a stream
+// without events; "after MS" answers a call later; "large" answers it with 12
+// MB. A post to /fake/limit sets the rate limit that responses name, an empty
+// one ends it. A post to /fake/backoff sets the backoff in seconds that "shed"
+// asks for. A post to /fake/leave makes all responses say that the engine
+// leaves, one to /fake/register writes its entry again. GET /fake/runs gives
+// the runs by id.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -53,7 +53,6 @@
 constexpr unsigned unavailable = 503;
 /// Tells an end by a request from one by a fault of this program.
 constexpr int crashed_exit_code = 3;
-/// More than the system buffers for a caller that does not read.
 constexpr std::size_t large_body_bytes = std::size_t{12} * 1024 * 1024;
 
 /// Addresses of a path's other parts.
