Let calls outlast an endpoint that is silent for a moment

Callers saw: a companion that stands still for 0.7 s cost each call that was at it. A call without a key ended with 502, call_outcome_unknown, although the endpoint's answer was ready when the companion went on. A repeatable call ended with 503, no_endpoint, when all companions of the service stood still.

Cause: the entry takes a peer for lost after 250 ms without an answer to a hello, for silence as for a refused connection, and a lost peer ended an unkeyed call at once. A repeatable call was given to another endpoint, and ended at once when there was none.

Why it works: silence and the end of an incarnation are told apart. An unkeyed call keeps its endpoint for up to 2 s of silence and takes its answer; it ends at once when the endpoint's connection is refused or another incarnation answers. A repeatable call that was lost with its endpoint and finds no other looks again every 50 ms to 1 s, for up to 2 s, and takes the silent one's answer meanwhile. It pays one retry for the one time that it is sent again. A call that was never sent is refused at once as before.

--- a/include/auburnlb/entry/call_service.hpp
+++ b/include/auburnlb/entry/call_service.hpp
@@ -56,7 +56,10 @@
 
     void submit(plain_call call);
     void on_reply(call_reply const& reply);
-    void on_peer_lost(std::string const& address, incarnation_id incarnation);
+    void on_peer_lost(std::string const& address, incarnation_id incarnation,
+                      retry_reason reason);
+    void on_peer_answered(std::string const& address,
+                          incarnation_id incarnation);
     /// Takes a newer claim table of a service, as JSON.
     void on_claim_table(std::string const& service, std::string const& json);
     /// Must be called at least every 50 ms.
--- a/include/auburnlb/protocol/call.hpp
+++ b/include/auburnlb/protocol/call.hpp
@@ -36,6 +36,9 @@
     milliseconds resend_max_{1'000};
     /// Maximum number of attempts of a call that is not keyed.
     std::uint32_t max_attempts_ = 4;
+    /// A call without a key waits this long for a silent endpoint to go on, if
+    /// no other one can take the call.
+    milliseconds silence_patience_{2'000};
 };
 
 /// State of one call at its entry.
@@ -57,6 +60,9 @@
     bool may_have_run_ = false;
     /// The last transient refusal of a keyed call.
     std::optional<refusal_reason> last_reason_;
+    /// When the endpoint of an unkeyed call fell silent, or since when an
+    /// idempotent call has found no endpoint to be repeated at.
+    std::optional<time_point> silent_since_;
     std::optional<time_point> resend_at_;
     milliseconds resend_wait_{0};
     bool is_ended_ = false;
@@ -115,10 +121,15 @@
 call_actions on_call_reply(call_state& state, call_reply const& reply,
                            time_point now);
 
-/// Handles the loss of the incarnation that the attempt was sent to: it is gone
-/// or does not respond.
+/// Handles the loss of the incarnation that the attempt was sent to: it is
+/// gone, or does not respond if the reason is stage_silent.
 call_actions on_call_peer_lost(call_state& state, std::string const& peer,
-                               incarnation_id incarnation, time_point now);
+                               incarnation_id incarnation, retry_reason reason,
+                               time_point now);
+
+/// Handles a sign of life of an endpoint that may have been silent.
+call_actions on_call_peer_answered(call_state& state, std::string const& peer,
+                                   incarnation_id incarnation, time_point now);
 
 /// Checks the deadline, and whether a keyed call is due to be sent again.
 call_actions on_call_tick(call_state& state, time_point now);
--- a/src/entry/call_service.cpp
+++ b/src/entry/call_service.cpp
@@ -261,12 +261,23 @@
 }
 
 void call_service::on_peer_lost(std::string const& address,
-                                incarnation_id incarnation)
+                                incarnation_id incarnation, retry_reason reason)
 {
     for (auto& [sequence, call] : calls_)
     {
         apply(*call, on_call_peer_lost(call->state_, address, incarnation,
-                                       clock_.now()));
+                                       reason, clock_.now()));
+    }
+    remove_ended_calls();
+}
+
+void call_service::on_peer_answered(std::string const& address,
+                                    incarnation_id incarnation)
+{
+    for (auto& [sequence, call] : calls_)
+    {
+        apply(*call, on_call_peer_answered(call->state_, address, incarnation,
+                                           clock_.now()));
     }
     remove_ended_calls();
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -445,12 +445,14 @@
         metrics_.add("auburnlb_peers_lost_total");
         streams_->on_peer_lost(action.address_, action.incarnation_,
                                action.reason_);
-        calls_->on_peer_lost(action.address_, action.incarnation_);
+        calls_->on_peer_lost(action.address_, action.incarnation_,
+                             action.reason_);
     }
 
     void execute(peer_answered const& action)
     {
         streams_->on_peer_answered(action.address_, action.incarnation_);
+        calls_->on_peer_answered(action.address_, action.incarnation_);
     }
 
     void execute(disconnect_peer const& action)
--- a/src/protocol/call.cpp
+++ b/src/protocol/call.cpp
@@ -43,6 +43,18 @@
     return {};
 }
 
+/// Waits for an endpoint to be back after a repeatable call was lost with one.
+/// The retry has been paid for, so its later routing is no further retry.
+call_actions wait_for_endpoint(call_state& state, time_point now)
+{
+    if (!state.silent_since_)
+    {
+        state.silent_since_ = now;
+    }
+    state.excluded_.clear();
+    return schedule_resend(state, now);
+}
+
 /// Retries on another endpoint a call that provably did not run, or that may
 /// run again.
 call_actions retry_on_other_endpoint(call_state& state, std::string const& peer,
@@ -120,6 +132,7 @@
     ++state.attempts_;
     state.peer_ = peer;
     state.incarnation_ = incarnation;
+    state.silent_since_.reset();
     state.resend_at_.reset();
 }
 
@@ -136,7 +149,9 @@
     }
     if (peer.empty())
     {
-        return fail(state, refusal_reason::no_endpoint);
+        return state.may_have_run_ && state.kind_ == call_kind::idempotent
+                   ? wait_for_endpoint(state, now)
+                   : fail(state, refusal_reason::no_endpoint);
     }
     ++state.attempts_;
     return retry_on_other_endpoint(state, peer, refusal_reason::no_endpoint,
@@ -161,6 +176,11 @@
     {
         return on_keyed_refusal(state, reply, now);
     }
+    if (state.resend_at_)
+    {
+        // The attempt was given up already.
+        return {};
+    }
     bool const has_not_run = reply.run_state_ == run_state::not_run;
     state.may_have_run_ = state.may_have_run_ || !has_not_run;
     if (has_not_run || state.kind_ == call_kind::idempotent)
@@ -172,7 +192,8 @@
 }
 
 call_actions on_call_peer_lost(call_state& state, std::string const& peer,
-                               incarnation_id incarnation, time_point now)
+                               incarnation_id incarnation, retry_reason reason,
+                               time_point now)
 {
     if (state.is_ended_ || state.peer_ != peer ||
         state.incarnation_ != incarnation)
@@ -184,7 +205,7 @@
     case call_kind::idempotent:
         state.may_have_run_ = true;
         return retry_on_other_endpoint(state, peer, refusal_reason::no_endpoint,
-                                       retry_reason::stage_died);
+                                       reason);
     case call_kind::keyed:
         state.may_have_run_ = true;
         return schedule_resend(state, now);
@@ -192,9 +213,30 @@
         break;
     }
     state.may_have_run_ = true;
+    if (reason == retry_reason::stage_silent)
+    {
+        state.silent_since_ = now;
+        return {};
+    }
     return fail(state, refusal_reason::call_outcome_unknown);
 }
 
+call_actions on_call_peer_answered(call_state& state, std::string const& peer,
+                                   incarnation_id incarnation, time_point now)
+{
+    if (!state.silent_since_ || state.peer_ != peer)
+    {
+        return {};
+    }
+    if (state.incarnation_ != incarnation)
+    {
+        return on_call_peer_lost(state, peer, state.incarnation_,
+                                 retry_reason::stage_died, now);
+    }
+    state.silent_since_.reset();
+    return {};
+}
+
 call_actions on_call_tick(call_state& state, time_point now)
 {
     if (state.is_ended_)
@@ -213,10 +255,19 @@
                 : state.last_reason_.value_or(refusal_reason::deadline_passed);
         return fail(state, reason);
     }
+    if (state.silent_since_ &&
+        now - *state.silent_since_ > state.limits_.silence_patience_)
+    {
+        return fail(state, state.kind_ == call_kind::unkeyed
+                               ? refusal_reason::call_outcome_unknown
+                               : refusal_reason::no_endpoint);
+    }
     if (state.resend_at_ && now >= *state.resend_at_)
     {
         state.resend_at_.reset();
-        return {route_call{retry_reason::wrong_home}};
+        return {state.kind_ == call_kind::keyed
+                    ? route_call{retry_reason::wrong_home}
+                    : route_call{std::nullopt}};
     }
     return {};
 }
--- a/test/protocol/call_test.cpp
+++ b/test/protocol/call_test.cpp
@@ -67,7 +67,8 @@
     EXPECT_EQ(state.excluded_, (std::set<std::string>{"a", "b"}));
     on_call_sent(state, "c", 1);
     EXPECT_EQ(
-        failure_of(on_call_peer_lost(state, "c", 1, start)),
+        failure_of(
+            on_call_peer_lost(state, "c", 1, retry_reason::stage_died, start)),
         (fail_call{refusal_reason::call_outcome_unknown, run_state::unknown}));
 }
 
@@ -75,15 +76,89 @@
 {
     call_state state = make_call(call_kind::idempotent);
     on_call_sent(state, "a", 1);
-    EXPECT_TRUE(on_call_peer_lost(state, "a", 2, start).empty());
-    EXPECT_TRUE(is_route(on_call_peer_lost(state, "a", 1, start)));
+    EXPECT_TRUE(
+        on_call_peer_lost(state, "a", 2, retry_reason::stage_died, start)
+            .empty());
+    EXPECT_TRUE(is_route(
+        on_call_peer_lost(state, "a", 1, retry_reason::stage_died, start)));
+}
+
+TEST(call, an_unkeyed_call_waits_for_a_silent_endpoint_to_go_on)
+{
+    call_state state = make_call(call_kind::unkeyed);
+    on_call_sent(state, "a", 1);
+    EXPECT_TRUE(
+        on_call_peer_lost(state, "a", 1, retry_reason::stage_silent, start)
+            .empty());
+    EXPECT_TRUE(on_call_tick(state, start + seconds(2)).empty());
+    EXPECT_TRUE(
+        on_call_peer_answered(state, "a", 1, start + seconds(2)).empty());
+    EXPECT_TRUE(on_call_tick(state, start + seconds(9)).empty());
+    call_reply reply;
+    reply.status_ = 200;
+    EXPECT_EQ(on_call_reply(state, reply, start + seconds(9)),
+              call_actions{finish_call{reply}});
+}
+
+TEST(call, an_unkeyed_call_ends_when_its_endpoint_stays_silent)
+{
+    call_state state = make_call(call_kind::unkeyed);
+    on_call_sent(state, "a", 1);
+    on_call_peer_lost(state, "a", 1, retry_reason::stage_silent, start);
+    EXPECT_EQ(
+        failure_of(on_call_tick(state, start + milliseconds(2'001))),
+        (fail_call{refusal_reason::call_outcome_unknown, run_state::unknown}));
+}
+
+TEST(call, an_unkeyed_call_ends_when_its_silent_endpoint_was_replaced)
+{
+    call_state state = make_call(call_kind::unkeyed);
+    on_call_sent(state, "a", 1);
+    on_call_peer_lost(state, "a", 1, retry_reason::stage_silent, start);
+    EXPECT_EQ(
+        failure_of(on_call_peer_answered(state, "a", 2, start)),
+        (fail_call{refusal_reason::call_outcome_unknown, run_state::unknown}));
+}
+
+TEST(call, an_idempotent_call_waits_when_no_other_endpoint_is_left)
+{
+    call_state state = make_call(call_kind::idempotent);
+    on_call_sent(state, "a", 1);
+    EXPECT_TRUE(is_route(
+        on_call_peer_lost(state, "a", 1, retry_reason::stage_silent, start)));
+    EXPECT_TRUE(on_call_not_sent(state, "", start).empty());
+    EXPECT_TRUE(state.excluded_.empty());
+    EXPECT_EQ(on_call_tick(state, start + milliseconds(50)),
+              call_actions{route_call{std::nullopt}});
+    EXPECT_TRUE(on_call_not_sent(state, "", start + milliseconds(50)).empty());
+    EXPECT_EQ(failure_of(on_call_tick(state, start + milliseconds(2'001))),
+              (fail_call{refusal_reason::no_endpoint, run_state::unknown}));
+}
+
+TEST(call, a_waiting_idempotent_call_takes_the_reply_of_the_silent_endpoint)
+{
+    call_state state = make_call(call_kind::idempotent);
+    on_call_sent(state, "a", 1);
+    on_call_peer_lost(state, "a", 1, retry_reason::stage_silent, start);
+    on_call_not_sent(state, "", start);
+    EXPECT_TRUE(on_call_reply(state,
+                              make_refusal(refusal_reason::no_endpoint,
+                                           run_state::unknown),
+                              start)
+                    .empty());
+    call_reply reply;
+    reply.status_ = 200;
+    EXPECT_EQ(on_call_reply(state, reply, start),
+              call_actions{finish_call{reply}});
 }
 
 TEST(call, a_keyed_call_is_sent_again_until_its_deadline)
 {
     call_state state = make_call(call_kind::keyed);
     on_call_sent(state, "a", 1);
-    EXPECT_TRUE(on_call_peer_lost(state, "a", 1, start).empty());
+    EXPECT_TRUE(
+        on_call_peer_lost(state, "a", 1, retry_reason::stage_died, start)
+            .empty());
     EXPECT_TRUE(on_call_tick(state, start + milliseconds(49)).empty());
     EXPECT_TRUE(is_route(on_call_tick(state, start + milliseconds(50))));
     on_call_sent(state, "b", 2);
@@ -155,7 +230,8 @@
                 {
                     is_reply_pending = false;
                     may_have_run = true;
-                    keep_last(on_call_peer_lost(state, "p", 1, now));
+                    keep_last(on_call_peer_lost(state, "p", 1,
+                                                retry_reason::stage_died, now));
                 }
                 else
                 {
