Pace the attempts of streams at stages that failed or were full

Callers saw: streams ended with stream_lost or retry_budget_exhausted although their deadline was far and the engines took streams again soon after.

Cause: while all engines of a range are silent, each stream finds out by itself that each of them is. An attempt ends after about 0.3 s, the next one begins at once at the other copy, so 6 attempts last some 4 s. It is the same with engines that are full: a refusal takes no time, and all try again together.

Evidence, with the entry of before: faults_test -k full (40 streams, memory for about half): 26 of 40 end with retry_budget_exhausted silent_stage_test -k long_silence (20 streams, twice, 4.5 s of silence): 40 of 40 fail Both pass now.

Why it works: the entry keeps for all its streams which stage failed or was full, and for how long it rests: 100 ms, doubled with each further failure, up to 1 s. A stream waits for a chain meanwhile, within its deadline, and spends no attempt and no retry. After the rest attempts follow one at a time. Progress through a stage whose engine failed ends the rest. For a full engine only attempts that began after the refusal count, and each halves the interval, to 10 ms, so that those waiting do not flood it. A stream that waits no longer takes further refusals of the attempt that it gave up for new failures.

--- a/include/auburnlb/entry/stream_service.hpp
+++ b/include/auburnlb/entry/stream_service.hpp
@@ -15,6 +15,7 @@
 #include "auburnlb/coordination/chain_choice.hpp"
 #include "auburnlb/coordination/crash_suspicion.hpp"
 #include "auburnlb/coordination/retry_budget.hpp"
+#include "auburnlb/coordination/stage_backoff.hpp"
 #include "auburnlb/entry/routing_view.hpp"
 #include "auburnlb/protocol/stream.hpp"
 #include "auburnlb/state/metrics.hpp"
@@ -106,6 +107,9 @@
     /// refused or no chain is available yet.
     bool start_attempt(active_stream& stream);
     void wait_for_chain(active_stream& stream, time_point now);
+    /// Records a refusal that says that the stage's engine fails or is full.
+    void record_failure(active_stream const& stream,
+                        step_refusal const& refusal, time_point now);
     void run_attempt(active_stream& stream, chosen_chain chosen,
                      std::uint32_t prompt_tokens);
     void apply(active_stream& stream, stream_actions const& actions);
@@ -146,6 +150,7 @@
     std::map<std::string, std::unique_ptr<service_limits>> services_;
     selector_state selector_;
     crash_suspicion suspicion_;
+    stage_backoff backoff_;
     /// Tickets of ended streams. run_housekeeping() frees them, so that no
     /// function frees a stream that its caller still uses.
     std::vector<std::uint64_t> ended_;
--- a/src/entry/active_stream.hpp
+++ b/src/entry/active_stream.hpp
@@ -37,6 +37,8 @@
     double token_cost_ = 0;
     std::uint32_t cached_tokens_ = 0;
     time_point admitted_at_{};
+    /// When the current attempt began.
+    time_point attempt_begun_at_{};
     time_point last_token_at_{};
     /// When the stream began to wait for a chain; empty while it has one.
     std::optional<time_point> no_chain_since_;
--- a/src/entry/stream_service.cpp
+++ b/src/entry/stream_service.cpp
@@ -268,14 +268,16 @@
             : isolated_endpoints(suspicion_, now);
     bool const may_use_avoided =
         !is_suspect(suspicion_, stream.fingerprint_, now);
-    avoided.insert(stream.state_.excluded_.begin(),
-                   stream.state_.excluded_.end());
+    std::set<std::string> excluded = resting_stages(backoff_, now);
+    excluded.insert(stream.state_.excluded_.begin(),
+                    stream.state_.excluded_.end());
+    avoided.insert(excluded.begin(), excluded.end());
     std::uint32_t const prompt_tokens = count_words(stream.state_.prompt_);
     std::optional<chosen_chain> chosen =
         choose_route(stream, avoided, prompt_tokens);
     if (!chosen && may_use_avoided)
     {
-        chosen = choose_route(stream, stream.state_.excluded_, prompt_tokens);
+        chosen = choose_route(stream, excluded, prompt_tokens);
     }
     if (!chosen)
     {
@@ -316,7 +318,9 @@
     for (chain_stage const& stage : route.stages_)
     {
         addresses.push_back(stage.address_);
+        on_stage_attempt(backoff_, stage.address_, now);
     }
+    stream.attempt_begun_at_ = now;
     record_run(suspicion_, stream.state_.request_, stream.fingerprint_,
                addresses,
                static_cast<std::uint32_t>(stream.state_.tokens_.size()));
@@ -603,6 +607,14 @@
         on_load_report(selector_, stream->state_.route_.stages_.back().address_,
                        frame.load_);
     }
+    if (frame.attempt_ == stream->state_.attempt_)
+    {
+        for (chain_stage const& stage : stream->state_.route_.stages_)
+        {
+            on_stage_progress(backoff_, stage.address_,
+                              stream->attempt_begun_at_);
+        }
+    }
     stream->cached_tokens_ += frame.cached_tokens_;
     apply(*stream,
           auburnlb::on_token(stream->state_, frame, environment_.clock_.now()));
@@ -612,19 +624,44 @@
 void stream_service::on_refusal(step_refusal const& refusal)
 {
     active_stream* const stream = find(refusal.request_);
-    if (stream != nullptr)
+    // A stream that waits for a chain has given up its last attempt, of which
+    // other stages may report the end as well.
+    if (stream != nullptr && !stream->no_chain_since_)
     {
-        apply(*stream, auburnlb::on_refusal(stream->state_, refusal,
-                                            environment_.clock_.now()));
+        time_point const now = environment_.clock_.now();
+        record_failure(*stream, refusal, now);
+        apply(*stream, auburnlb::on_refusal(stream->state_, refusal, now));
     }
     run_housekeeping();
 }
 
+void stream_service::record_failure(active_stream const& stream,
+                                    step_refusal const& refusal, time_point now)
+{
+    if (refusal.attempt_ != stream.state_.attempt_)
+    {
+        return;
+    }
+    if (refusal.reason_ == refusal_reason::engine_failed)
+    {
+        on_stage_failure(backoff_, refusal.stage_address_,
+                         stage_failure::engine_failed, stream.attempt_begun_at_,
+                         now);
+    }
+    else if (refusal.reason_ == refusal_reason::engine_full)
+    {
+        on_stage_failure(backoff_, refusal.stage_address_,
+                         stage_failure::engine_full, stream.attempt_begun_at_,
+                         now);
+    }
+}
+
 void stream_service::on_peer_lost(std::string const& address,
                                   incarnation_id incarnation,
                                   retry_reason reason)
 {
     time_point const now = environment_.clock_.now();
+    forget_stage(backoff_, address);
     // A companion survives a crash of its engine and reports it. The loss of
     // the companion itself means that its host or rack failed, which is no
     // evidence against the requests: a loss of two hosts at once must not
@@ -690,6 +727,7 @@
         }
     }
     expire_suspicions(suspicion_, now);
+    forget_recovered_stages(backoff_, now);
     run_housekeeping();
 }
 
--- a/test/process/faults_test.py
+++ b/test/process/faults_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 import cluster
-from fixture import ModelCluster, ProcessTest, chat, relay_command
+from fixture import LAYERS, ModelCluster, ProcessTest, chat, relay_command
 
 RANGES = [(0, 4), (0, 4), (4, 8), (4, 8), (8, 12), (8, 12)]
 STREAMS = 20
@@ -79,6 +79,12 @@
             self.check_whole(self.start_callers(system.entry, STREAMS, TOKENS, "wake"))
             system.wait_memory_free()
 
+    def test_streams_wait_for_room_at_engines_that_are_full(self):
+        """The engines hold the memory of about half of the streams."""
+        with ModelCluster([(0, LAYERS)] * 2, engine_options=["--kv-tokens", "1000"]) as system:
+            self.check_whole(self.start_callers(system.entry, 2 * STREAMS, 120, "full"))
+            system.wait_memory_free()
+
     def test_silence_between_a_companion_and_its_engine(self):
         self.run_with_fault(
             "engine connection silent",
--- a/test/process/fixture.py
+++ b/test/process/fixture.py
@@ -41,8 +41,9 @@
     """One model service over endpoints with the given layer ranges."""
 
     def __init__(self, ranges, entries=1, with_engine_relays=False,
-                 with_stage_relays=False):
+                 with_stage_relays=False, engine_options=()):
         super().__init__()
+        self.engine_options = ENGINE + list(engine_options)
         try:
             self.endpoints = [self._add_endpoint(index, layers,
                                                  with_engine_relays,
@@ -66,7 +67,7 @@
         if with_stage_relay:
             return self._add_endpoint_behind_relay(name, layers)
         if not with_engine_relay:
-            self.add_engine(name, SERVICE, layers, options=ENGINE)
+            self.add_engine(name, SERVICE, layers, options=self.engine_options)
             return Endpoint(self, name, layers)
         engine = self._start_engine(name, layers)
         relay = self.start_relay(engine.port)
@@ -76,7 +77,7 @@
         return endpoint
 
     def _start_engine(self, name, layers):
-        options = ["--layers", f"{layers[0]}:{layers[1]}"] + ENGINE
+        options = ["--layers", f"{layers[0]}:{layers[1]}"] + self.engine_options
         engine = self.start_fake("engine", options, name=f"engine-{name}")
         self.engines[name] = engine
         return engine
--- a/test/process/silent_stage_test.py
+++ b/test/process/silent_stage_test.py
@@ -14,6 +14,8 @@
 STREAMS = 12
 TOKENS = 80
 SILENCE_S = 1.0
+# Longer than a stream's attempts would last one after another.
+LONG_SILENCE_S = 4.5
 PLAIN_LATENCY_MS = 300
 PLAIN_SILENCE_S = 0.7
 
@@ -98,6 +100,17 @@
             return [engine]
         self.hold_in_streams(ONE_COPY, repeat, "the only engine silent three times")
 
+    def test_a_long_silence_uses_up_neither_attempts_nor_the_retry_budget(self):
+        with ModelCluster(TWO_COPIES) as system:
+            engines = [each.engine for each in system.endpoints if each.layers == (8, 12)]
+            for what in ("first", "second"):
+                callers = self.start_callers(system.entry, 20, TOKENS, what)
+                self.wait_received(callers, 10)
+                hold(engines, LONG_SILENCE_S)
+                self.check_whole(callers)
+                self.report(f"long silence, {what}", callers)
+            system.wait_memory_free()
+
     def hold_in_calls(self, select, call):
         """Statuses and bodies of calls whose part of the path falls silent."""
         with PlainCluster(PLAIN_LATENCY_MS) as system:
