--- a/test/process/silent_stage_test.py
+++ b/test/process/silent_stage_test.py
@@ -50,10 +50,10 @@
 
 class SilentStageTest(ProcessTest):
 
-    def hold_in_streams(self, ranges, select, what, seconds=SILENCE_S):
+    def hold_in_streams(self, ranges, select, what, seconds=SILENCE_S, streams=STREAMS):
         """Streams through a silence, then checks these answers and later ones."""
         with ModelCluster(ranges) as system:
-            callers = self.start_callers(system.entry, STREAMS, TOKENS, what)
+            callers = self.start_callers(system.entry, streams, TOKENS, what)
             self.wait_received(callers, 10)
             hold(select(system), seconds)
             self.check_whole(callers)
@@ -77,6 +77,10 @@
         self.hold_in_streams(ONE_COPY, lambda system: [system.busiest((4, 8)).companion],
                              "the only companion silent")
 
+    def test_many_streams_at_a_companion_without_a_second_copy(self):
+        self.hold_in_streams(ONE_COPY, lambda system: [system.busiest((4, 8)).companion],
+                             "the only companion silent, many streams", 1.5, 40)
+
     def test_all_engines_of_a_range(self):
         self.hold_in_streams(TWO_COPIES, lambda system: [
             each.engine for each in system.endpoints if each.layers == (8, 12)],
