Count and log the entries of the store that are not used

What operators saw: an odd entry among the endpoints' was logged as a rejected configuration, one without a name not at all, and nothing counted them.

Fix: event E0207 entry_rejected and the counter auburnlb_router_rejected_entries_total{kind}. What an odd entry of a known endpoint means stays as it was: it names none to use, so the endpoint is left until a sound entry names it again.

--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -94,6 +94,8 @@
     store_reachability current_store_reachability() const;
     void on_store_reachable(char const* kind, bool is_reachable,
                             std::string const& reason);
+    void on_entries_rejected(char const* kind, std::string const& name,
+                             std::size_t count, std::string const& reason);
     void on_store_restored(char const* kind, std::uint64_t epoch,
                            std::uint64_t revision);
     store_feed_handlers configuration_handlers();
--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -2,6 +2,7 @@
 #ifndef AUBURNLB_ROUTER_STORE_FEED_HPP
 #define AUBURNLB_ROUTER_STORE_FEED_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -33,6 +34,8 @@
     /// that is known of the previous history.
     std::function<void(std::uint64_t epoch, std::uint64_t revision)>
         on_restored_;
+    /// Entries of a response had no readable name and were left out.
+    std::function<void(std::size_t count)> on_unnamed_;
 };
 
 /// Tracks one kind of store objects. Not thread-safe.
@@ -63,6 +66,7 @@
     store_version version() const;
     void on_call_succeeded();
     void on_call_failed(std::string const& reason);
+    void report_unnamed(store_page const& page) const;
 
     internal_http_client& http_client_;
     platform_protocol const& protocol_;
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -44,6 +44,7 @@
     configuration_rejected = 204,
     store_watch_changed = 205,
     store_restored = 206,
+    entry_rejected = 207,
     peer_joined = 300,
     peer_leaving = 301,
     peer_lost = 302,
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -24,6 +24,8 @@
 
 constexpr milliseconds store_timeout{800};
 
+constexpr char unnamed_reason[] = "the entry has no readable name";
+
 constexpr char router_object_kind[] = "routers";
 
 entries_delta to_delta(std::vector<store_object> const& objects,
@@ -83,8 +85,7 @@
     auto const record = core_.protocol_.read_endpoint_(id, value);
     if (!record)
     {
-        log(log_level::warning, log_event::configuration_rejected,
-            {{"peer", id}}, record.error().detail_);
+        on_entries_rejected("endpoints", id, 1, record.error().detail_);
         on_endpoint_removed(id);
         return;
     }
@@ -235,6 +236,17 @@
                      : "the platform's store is unreachable");
 }
 
+void router::on_entries_rejected(char const* kind, std::string const& name,
+                                 std::size_t count, std::string const& reason)
+{
+    core_.metrics_.add("auburnlb_router_rejected_entries_total",
+                       "kind=\"" + std::string(kind) + "\"",
+                       static_cast<double>(count));
+    log(log_level::warning, log_event::entry_rejected,
+        {{"peer", name}, {"kind", kind}, {"entries", std::to_string(count)}},
+        reason);
+}
+
 void router::on_store_restored(char const* kind, std::uint64_t epoch,
                                std::uint64_t revision)
 {
@@ -265,8 +277,10 @@
             [this](bool is_reachable, std::string const& reason)
             { on_store_reachable("configuration", is_reachable, reason); },
             [this](std::uint64_t epoch, std::uint64_t revision)
+            { on_store_restored("configuration", epoch, revision); },
+            [this](std::size_t count)
             {
-                on_store_restored("configuration", epoch, revision);
+                on_entries_rejected("configuration", "", count, unnamed_reason);
             }};
 }
 
@@ -291,6 +305,10 @@
                 // The copy lacks endpoints that registered after it was made.
                 on_platform_recovered(core_.directory_, core_.clock_.now());
                 on_store_restored("endpoints", epoch, revision);
+            },
+            [this](std::size_t count)
+            {
+                on_entries_rejected("endpoints", "", count, unnamed_reason);
             }};
 }
 
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -165,6 +165,7 @@
         return;
     }
     on_call_succeeded();
+    report_unnamed(page.value());
     if (listed_.empty())
     {
         // The watch returns what changes while further pages are read.
@@ -209,6 +210,7 @@
         return;
     }
     on_call_succeeded();
+    report_unnamed(page.value());
     revision_ = std::max(revision_, page.value().revision_);
     if (!page.value().objects_.empty())
     {
@@ -222,6 +224,14 @@
     return {epoch_.value_or(0), revision_};
 }
 
+void store_feed::report_unnamed(store_page const& page) const
+{
+    if (page.unnamed_entries_ > 0)
+    {
+        handlers_.on_unnamed_(page.unnamed_entries_);
+    }
+}
+
 void store_feed::on_call_succeeded()
 {
     consecutive_failures_ = 0;
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -50,6 +50,7 @@
     {log_event::configuration_rejected, "configuration_rejected"},
     {log_event::store_watch_changed, "store_watch_changed"},
     {log_event::store_restored, "store_restored"},
+    {log_event::entry_rejected, "entry_rejected"},
     {log_event::peer_joined, "peer_joined"},
     {log_event::peer_leaving, "peer_leaving"},
     {log_event::peer_lost, "peer_lost"},
