--- a/fakes/users_store/main.cpp
+++ b/fakes/users_store/main.cpp
@@ -5,13 +5,16 @@
 // "silent" answers nothing; "reset" closes the connection; "lose" does the
 // write and closes the connection. Calls with "operator=1" in their query are
 // served in every mode. A post to /fake/compact drops the history; one to
-// /fake/save takes a copy, and one to /fake/restore goes back to it.
+// /fake/save takes a copy, and one to /fake/restore goes back to it. A post to
+// /fake/raw?kind=KIND&name=NAME makes its body the text of that object in lists
+// and events, whatever it is.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -54,8 +57,41 @@
     std::uint64_t epoch_ = 1;
     std::string mode_ = "up";
     std::uint64_t calls_ = 0;
+    /// Texts that stand in place of objects; an object names its index.
+    std::vector<std::string> raw_texts_;
 };
 
+constexpr char raw_field[] = "raw";
+
+std::string raw_mark(std::size_t index)
+{
+    return "raw-text-" + std::to_string(index) + "-of-the-test";
+}
+
+/// What a response shows of an object.
+json shown(json const& object)
+{
+    return object.contains(raw_field)
+               ? json(raw_mark(object[raw_field].get<std::size_t>()))
+               : object;
+}
+
+/// The JSON text with raw texts in place of their marks.
+std::string render(store const& state, json const& document)
+{
+    std::string text = document.dump();
+    for (std::size_t index = 0; index < state.raw_texts_.size(); ++index)
+    {
+        std::string const mark = '"' + raw_mark(index) + '"';
+        for (std::size_t at = text.find(mark); at != std::string::npos;
+             at = text.find(mark, at + state.raw_texts_[index].size()))
+        {
+            text.replace(at, mark.size(), state.raw_texts_[index]);
+        }
+    }
+    return text;
+}
+
 void restore(store& state)
 {
     static_cast<store_content&>(state) = state.copy_;
@@ -74,7 +110,9 @@
                  bool is_deleted)
 {
     state.history_.push_back(
-        {state.revision_, kind, {{"object", object}, {"deleted", is_deleted}}});
+        {state.revision_,
+         kind,
+         {{"object", shown(object)}, {"deleted", is_deleted}}});
 }
 
 json put(store& state, std::string const& kind, std::string const& name,
@@ -103,6 +141,20 @@
     return object;
 }
 
+void put_raw(store& state, std::string const& kind, std::string const& name,
+             std::string const& text)
+{
+    json& object = state.kinds_[kind][name];
+    ++state.revision_;
+    object = {{"metadata",
+               {{"name", name},
+                {"revision", state.revision_},
+                {"create-revision", state.revision_}}},
+              {raw_field, state.raw_texts_.size()}};
+    state.raw_texts_.push_back(text);
+    note_change(state, kind, object, false);
+}
+
 json list(store const& state, std::string const& kind, std::string const& after)
 {
     json items = json::array();
@@ -121,7 +173,7 @@
                 has_more = true;
                 break;
             }
-            items.push_back(object);
+            items.push_back(shown(object));
         }
     }
     return {{"items", items},
@@ -181,10 +233,9 @@
         {
             auto const caller = std::exchange(caller_, nullptr);
             caller->set_disconnect_handler(nullptr);
-            answer(
-                state_, *caller, 200,
-                json{{"events", events}, {"store-revision", state_.revision_}}
-                    .dump());
+            answer(state_, *caller, 200,
+                   render(state_, {{"events", events},
+                                   {"store-revision", state_.revision_}}));
             return;
         }
         timer_.expires_after(milliseconds(5));
@@ -276,6 +327,11 @@
         {
             state_.mode_ = body;
         }
+        if (head.target_.starts_with("/fake/raw?"))
+        {
+            put_raw(state_, fakes::query_value(head.target_, "kind"),
+                    fakes::query_value(head.target_, "name"), body);
+        }
         if (head.target_ == "/fake/compact")
         {
             state_.history_.clear();
@@ -326,7 +382,8 @@
         if (name.empty())
         {
             std::string const after = fakes::query_value(head.target_, "after");
-            answer(state_, *caller, 200, list(state_, kind, after).dump());
+            answer(state_, *caller, 200,
+                   render(state_, list(state_, kind, after)));
             return;
         }
         auto const found = state_.kinds_[kind].find(name);
