Close the attempt of a request that a stop ends by its own struct

A superseded attempt is dropped when the request ends.

Evidence: the build fails before and passes after.

--- a/src/router/request_stop.cpp
+++ b/src/router/request_stop.cpp
@@ -90,7 +90,7 @@
 
 std::optional<stop_ending> forwarded_request::end_for_stop(time_point now)
 {
-    bool const has_not_run = connection_ == nullptr && !may_have_run_;
+    bool const has_not_run = attempt_->connection_ == nullptr && !may_have_run_;
     if (now < answers_end(core_.stop()) &&
         !(is_waiting_ && has_not_run && is_too_late_to_begin()))
     {
@@ -99,11 +99,7 @@
     auto const keep_alive = shared_from_this();
     stop_ending const ending =
         ending_of(caller_->has_begun_response(), !has_not_run);
-    if (connection_ != nullptr)
-    {
-        connection_->cancel();
-        connection_.reset();
-    }
+    close_connection(*attempt_);
     if (is_waiting_)
     {
         remove_waiting(service().queue_, ticket_);
