Answer a request that an entry read behind another while draining

What callers saw: two requests were sent one behind the other on a connection of an entry that began to drain; both ran, and only the first got its response.

Cause: the first response said Connection: close, and RESTinio drops the responses behind one that closes the connection.

While draining, only the response to the last request that was read on the connection closes it.

--- a/src/transport/http_exchange.cpp
+++ b/src/transport/http_exchange.cpp
@@ -255,7 +255,8 @@
     {
         builder.append_header(name, value);
     }
-    if (is_draining_)
+    // A request behind the response that closes the connection gets none.
+    if (is_draining_ && !table_.has_later(connection_, this))
     {
         builder.connection_close();
     }
@@ -351,6 +352,17 @@
     part.erase_if_unused(found);
 }
 
+bool connection_table::has_later(restinio::connection_id_t id,
+                                 exchange const* each)
+{
+    shard& part = shard_for(id);
+    std::lock_guard lock(part.mutex_);
+    auto const found = part.connections_.find(id);
+    return found != part.connections_.end() &&
+           !found->second.exchanges_.empty() &&
+           found->second.exchanges_.back().get() != each;
+}
+
 void connection_table::close(restinio::connection_id_t id)
 {
     for (auto const& each : mark_closed(id))
--- a/src/transport/http_exchange.hpp
+++ b/src/transport/http_exchange.hpp
@@ -130,6 +130,9 @@
 
     void remove(restinio::connection_id_t id, exchange const* removed);
 
+    /// Whether a later request of the connection has been read.
+    bool has_later(restinio::connection_id_t id, exchange const* each);
+
     /// Marks a connection as closed and ends its exchanges.
     void close(restinio::connection_id_t id);
 
--- a/test/transport/http_server_test.cpp
+++ b/test/transport/http_server_test.cpp
@@ -534,6 +534,28 @@
     wait_until([&] { return server->open_connections() == 0; });
 }
 
+TEST(http_server, a_drain_answers_a_request_read_behind_another)
+{
+    std::promise<std::shared_ptr<http_reply>> first;
+    std::promise<std::shared_ptr<http_reply>> second;
+    auto const server = start(
+        [&](incoming_request const& request, std::shared_ptr<http_reply> reply)
+        {
+            auto& received = request.body_ == "first" ? first : second;
+            received.set_value(std::move(reply));
+        });
+    raw_client client(server->port());
+    client.write(post("first") + post("second"));
+    auto const first_reply = first.get_future().get();
+    auto const second_reply = second.get_future().get();
+    server->drain();
+    first_reply->send({200, {}, "one"});
+    second_reply->send({200, {}, "two"});
+    std::string const all = client.read_to_end();
+    EXPECT_NE(all.find("one"), std::string::npos) << all;
+    EXPECT_NE(all.find("two"), std::string::npos) << all;
+}
+
 TEST(http_server, a_request_is_in_progress_until_its_last_byte_is_taken)
 {
     constexpr std::size_t size = 64U << 20U;
