Compare an entry's text with that of its page

The sound entry beside odd ones was compared with the text as it was written again; a spec is now kept as it stands in the page, so the test compares with that, as exactly. No caller saw anything.

--- a/test/platform/odd_entries_test.cpp
+++ b/test/platform/odd_entries_test.cpp
@@ -55,7 +55,7 @@
 {
     ASSERT_TRUE(page) << to_string(page.error());
     ASSERT_GE(page.value().objects_.size(), 2U);
-    EXPECT_EQ(page.value().objects_.front().value_, R"({"x":"}\"]"})");
+    EXPECT_EQ(page.value().objects_.front().value_, R"({"x": "}\"]"})");
     EXPECT_EQ(page.value().objects_.back().name_, "c");
     EXPECT_EQ(page.value().objects_.back().value_, R"({"y":1})");
     EXPECT_EQ(page.value().revision_, 9U);
