Keep the disconnect handler of a request that was read behind another

What callers saw: nothing; an endpoint went on with the request of a caller that had left.

Fix: a request removes only its own handler.

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -74,6 +74,15 @@
         disconnect_handler_ = handler;
     }
 
+    /// Removes the handler unless that of a later request has replaced it.
+    void remove_disconnect_handler(disconnect_handler const& handler)
+    {
+        if (disconnect_handler_ == &handler)
+        {
+            disconnect_handler_ = nullptr;
+        }
+    }
+
     /// Sends a complete response. The hop-by-hop fields and the Content-Length
     /// are set here.
     void send_response(http_head const& head, std::string_view body);
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -440,7 +440,7 @@
     release_reservations(*attempt_);
     drop_superseded("ended");
     stop_awaiting_retry();
-    caller_->set_disconnect_handler(nullptr);
+    caller_->remove_disconnect_handler(*this);
     core_.active_.erase(keep_alive);
     record_metrics(outcome, now);
     log(log_level::info, log_event::request_ended,
