--- a/include/auburnlb/router/connection_pool.hpp
+++ b/include/auburnlb/router/connection_pool.hpp
@@ -25,6 +25,8 @@
     /// The connection could not be established; no byte of the request was
     /// sent.
     not_connected,
+    /// The same, because no process listens at the address.
+    refused,
     /// The connection ended before the response did.
     broken,
     /// The bytes received are not a valid HTTP response.
--- a/include/auburnlb/router/endpoint_attempt.hpp
+++ b/include/auburnlb/router/endpoint_attempt.hpp
@@ -61,10 +61,6 @@
 
 void release_reservations(endpoint_attempt& attempt);
 
-/// Returns whether an engine of the attempt has not responded to a probe since
-/// the last progress.
-bool has_silent_engine(endpoint_attempt const& attempt);
-
 /// Returns whether no process listens any more at an engine of the attempt.
 bool has_ended_engine(endpoint_attempt const& attempt);
 
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -114,9 +114,10 @@
     double expected_output_tokens() const;
 
     /// Applies what the response says about the endpoint's availability.
-    void read_notices(time_point now);
+    void read_notices(endpoint_attempt const& attempt, time_point now);
     /// Applies the rate limit that the response names.
-    void read_rate_limit(time_point now);
+    void read_rate_limit(endpoint_attempt const& attempt, time_point now);
+    void begin_stream_response();
     void on_events(event_batch const& batch);
     /// Records that the stream produced events. Comments are no progress: a
     /// stalled engine may go on sending them.
@@ -184,6 +185,9 @@
     /// Closes the superseded attempt, if there is one.
     void drop_superseded(char const* cause);
     void fail_superseded(attempt_outcome outcome);
+    /// Whether the head of the superseded attempt's response can end the
+    /// request.
+    bool is_superseded_usable() const;
     void on_superseded_head(http_head const& head);
     void on_superseded_body(std::string_view piece);
     void on_superseded_end();
--- a/include/auburnlb/router/internal_http_client.hpp
+++ b/include/auburnlb/router/internal_http_client.hpp
@@ -36,8 +36,9 @@
     internal_http_client& operator=(internal_http_client const&) = delete;
 
     /// Calls the handler once, never before this function returns, unless the
-    /// client is destroyed first. The error is unreachable if nothing was sent,
-    /// and response_lost or timeout if the call may have taken effect.
+    /// client is destroyed first. The error is unreachable if no process
+    /// listens at the address, and response_lost or timeout if the call may
+    /// have taken effect.
     void call(std::string const& address, http_call const& call,
               milliseconds timeout, handler handler);
 
--- a/include/auburnlb/router/tcp_channel.hpp
+++ b/include/auburnlb/router/tcp_channel.hpp
@@ -29,6 +29,8 @@
     broken,
     /// The connection could not be established; no byte was sent.
     not_connected,
+    /// The same, because no process listens at the address.
+    refused,
 };
 
 /// Receives the events of a channel. The receiver may be destroyed during a
--- a/src/router/connection_pool.cpp
+++ b/src/router/connection_pool.cpp
@@ -155,6 +155,11 @@
         fail(exchange_failure::not_connected);
         return;
     }
+    if (end == channel_end::refused)
+    {
+        fail(exchange_failure::refused);
+        return;
+    }
     if (end == channel_end::closed && receiver_ != nullptr)
     {
         reader_->read_eof();
@@ -239,8 +244,10 @@
 connection_pool::acquire(std::string const& address, milliseconds max_idle)
 {
     time_point const now = clock_.now();
-    auto const idle = idle_.find(address);
-    while (idle != idle_.end() && !idle->second.empty())
+    // cancel() may remove the address.
+    for (auto idle = idle_.find(address);
+         idle != idle_.end() && !idle->second.empty();
+         idle = idle_.find(address))
     {
         connection_ptr connection = std::move(idle->second.back());
         idle->second.pop_back();
--- a/src/router/endpoint_attempt.cpp
+++ b/src/router/endpoint_attempt.cpp
@@ -24,15 +24,6 @@
     attempt.reservations_.clear();
 }
 
-bool has_silent_engine(endpoint_attempt const& attempt)
-{
-    return std::any_of(
-        attempt.reservations_.begin(), attempt.reservations_.end(),
-        [&attempt](endpoint_reservation const& each) {
-            return has_failed_since(*each.endpoint_, attempt.last_progress_at_);
-        });
-}
-
 bool has_ended_engine(endpoint_attempt const& attempt)
 {
     return std::any_of(
--- a/src/router/internal_http_client.cpp
+++ b/src/router/internal_http_client.cpp
@@ -34,9 +34,16 @@
 
 error_code to_error_code(exchange_failure failure)
 {
-    return failure == exchange_failure::not_connected
-               ? error_code::unreachable
-               : error_code::response_lost;
+    switch (failure)
+    {
+    case exchange_failure::refused:
+        return error_code::unreachable;
+    case exchange_failure::not_connected:
+        // A pause of this process may have used up the time.
+        return error_code::timeout;
+    default:
+        return error_code::response_lost;
+    }
 }
 
 } // namespace
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -33,46 +33,56 @@
     attempt_->response_head_ = head;
     attempt_->response_ = core_.protocol_.read_response_(head);
     attempt_->progress_.began_at_ = core_.clock_.now();
-    read_rate_limit(attempt_->progress_.began_at_);
-    read_notices(attempt_->progress_.began_at_);
+    read_rate_limit(*attempt_, attempt_->progress_.began_at_);
+    read_notices(*attempt_, attempt_->progress_.began_at_);
     attempt_->is_streaming_ = is_stream() && is_success(head.status_) &&
                               attempt_->response_.is_signed_;
-    if (attempt_->is_streaming_ && !caller_->has_begun_response())
+    // The superseded attempt may still be the one that is passed on.
+    if (attempt_->is_streaming_ && superseded_ == nullptr)
     {
-        caller_->begin_response(head);
+        begin_stream_response();
     }
 }
 
-void forwarded_request::read_notices(time_point now)
+void forwarded_request::begin_stream_response()
 {
-    if (attempt_->reservations_.empty())
+    if (!caller_->has_begun_response())
+    {
+        caller_->begin_response(attempt_->response_head_);
+    }
+}
+
+void forwarded_request::read_notices(endpoint_attempt const& attempt,
+                                     time_point now)
+{
+    if (attempt.reservations_.empty())
     {
         return;
     }
-    if (attempt_->response_.is_leaving_)
+    if (attempt.response_.is_leaving_)
     {
         core_.metrics_.add("auburnlb_router_leaving_responses_total");
     }
-    if (attempt_->response_.backoff_)
+    if (attempt.response_.backoff_)
     {
         core_.metrics_.add("auburnlb_router_backoff_responses_total");
     }
-    apply_notices(*attempt_->reservations_.front().endpoint_,
-                  attempt_->response_, now);
+    apply_notices(*attempt.reservations_.front().endpoint_, attempt.response_,
+                  now);
 }
 
-void forwarded_request::read_rate_limit(time_point now)
+void forwarded_request::read_rate_limit(endpoint_attempt const& attempt,
+                                        time_point now)
 {
     bool const is_of_endpoint =
-        attempt_->response_.is_signed_ || attempt_->response_.is_not_executed_;
-    if (!is_of_endpoint || attempt_->reservations_.empty())
+        attempt.response_.is_signed_ || attempt.response_.is_not_executed_;
+    if (!is_of_endpoint || attempt.reservations_.empty())
     {
         return;
     }
-    known_endpoint& endpoint = *attempt_->reservations_.front().endpoint_;
-    std::optional<double> const named = attempt_->response_.rate_limit_;
-    if (record_named_limit(endpoint.rate_limit_, named, attempt_->sent_at_,
-                           now))
+    known_endpoint& endpoint = *attempt.reservations_.front().endpoint_;
+    std::optional<double> const named = attempt.response_.rate_limit_;
+    if (record_named_limit(endpoint.rate_limit_, named, attempt.sent_at_, now))
     {
         log(log_level::info, log_event::rate_limit_changed,
             {{"peer", endpoint.record_.id_},
@@ -105,8 +115,10 @@
     {
         record_progress(batch.events_);
     }
-    if (!batch.bytes_.empty() && !has_ended_)
+    bool const is_passed_on = superseded_ == nullptr && !has_ended_;
+    if (!batch.bytes_.empty() && is_passed_on)
     {
+        begin_stream_response();
         caller_->send_body(batch.bytes_);
     }
     bool const is_valid = !batch.is_out_of_order_ && !batch.is_too_large_;
@@ -192,6 +204,7 @@
         return;
     }
     record_success(core_.crash_causes_, traits_, core_.clock_.now());
+    begin_stream_response();
     caller_->end_response();
     end_request("complete", attempt_->response_head_.status_);
 }
@@ -236,6 +249,7 @@
     switch (failure)
     {
     case exchange_failure::not_connected:
+    case exchange_failure::refused:
         end_attempt(attempt_outcome::not_sent,
                     "the connection could not be established");
         return;
--- a/src/router/request_supersession.cpp
+++ b/src/router/request_supersession.cpp
@@ -96,8 +96,22 @@
 void forwarded_request::fail_superseded(attempt_outcome outcome)
 {
     auto const keep_alive = shared_from_this();
-    record_failure(*superseded_->attempt_, outcome, core_.clock_.now());
-    drop_superseded(to_string(outcome));
+    // A crash that this shows may end the request.
+    auto const old = std::move(superseded_);
+    close_connection(*old->attempt_);
+    record_failure(*old->attempt_, outcome, core_.clock_.now());
+    release_reservations(*old->attempt_);
+    core_.metrics_.add(counter, outcome_label(to_string(outcome)));
+}
+
+bool forwarded_request::is_superseded_usable() const
+{
+    endpoint_attempt const& attempt = *superseded_->attempt_;
+    unsigned const status = attempt.response_head_.status_;
+    bool const is_final = attempt.response_.is_signed_ &&
+                          !attempt.response_.is_not_executed_ &&
+                          !is_server_error(status);
+    return is_final && (is_success(status) || !caller_->has_begun_response());
 }
 
 void forwarded_request::on_superseded_head(http_head const& head)
@@ -106,12 +120,15 @@
     endpoint_attempt& attempt = *superseded_->attempt_;
     attempt.response_head_ = head;
     attempt.response_ = core_.protocol_.read_response_(head);
-    if (is_success(head.status_) && attempt.response_.is_signed_)
+    if (is_superseded_usable())
     {
         resume_superseded("progress");
         on_response_head(head);
         return;
     }
+    time_point const now = core_.clock_.now();
+    read_rate_limit(attempt, now);
+    read_notices(attempt, now);
     fail_superseded(attempt.response_.is_not_executed_
                         ? attempt_outcome::refused
                         : attempt_outcome::failed);
@@ -122,6 +139,11 @@
     auto const keep_alive = shared_from_this();
     if (!superseded_->attempt_->is_streaming_)
     {
+        if (!is_superseded_usable())
+        {
+            fail_superseded(attempt_outcome::failed);
+            return;
+        }
         resume_superseded("progress");
         on_response_body(piece);
         return;
@@ -151,7 +173,7 @@
     // Without a length or chunks, the end of the connection tells nothing.
     bool const may_be_cut =
         superseded_->events_.is_inside_event() ||
-        (!attempt.response_head_.is_framed_ && event_count_ == 0);
+        (!attempt.response_head_.is_framed_ && attempt.progress_.events_ == 0);
     if (may_be_cut)
     {
         fail_superseded(attempt_outcome::broken);
--- a/src/router/superseded_attempt.hpp
+++ b/src/router/superseded_attempt.hpp
@@ -42,9 +42,10 @@
     void on_exchange_failed(exchange_failure failure) override
     {
         attempt_->connection_.reset();
-        request_.fail_superseded(failure == exchange_failure::not_connected
-                                     ? attempt_outcome::not_sent
-                                     : attempt_outcome::broken);
+        bool const is_unsent = failure == exchange_failure::not_connected ||
+                               failure == exchange_failure::refused;
+        request_.fail_superseded(is_unsent ? attempt_outcome::not_sent
+                                           : attempt_outcome::broken);
     }
 
     forwarded_request& request_;
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -34,6 +34,13 @@
     return peer.address().to_string() + ":" + std::to_string(peer.port());
 }
 
+channel_end end_of_connect(asio::error_code const& failure)
+{
+    return failure == asio::error::connection_refused
+               ? channel_end::refused
+               : channel_end::not_connected;
+}
+
 using user_timeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -98,7 +105,7 @@
                                        if (outcome)
                                        {
                                            channel->report_end(
-                                               channel_end::not_connected);
+                                               end_of_connect(outcome));
                                            return;
                                        }
                                        channel->is_connected_ = true;
