--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -117,6 +117,7 @@
     void read_notices(endpoint_attempt const& attempt, time_point now);
     /// Applies the rate limit that the response names.
     void read_rate_limit(endpoint_attempt const& attempt, time_point now);
+    /// Sends the head of the attempt's response unless one was sent.
     void begin_stream_response();
     void on_events(event_batch const& batch);
     /// Records that the stream produced events. Comments are no progress: a
@@ -177,7 +178,8 @@
     bool has_separate_alternative(time_point now) const;
 
     /// Sends another attempt while the silent one goes on. The first of the two
-    /// that makes progress is kept.
+    /// that makes progress is kept. If one is superseded already, the attempt
+    /// in progress is closed instead.
     void supersede(char const* reason, time_point now);
     /// Returns to the superseded attempt, which replaces the one in progress or
     /// the wait for one. Returns false if there is none.
--- a/src/coordination/planned_stop.cpp
+++ b/src/coordination/planned_stop.cpp
@@ -13,22 +13,22 @@
 constexpr milliseconds answers_reserve{600};
 /// Part of the limit that is reserved for the exit of the process.
 constexpr milliseconds exit_reserve{250};
-/// Neither reserve takes more than this part of a short limit.
-constexpr int max_answers_share = 4;
-constexpr int max_exit_share = 8;
+/// A short limit divided by these bounds the reserves.
+constexpr int answers_divisor = 4;
+constexpr int exit_divisor = 8;
 
 } // namespace
 
 time_point answers_end(planned_stop const& stop)
 {
     return stop.began_at_ + stop.limit_ -
-           std::min(answers_reserve, stop.limit_ / max_answers_share);
+           std::min(answers_reserve, stop.limit_ / answers_divisor);
 }
 
 time_point process_end(planned_stop const& stop)
 {
     return stop.began_at_ + stop.limit_ -
-           std::min(exit_reserve, stop.limit_ / max_exit_share);
+           std::min(exit_reserve, stop.limit_ / exit_divisor);
 }
 
 bool is_notice_over(planned_stop const& stop, time_point now)
--- a/src/router/superseded_attempt.hpp
+++ b/src/router/superseded_attempt.hpp
@@ -1,4 +1,5 @@
-// A silent attempt that goes on beside the one that was sent in its place.
+// A silent attempt that goes on beside the one that was sent in its place. The
+// sources of forwarded_request include this file, since it owns one of them.
 #ifndef AUBURNLB_ROUTER_SUPERSEDED_ATTEMPT_HPP
 #define AUBURNLB_ROUTER_SUPERSEDED_ATTEMPT_HPP
 
