--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -143,6 +143,7 @@
     caller.connection_->close_if_idle();
     EXPECT_EQ(caller.service_.closed_, 0);
     EXPECT_TRUE(caller.run_until_requests(1));
+    EXPECT_EQ(caller.service_.requests_, 1);
 }
 
 TEST(caller_connection, a_connection_without_a_request_is_closed_as_idle)
