--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -48,11 +48,11 @@
                       for name, mb, pace in cards]}
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, keys=(KEY,)):
     return {"version": version, "routes": routes, "services": services,
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
                        "header-timeout-ms": 2000, "idle-timeout-ms": 20000},
-            "tenants": [{"name": "tenant-one", "api-keys": [KEY]}]}
+            "tenants": [{"name": "tenant-one", "api-keys": list(keys)}]}
 
 
 def free_ports(count):
@@ -73,7 +73,7 @@
 
     memory_mb = 260
 
-    def __init__(self, folder, store, name, zone, ports, seeds):
+    def __init__(self, folder, store_address, name, zone, ports, seeds):
         self.name, self.zone = name, zone
         self.callers, self.ready, self.control = ports
         values = {"node": {"name": name, "data_centre": zone, "region": "gujarat"},
@@ -81,7 +81,7 @@
                   "router": {"callers": f"127.0.0.1:{self.callers}",
                              "ready": f"127.0.0.1:{self.ready}",
                              "control": f"127.0.0.1:{self.control}",
-                             "store": store.server.address, "seeds": ",".join(seeds),
+                             "store": store_address, "seeds": ",".join(seeds),
                              "retry_ratio": 0.2, "retry_slack": 196, "retry_window_s": 10,
                              "store_silence_ms": 3000, "stop_limit_ms": 8000}}
         self.settings = os.path.join(folder, f"{name}.json")
@@ -129,13 +129,17 @@
             pass
         return 0.0
 
-    def log_lines(self, name):
-        found = []
-        with open(self.log_path, encoding="utf-8", errors="replace") as file:
-            for line in file:
-                if f'"name":"{name}"' in line:
-                    found.append(json.loads(line))
-        return found
+    async def metric(self, name):
+        """The value of one of the router's own metrics, or None."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.control)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: router\r\n\r\n")
+        head = await read_head(reader)
+        await read_body(reader, head)
+        writer.close()
+        for line in head.body.decode().splitlines():
+            if line.startswith(name):
+                return float(line.split()[-1])
+        return None
 
 
 class Caller:
@@ -149,8 +153,8 @@
         self.reader, self.writer = await asyncio.open_connection(
             "127.0.0.1", self.router.callers, limit=limit)
 
-    def send(self, method, path, request_id, fields=(), body=b"", deadline_ms=20000):
-        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Authorization: Token {KEY}",
+    def send(self, method, path, request_id, fields=(), body=b"", deadline_ms=20000, key=KEY):
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Authorization: Token {key}",
                  f"Auburnlb-Request-Id: {request_id}", f"Auburnlb-Deadline-Ms: {deadline_ms}"]
         lines += [f"{name}: {value}" for name, value in fields]
         if method != "GET":
@@ -200,12 +204,15 @@
         self.engines.append(engine)
         return engine
 
-    def add_routers(self, zones):
-        ports = free_ports(3 * len(zones))
+    def add_routers(self, zones, store_addresses=None):
+        """One router for each zone that is named; the store's address may be
+        that of a relay."""
+        ports = sorted(free_ports(3 * len(zones)))
         triples = [ports[index * 3:index * 3 + 3] for index in range(len(zones))]
         seeds = [f"127.0.0.1:{triple[2]}" for triple in triples]
         for index, zone in enumerate(zones):
-            router = Router(self.folder, self.store, f"front-{zone}-{index + 1}", zone,
+            address = store_addresses[index] if store_addresses else self.store.server.address
+            router = Router(self.folder, address, f"front-{zone}-{index + 1}", zone,
                             triples[index], seeds)
             self.routers.append(router)
             router.start()
