--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,8 @@
-"""A planned stop of the only router of a zone. A stream that is sent more than
-3 s after the SIGTERM begins, and its sound engine falls silent for a second."""
+"""Two engines of a split model crash for good. After reuse-after-s an engine of
+another model, with a smaller card, starts at the address of the first one."""
 
 import asyncio
 import os
-import signal
 import sys
 import time
 
@@ -13,90 +12,106 @@
 from deployment import Caller, configuration, is_troubled, model, route, run_case  # noqa: E402
 from users_platform import Writer  # noqa: E402
 
+BIG_MB, SMALL_MB = 72000.0, 21600.0
+LAYERS, LAYER_MB = 80, 1750.0
+NOTE_LAYERS, NOTE_LAYER_MB = 20, 1000.0
 ZONES = ("ahmedabad", "surat")
-GRACE_S = 8.0
-SILENCE_S = 1.0
-EVENTS = 25
-TOKENS = [("Auburnlb-Model", "m0"), ("Auburnlb-Token-Counts", f"200,{EVENTS * 3}")]
-# Streams that are in progress when the SIGTERM comes; they end within grace-s.
-LONG_EVENTS = 330
-LONG_TOKENS = [("Auburnlb-Model", "m0"), ("Auburnlb-Token-Counts", f"200,{LONG_EVENTS * 3}")]
-# When the streams are sent, after the SIGTERM.
-SENT_S = (5.4, 5.6, 5.8, 6.0, 6.2)
-
-
-class QuietWriter(Writer):
-    """Falls silent once in the middle of a stream, and goes on."""
-
-    is_quiet = False
-
-    async def run(self, call, request_id, writer):
-        writer.write(self.stream_head(request_id))
-        events = int(call.field("auburnlb-token-counts").split(",")[1]) // 3
-        for number in range(int(call.field("last-event-id", "0")) + 1, events + 1):
-            await asyncio.sleep(self.gap_s)
-            if self.is_quiet and number == EVENTS // 2:
-                await asyncio.sleep(SILENCE_S)
-            if writer.is_closing():
-                return False
-            self.write_chunk(writer, f"id: {number}\ndata: piece-{number}\n\n".encode())
-        writer.write(b"0\r\n\r\n")
-        return True
+REUSE_AFTER_S, BEAT_S = 2.0, 1.2
+# From the last beat of the engines to their crash.
+SINCE_BEAT_S = 0.3
+TOKENS = [("Auburnlb-Model", "m0"), ("Auburnlb-Token-Counts", "200,120")]
 
 
 async def play(deployment):
     store = deployment.store
+    cards = [("a100", BIG_MB, 2.4), ("l4", SMALL_MB, 16.0)]
     store.put("config", "main", configuration(
         1, [route("cards", "streaming", "writer", **{"max-attempts": 2, "resumable": True,
-                                                     "gap-aim-ms": 200})],
-        [{"name": "writer", "max-connections": 1128,
-          "engine": model(80, 1750.0, [("a100", 72000.0, 2.4)])}]))
+                                                     "gap-aim-ms": 200}),
+            route("notes", "streaming", "notes", **{"max-attempts": 2, "resumable": True,
+                                                    "gap-aim-ms": 200})],
+        [{"name": "writer", "max-connections": 1128, "engine": model(LAYERS, LAYER_MB, cards)},
+         {"name": "notes", "max-connections": 1128,
+          "engine": model(NOTE_LAYERS, NOTE_LAYER_MB, cards)}]))
+    too_large = []
+
+    def add(name, service, zone, card, card_mb, layer_mb):
+        engine = Writer(store, name, service, zone, card, card_mb, layer_mb)
+
+        def note(order, status):
+            needed = (order["to"] - order["from"]) * layer_mb
+            deployment.record(f"order to {name} ({card}, {card_mb:.0f} MB): layers "
+                              f"{order['from']}-{order['to']}, {needed:.0f} MB: {status}")
+            if status == 202 and needed > card_mb:
+                too_large.append(name)
+        engine.note_order = note
+        return engine
+
     for zone in ZONES:
         for index in range(3):
-            await deployment.add(QuietWriter(store, f"w-{zone}-{index}", "writer", zone, "a100",
-                                             72000.0, 1750.0))
+            await deployment.add(add(f"w-{zone}-{index}", "writer", zone, "a100", BIG_MB,
+                                     LAYER_MB))
+        await deployment.add(add(f"w-{zone}-3", "writer", zone, "l4", SMALL_MB, LAYER_MB))
+        for index in range(2):
+            await deployment.add(add(f"n-{zone}-{index}", "notes", zone, "l4", SMALL_MB,
+                                     NOTE_LAYER_MB))
     deployment.add_routers(ZONES)
-    router = deployment.routers[0]
     await deployment.wait_served("POST", "/cards/x", TOKENS)
-    await asyncio.sleep(2)
+    await deployment.wait_served("POST", "/notes/x", TOKENS)
 
-    answers = {}
-    began = time.monotonic()
+    counts = {}
+    is_over = asyncio.Event()
 
-    async def stream(at_s, tokens=TOKENS, events=EVENTS):
-        """The platform sends it here: no other router of the zone is ready."""
-        await asyncio.sleep(began + at_s - time.monotonic())
-        caller = Caller(router)
-        await caller.connect()
-        request_id = f"card-{at_s}"
-        caller.send("POST", "/cards/x", request_id, fields=tokens)
-        status, whole, message = await caller.answer()
-        ended_s = time.monotonic() - began
-        answers[request_id] = status, whole, ended_s
-        count = message.body.count(b"id: ") if message else 0
-        deployment.record(f"{request_id}, sent {at_s} s after the SIGTERM, ended at {ended_s:.2f} "
-                          f"s: status {status}, {count} of {events} events, "
-                          f"{'whole' if whole else 'not whole'}")
-        caller.close()
+    async def call(router, path, name):
+        number = 0
+        while not is_over.is_set():
+            number += 1
+            caller = Caller(router)
+            try:
+                status, whole, _ = await caller.ask("POST", path, f"{name}-{number}",
+                                                    fields=TOKENS)
+            except OSError:
+                status, whole = 0, False
+            caller.close()
+            key = (path, status if whole else "broken off")
+            counts[key] = counts.get(key, 0) + 1
+            await asyncio.sleep(0.05)
 
-    long_streams = [asyncio.create_task(stream(-0.5 + 0.1 * index, LONG_TOKENS, LONG_EVENTS))
-                    for index in range(3)]
-    began = time.monotonic() + 0.5
-    await asyncio.sleep(0.5)
-    for each in deployment.engines:
-        each.is_quiet = True
+    callers = [asyncio.create_task(call(router, path, f"{router.name}{path}{index}"))
+               for router in deployment.routers for path in ("/cards/x", "/notes/x")
+               for index in range(4)]
+    await asyncio.sleep(2)
+    held = sorted((each for each in deployment.engines
+                   if each.service == "writer" and each.zone == ZONES[0]),
+                  key=lambda each: each.layers[0])
+    lost, port = held[-2:], held[-2].server.port
+    for each in lost:
+        deployment.record(f"{each.name} at {each.server.address} holds {each.layers}")
+    late = add("n-late", "notes", ZONES[0], "l4", SMALL_MB, NOTE_LAYER_MB)
     if is_troubled():
-        router.child.send_signal(signal.SIGTERM)
-        deployment.record(f"{router.name} gets SIGTERM; SIGKILL would follow after {GRACE_S} s")
-    await asyncio.gather(*long_streams, *(stream(at_s) for at_s in SENT_S))
-    runs = {each for engine in deployment.engines for each in engine.runs()}
-    # What was sent no later than 3 s after the SIGTERM may be cut at the end.
-    lost = [name for name, (status, whole, _) in answers.items()
-            if name in runs and (status == 0 or not whole) and float(name[5:]) > 3]
-    for name in lost:
-        deployment.record(f"LOST: {name} was passed on to an engine, and its connection ended "
-                          f"without a complete answer")
-    return not lost
+        for each in lost:
+            each.crash()
+            deployment.record(f"{each.name} crashes for good")
+        crashed = time.monotonic()
+        await asyncio.sleep(REUSE_AFTER_S + 0.05)
+        await deployment.add(late, port)
+        deployment.record(f"n-late starts at {late.server.address}, an address used again")
+        await asyncio.sleep(3 * BEAT_S - SINCE_BEAT_S - (time.monotonic() - crashed))
+        for each in lost:
+            store.delete("servers", each.name)
+            deployment.record(f"the entry of {each.name} is removed after three beats")
+    else:
+        await asyncio.sleep(REUSE_AFTER_S + 0.05)
+        await deployment.add(late)
+        deployment.record(f"n-late starts at {late.server.address}, an address of its own")
+    await asyncio.sleep(6)
+    is_over.set()
+    await asyncio.gather(*callers)
+    for (path, outcome), count in sorted(counts.items(), key=str):
+        deployment.record(f"{path}: {outcome}: {count}")
+    for name in too_large:
+        deployment.record(f"LIMIT: {name} was ordered to hold more than its card holds")
+    return not too_large
 
 
 run_case(FOLDER, play)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,82 +1,102 @@
-"""A waiting watch is cut off by the store. A second later a plain engine leaves
-without reporting draining: its entry is removed, and it serves on for drain-ms
-and a little longer."""
+"""A planned stop of the only router of a zone. A stream that is sent more than
+3 s after the SIGTERM begins, and its sound engine falls silent for a second."""
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand_ins"))
 
-from deployment import Caller, configuration, is_troubled, route, run_case  # noqa: E402
-from users_platform import Desk  # noqa: E402
+from deployment import Caller, configuration, is_troubled, model, route, run_case  # noqa: E402
+from users_platform import Writer  # noqa: E402
 
-ZONES = ("ahmedabad", "surat", "rajkot")
-DRAIN_S = 2.0
-# How much longer than drain-ms the engine serves.
-LONGER_S = 0.15
-# From the cut of the watches to the removal.
-PAUSE_S = 1.0
+ZONES = ("ahmedabad", "surat")
+GRACE_S = 8.0
+SILENCE_S = 1.0
+EVENTS = 25
+TOKENS = [("Auburnlb-Model", "m0"), ("Auburnlb-Token-Counts", f"200,{EVENTS * 3}")]
+# Streams that are in progress when the SIGTERM comes; they end within grace-s.
+LONG_EVENTS = 330
+LONG_TOKENS = [("Auburnlb-Model", "m0"), ("Auburnlb-Token-Counts", f"200,{LONG_EVENTS * 3}")]
+# When the streams are sent, after the SIGTERM.
+SENT_S = (5.4, 5.6, 5.8, 6.0, 6.2)
+
+
+class QuietWriter(Writer):
+    """Falls silent once in the middle of a stream, and goes on."""
+
+    is_quiet = False
+
+    async def run(self, call, request_id, writer):
+        writer.write(self.stream_head(request_id))
+        events = int(call.field("auburnlb-token-counts").split(",")[1]) // 3
+        for number in range(int(call.field("last-event-id", "0")) + 1, events + 1):
+            await asyncio.sleep(self.gap_s)
+            if self.is_quiet and number == EVENTS // 2:
+                await asyncio.sleep(SILENCE_S)
+            if writer.is_closing():
+                return False
+            self.write_chunk(writer, f"id: {number}\ndata: piece-{number}\n\n".encode())
+        writer.write(b"0\r\n\r\n")
+        return True
 
 
 async def play(deployment):
     store = deployment.store
     store.put("config", "main", configuration(
-        1, [route("book", "unsafe", "desk", **{"timeout-ms": 1000, "latency-target-ms": 100})],
-        [{"name": "desk", "max-connections": 96}]))
-    desks = [await deployment.add(Desk(store, f"d-{zone}", "desk", zone)) for zone in ZONES]
-    for each in desks:
-        each.work_s = 0.1
+        1, [route("cards", "streaming", "writer", **{"max-attempts": 2, "resumable": True,
+                                                     "gap-aim-ms": 200})],
+        [{"name": "writer", "max-connections": 1128,
+          "engine": model(80, 1750.0, [("a100", 72000.0, 2.4)])}]))
+    for zone in ZONES:
+        for index in range(3):
+            await deployment.add(QuietWriter(store, f"w-{zone}-{index}", "writer", zone, "a100",
+                                             72000.0, 1750.0))
     deployment.add_routers(ZONES)
-    await deployment.wait_served("POST", "/book/x")
-    await asyncio.sleep(4)
+    router = deployment.routers[0]
+    await deployment.wait_served("POST", "/cards/x", TOKENS)
+    await asyncio.sleep(2)
 
-    is_over = asyncio.Event()
-    answers = []
+    answers = {}
+    began = time.monotonic()
 
-    async def book(router, index):
-        caller, number = Caller(router), 0
-        while not is_over.is_set():
-            number += 1
-            request_id = f"book-{router.zone}-{index}-{number}"
-            try:
-                status, whole, _ = await caller.ask("POST", "/book/x", request_id,
-                                                    deadline_ms=600)
-            except OSError:
-                status, whole = 0, False
-                caller.close()
-            answers.append((request_id, status if whole else 0))
-            await asyncio.sleep(0.05)
+    async def stream(at_s, tokens=TOKENS, events=EVENTS):
+        """The platform sends it here: no other router of the zone is ready."""
+        await asyncio.sleep(began + at_s - time.monotonic())
+        caller = Caller(router)
+        await caller.connect()
+        request_id = f"card-{at_s}"
+        caller.send("POST", "/cards/x", request_id, fields=tokens)
+        status, whole, message = await caller.answer()
+        ended_s = time.monotonic() - began
+        answers[request_id] = status, whole, ended_s
+        count = message.body.count(b"id: ") if message else 0
+        deployment.record(f"{request_id}, sent {at_s} s after the SIGTERM, ended at {ended_s:.2f} "
+                          f"s: status {status}, {count} of {events} events, "
+                          f"{'whole' if whole else 'not whole'}")
         caller.close()
 
-    callers = [asyncio.create_task(book(router, index))
-               for router in deployment.routers for index in range(3)]
-    await asyncio.sleep(1)
+    long_streams = [asyncio.create_task(stream(-0.5 + 0.1 * index, LONG_TOKENS, LONG_EVENTS))
+                    for index in range(3)]
+    began = time.monotonic() + 0.5
+    await asyncio.sleep(0.5)
+    for each in deployment.engines:
+        each.is_quiet = True
     if is_troubled():
-        deployment.record(f"the store cuts off {store.cut_watches('servers')} waiting watches")
-    await asyncio.sleep(PAUSE_S)
-    leaving = desks[0]
-    acknowledged = store.delete("servers", leaving.name)
-    deployment.record(f"the store acknowledges that the entry of {leaving.name} is removed")
-    await asyncio.sleep(DRAIN_S + LONGER_S)
-    leaving.crash()
-    deployment.record(f"{leaving.name} exits")
-    await asyncio.sleep(1.5)
-    is_over.set()
-    await asyncio.gather(*callers)
-    late = [(at - acknowledged, request_id) for at, request_id in leaving.arrivals
-            if at - acknowledged > DRAIN_S]
-    outcome = dict(answers)
-    counts = {}
-    for _, status in answers:
-        counts[status] = counts.get(status, 0) + 1
-    deployment.record(f"bookings by status: {counts}")
-    for after_s, request_id in late:
-        deployment.record(f"DRAIN: {request_id} reached {leaving.name} {after_s * 1000:.0f} ms "
-                          f"after the acknowledgement; its answer: {outcome.get(request_id)}")
-    return not late
+        router.child.send_signal(signal.SIGTERM)
+        deployment.record(f"{router.name} gets SIGTERM; SIGKILL would follow after {GRACE_S} s")
+    await asyncio.gather(*long_streams, *(stream(at_s) for at_s in SENT_S))
+    runs = {each for engine in deployment.engines for each in engine.runs()}
+    # What was sent no later than 3 s after the SIGTERM may be cut at the end.
+    lost = [name for name, (status, whole, _) in answers.items()
+            if name in runs and (status == 0 or not whole) and float(name[5:]) > 3]
+    for name in lost:
+        deployment.record(f"LOST: {name} was passed on to an engine, and its connection ended "
+                          f"without a complete answer")
+    return not lost
 
 
 run_case(FOLDER, play)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,6 @@
-"""Three routers of one zone, of which two watch the store for the third. These
-two are cut off from the store, and then a key is taken away."""
+"""A waiting watch is cut off by the store. A second later a plain engine leaves
+without reporting draining: its entry is removed, and it serves on for drain-ms
+and a little longer."""
 
 import asyncio
 import os
@@ -9,89 +10,72 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand_ins"))
 
-from deployment import (  # noqa: E402
-    KEY, Caller, NotRun, configuration, is_troubled, route, run_case)
-from relay import Relay  # noqa: E402
+from deployment import Caller, configuration, is_troubled, route, run_case  # noqa: E402
 from users_platform import Desk  # noqa: E402
 
-ZONE = "tannery-hall"
-DROPPED = "key-that-is-taken-away"
-CONFIG_APPLY_S = 2.0
-# From the last change before the cut to the cut, and from the cut to the change.
-CUT_AFTER_S, CHANGE_AFTER_S = 0.15, 0.1
-# How long the partition lasts.
-CUT_S = 4.0
+ZONES = ("ahmedabad", "surat", "rajkot")
+DRAIN_S = 2.0
+# How much longer than drain-ms the engine serves.
+LONGER_S = 0.15
+# From the cut of the watches to the removal.
+PAUSE_S = 1.0
 
 
 async def play(deployment):
     store = deployment.store
-    book = route("book", "unsafe", "desk", **{"timeout-ms": 1000, "latency-target-ms": 100})
-    services = [{"name": "desk", "max-connections": 49}]
-    store.put("config", "main", configuration(1, [book], services, (KEY, DROPPED)))
-    for index in range(2):
-        await deployment.add(Desk(store, f"d-{index}", "desk", ZONE))
-    relays = [Relay(store) for _ in range(3)]
-    for each in relays:
-        await each.server.open()
-    deployment.add_routers([ZONE] * 3, [each.server.address for each in relays])
+    store.put("config", "main", configuration(
+        1, [route("book", "unsafe", "desk", **{"timeout-ms": 1000, "latency-target-ms": 100})],
+        [{"name": "desk", "max-connections": 96}]))
+    desks = [await deployment.add(Desk(store, f"d-{zone}", "desk", zone)) for zone in ZONES]
+    for each in desks:
+        each.work_s = 0.1
+    deployment.add_routers(ZONES)
     await deployment.wait_served("POST", "/book/x")
-    calm = None
-    end = time.monotonic() + 15
-    while calm is None and time.monotonic() < end:
-        await asyncio.sleep(0.5)
-        watches = [await each.metric("auburnlb_router_watches_store")
-                   for each in deployment.routers]
-        if watches.count(0.0) == 1:
-            calm = watches.index(0.0)
-    if calm is None:
-        raise NotRun("no router leaves the watching to the others")
-    router = deployment.routers[calm]
-    deployment.record(f"{router.name} does not watch the store, the other two do")
     await asyncio.sleep(4)
 
-    store.put("config", "main", configuration(2, [book], services, (KEY, DROPPED)))
-    await deployment.add(Desk(store, "d-2", "desk", ZONE))
-    deployment.record("version 2 of the configuration is acknowledged, and an engine joins")
-    await asyncio.sleep(CUT_AFTER_S)
-    if is_troubled():
-        for index, each in enumerate(relays):
-            if index != calm:
-                each.cut()
-                deployment.record(f"{deployment.routers[index].name} is partitioned from the "
-                                  "store")
-    await asyncio.sleep(CHANGE_AFTER_S)
-    store.put("config", "main", configuration(3, [book], services))
-    acknowledged = time.monotonic()
-    deployment.record("version 3, without the key, is acknowledged by the store")
+    is_over = asyncio.Event()
+    answers = []
+
+    async def book(router, index):
+        caller, number = Caller(router), 0
+        while not is_over.is_set():
+            number += 1
+            request_id = f"book-{router.zone}-{index}-{number}"
+            try:
+                status, whole, _ = await caller.ask("POST", "/book/x", request_id,
+                                                    deadline_ms=600)
+            except OSError:
+                status, whole = 0, False
+                caller.close()
+            answers.append((request_id, status if whole else 0))
+            await asyncio.sleep(0.05)
+        caller.close()
 
-    asyncio.get_running_loop().call_later(CUT_S, lambda: [each.heal() for each in relays])
-    sent = {}
-    refused_at = None
-    caller, number = Caller(router), 0
-    while time.monotonic() < acknowledged + 5:
-        number += 1
-        request_id = f"book-{number}"
-        at = time.monotonic() - acknowledged
-        if caller.writer is None:
-            await caller.connect()
-        caller.send("POST", "/book/x", request_id, key=DROPPED, deadline_ms=600)
-        status, whole, message = await caller.answer()
-        sent[request_id] = at, status
-        if status == 401 and refused_at is None:
-            refused_at = at
-        if not whole or message.field("connection") == "close":
-            caller.close()
-        await asyncio.sleep(0.05)
-    caller.close()
-    ran = {each for engine in deployment.engines for each in engine.runs()}
-    late = [(at, each) for each, (at, _) in sent.items() if each in ran and at > CONFIG_APPLY_S]
-    if refused_at is not None:
-        deployment.record(f"the key is first refused {refused_at:.2f} s after the acknowledgement")
-    for at, request_id in late:
-        deployment.record(f"CONFIG: {request_id}, sent {at * 1000:.0f} ms after the "
-                          "acknowledgement, ran with the key that is gone")
-    for each in relays:
-        each.server.close()
+    callers = [asyncio.create_task(book(router, index))
+               for router in deployment.routers for index in range(3)]
+    await asyncio.sleep(1)
+    if is_troubled():
+        deployment.record(f"the store cuts off {store.cut_watches('servers')} waiting watches")
+    await asyncio.sleep(PAUSE_S)
+    leaving = desks[0]
+    acknowledged = store.delete("servers", leaving.name)
+    deployment.record(f"the store acknowledges that the entry of {leaving.name} is removed")
+    await asyncio.sleep(DRAIN_S + LONGER_S)
+    leaving.crash()
+    deployment.record(f"{leaving.name} exits")
+    await asyncio.sleep(1.5)
+    is_over.set()
+    await asyncio.gather(*callers)
+    late = [(at - acknowledged, request_id) for at, request_id in leaving.arrivals
+            if at - acknowledged > DRAIN_S]
+    outcome = dict(answers)
+    counts = {}
+    for _, status in answers:
+        counts[status] = counts.get(status, 0) + 1
+    deployment.record(f"bookings by status: {counts}")
+    for after_s, request_id in late:
+        deployment.record(f"DRAIN: {request_id} reached {leaving.name} {after_s * 1000:.0f} ms "
+                          f"after the acknowledgement; its answer: {outcome.get(request_id)}")
     return not late
 
 
