--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -5,16 +5,15 @@
 import json
 import os
 import random
-import shutil
+import re
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-import tomllib
 
-from messages import read_body, read_head
+from messages import RECORD, note, read_body, read_head
 from users_platform import Store
 
 SOURCE = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -91,8 +90,8 @@
         self.child = None
 
     def start(self):
-        with open(os.path.join(SOURCE, "deploy", "system.toml"), "rb") as file:
-            words = tomllib.load(file)["roles"]["router"]["run"].split()
+        with open(os.path.join(SOURCE, "deploy", "system.toml"), encoding="utf-8") as file:
+            words = re.search(r'^run = "([^"]*)"', file.read(), re.MULTILINE).group(1).split()
         command = [os.path.join(SOURCE, words[0])] + \
             [self.settings if each.startswith("/etc/") else each for each in words[1:]]
         if not os.access(command[0], os.X_OK):
@@ -148,12 +147,15 @@
     def __init__(self, router):
         self.router = router
         self.reader = self.writer = None
+        self.request_id = ""
 
     async def connect(self, limit=1 << 20):
         self.reader, self.writer = await asyncio.open_connection(
             "127.0.0.1", self.router.callers, limit=limit)
 
     def send(self, method, path, request_id, fields=(), body=b"", deadline_ms=20000, key=KEY):
+        self.request_id = request_id
+        note(f"sent to {self.router.name}: {request_id}, {method} {path}")
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Authorization: Token {key}",
                  f"Auburnlb-Request-Id: {request_id}", f"Auburnlb-Deadline-Ms: {deadline_ms}"]
         lines += [f"{name}: {value}" for name, value in fields]
@@ -165,9 +167,13 @@
         """(status, whole, message); the status is 0 where no answer came."""
         head = await read_head(self.reader)
         if head is None:
+            note(f"answered to {self.request_id}: nothing, the connection has ended")
             return 0, False, None
         whole = await read_body(self.reader, head, on_piece)
-        return int(head.first.split()[1]), whole, head
+        status = int(head.first.split()[1])
+        note(f"answered to {self.request_id}: {status}, {len(head.body)} bytes, "
+             f"{'whole' if whole else 'not whole'}")
+        return status, whole, head
 
     async def ask(self, method, path, request_id, **more):
         if self.writer is None:
@@ -190,11 +196,10 @@
         self.store = Store()
         self.routers = []
         self.engines = []
-        self.lines = []
-        self.began = time.monotonic()
 
-    def record(self, text):
-        self.lines.append(f"{time.monotonic() - self.began:8.3f} {text}")
+    @staticmethod
+    def record(text):
+        note(text)
 
     async def open(self):
         await self.store.server.open()
@@ -263,10 +268,8 @@
             return NOT_RUN
         finally:
             deployment.end()
-            if os.environ.get("KEEP_LOGS"):
-                shutil.copytree(temporary, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
             with open(os.path.join(folder, "record.txt"), "w", encoding="utf-8") as file:
-                file.write("\n".join(deployment.lines) + "\n")
+                file.write("\n".join(RECORD) + "\n")
     with tempfile.TemporaryDirectory(prefix="auburnlb-review-") as temporary:
         code = asyncio.run(main(temporary))
     sys.exit(code)
--- a/review/stand_ins/messages.py
+++ b/review/stand_ins/messages.py
@@ -1,6 +1,15 @@
 """HTTP/1.1 messages over asyncio streams, as far as the stand-ins need them."""
 
 import asyncio
+import time
+
+# What was sent, answered and run, in order; written to record.txt at the end.
+RECORD = []
+BEGAN = time.monotonic()
+
+
+def note(text):
+    RECORD.append(f"{time.monotonic() - BEGAN:8.3f} {text}")
 
 
 class Message:
--- a/review/stand_ins/users_platform.py
+++ b/review/stand_ins/users_platform.py
@@ -4,7 +4,7 @@
 import json
 import time
 
-from messages import Server, read_body, read_head, render
+from messages import Server, note, read_body, read_head, render
 
 PAGE = 500
 
@@ -124,7 +124,6 @@
         self.born = int(time.time() * 1000)
         self.server = Server(self.serve)
         self.arrivals = []
-        self.ends = []
         self.heartbeat = None
         self.beat_s = 1.2
         self.sequence = 0
@@ -163,12 +162,14 @@
         wanted = call.field("auburnlb-expect-instance")
         if not request_id or (wanted is not None and wanted != self.name):
             status = 421 if request_id else 400
+            note(f"{self.name} rejects {request_id} with {status}")
             writer.write(render(f"HTTP/1.1 {status} X", [("Auburnlb-Not-Executed", "1"),
                                                          ("Auburnlb-Request-Id", request_id)]))
             return True
+        note(f"{self.name} runs {request_id}")
         self.arrivals.append((time.monotonic(), request_id))
         stays = await self.run(call, request_id, writer)
-        self.ends.append((time.monotonic(), request_id))
+        note(f"{self.name} ends {request_id}, connection {'kept' if stays else 'closed'}")
         return stays
 
     async def run(self, call, request_id, writer):
