--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,8 @@
 BIG_MB, SMALL_MB = 72000.0, 21600.0
 LAYERS, LAYER_MB = 80, 1750.0
 NOTE_LAYERS, NOTE_LAYER_MB = 20, 1000.0
-ZONES = ("ahmedabad", "surat")
+# The a100 engines of each zone; one l4 engine stands beside them.
+ZONES = {"ahmedabad": 3, "surat": 4, "rajkot": 4}
 REUSE_AFTER_S, BEAT_S = 2.0, 1.2
 # From the last beat of the engines to their crash.
 SINCE_BEAT_S = 0.3
@@ -47,15 +48,15 @@
         engine.note_order = note
         return engine
 
-    for zone in ZONES:
-        for index in range(3):
+    for zone, count in ZONES.items():
+        for index in range(count):
             await deployment.add(add(f"w-{zone}-{index}", "writer", zone, "a100", BIG_MB,
                                      LAYER_MB))
-        await deployment.add(add(f"w-{zone}-3", "writer", zone, "l4", SMALL_MB, LAYER_MB))
+        await deployment.add(add(f"w-{zone}-l4", "writer", zone, "l4", SMALL_MB, LAYER_MB))
         for index in range(2):
             await deployment.add(add(f"n-{zone}-{index}", "notes", zone, "l4", SMALL_MB,
                                      NOTE_LAYER_MB))
-    deployment.add_routers(ZONES)
+    deployment.add_routers(list(ZONES))
     await deployment.wait_served("POST", "/cards/x", TOKENS)
     await deployment.wait_served("POST", "/notes/x", TOKENS)
 
@@ -82,12 +83,12 @@
                for index in range(4)]
     await asyncio.sleep(2)
     held = sorted((each for each in deployment.engines
-                   if each.service == "writer" and each.zone == ZONES[0]),
+                   if each.service == "writer" and each.zone == "ahmedabad"),
                   key=lambda each: each.layers[0])
     lost, port = held[-2:], held[-2].server.port
     for each in lost:
         deployment.record(f"{each.name} at {each.server.address} holds {each.layers}")
-    late = add("n-late", "notes", ZONES[0], "l4", SMALL_MB, NOTE_LAYER_MB)
+    late = add("n-late", "notes", "ahmedabad", "l4", SMALL_MB, NOTE_LAYER_MB)
     if is_troubled():
         for each in lost:
             each.crash()
