Tell which close the dropped bytes of a caller crossed

E0408 `after_close` was the only trace of them, and said the same for a connection closed at its idle limit, for one closed at rest by a planned stop and for one closed after its last response. E0405 of a response that was broken off for want of capacity named no reason at all.

- E0408 and auburnlb_router_idle_closes_total name the close.
- E0102 of a router counts the connections that rest when the process ends.
- E0405 names why the last failed attempt has ended, and `capacity` where no endpoint had any before the request's time in the queue was over.

No decision changes.

--- a/include/auburnlb/coordination/attempt_outcome.hpp
+++ b/include/auburnlb/coordination/attempt_outcome.hpp
@@ -79,6 +79,9 @@
     /// The request must not run twice and may have run.
     kind,
     budget,
+    /// No endpoint had capacity before the request's time in the queue was
+    /// over.
+    capacity,
 };
 
 /// Returns the enumerator's name; empty for none.
--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -114,7 +114,7 @@
     {
         return channel_->is_open() && !channel_->is_drained();
     }
-    /// Closes the connection if no request is in progress.
+    /// Closes the connection for a planned stop if no request is in progress.
     void close_if_idle();
     void on_tick(time_point now);
 
@@ -131,7 +131,8 @@
     void serve();
     void reject(unsigned status);
     /// Closes the connection and removes it from its service.
-    void close(bool is_abrupt);
+    /// @param event reported if bytes arrive afterwards
+    void close(bool is_abrupt, caller_event event);
     void finish_request();
     void report(caller_event event);
     bool is_idle_time_over(time_point now) const;
--- a/include/auburnlb/router/caller_events.hpp
+++ b/include/auburnlb/router/caller_events.hpp
@@ -12,10 +12,16 @@
 
 enum class caller_event
 {
-    /// The connection was closed because it was idle.
+    /// The connection was closed because it was idle for too long.
     idle_close,
-    /// Bytes, perhaps of a request, arrived after the connection was closed.
-    bytes_after_close,
+    /// The connection was closed because it was idle during a planned stop.
+    stop_close,
+    /// Bytes, perhaps of a request, arrived after the connection was closed for
+    /// one of the reasons above.
+    bytes_after_idle_close,
+    bytes_after_stop_close,
+    /// The same, after the response that announced the close.
+    bytes_after_last_response,
     /// Bytes behind the last request, perhaps of another one, were dropped.
     read_ahead_dropped,
     /// The caller closed its sending half while its request was in progress.
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -242,6 +242,8 @@
 
     // Over all attempts.
     attempt_denial last_denial_ = attempt_denial::none;
+    /// Why the last failed attempt has ended; for the log.
+    char const* last_failure_ = "";
     std::uint32_t send_count_ = 0;
     attempted_endpoints sent_to_;
     bool may_have_run_ = false;
--- a/src/coordination/attempt_outcome.cpp
+++ b/src/coordination/attempt_outcome.cpp
@@ -49,6 +49,8 @@
         return "kind";
     case attempt_denial::budget:
         return "budget";
+    case attempt_denial::capacity:
+        return "capacity";
     }
     return "";
 }
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -187,7 +187,7 @@
     {
         report(how_caller_left(end, channel_->has_timed_out()));
     }
-    close(end == channel_end::broken);
+    close(end == channel_end::broken, caller_event::bytes_after_last_response);
     if (handler != nullptr)
     {
         handler->on_caller_left();
@@ -268,7 +268,7 @@
 void caller_connection::abort_response()
 {
     disconnect_handler_ = nullptr;
-    close(!has_begun_response_);
+    close(!has_begun_response_, caller_event::bytes_after_last_response);
 }
 
 void caller_connection::finish_request()
@@ -282,7 +282,7 @@
         {
             report(caller_event::read_ahead_dropped);
         }
-        close(false);
+        close(false, caller_event::bytes_after_last_response);
         return;
     }
     read_pending();
@@ -297,7 +297,7 @@
     send_response(head, "");
 }
 
-void caller_connection::close(bool is_abrupt)
+void caller_connection::close(bool is_abrupt, caller_event event)
 {
     if (std::exchange(is_closed_, true))
     {
@@ -311,10 +311,8 @@
     else
     {
         channel_->close_gracefully(
-            close_linger,
-            [&service = service_, peer = channel_->peer()] {
-                service.on_caller_event(caller_event::bytes_after_close, peer);
-            });
+            close_linger, [&service = service_, peer = channel_->peer(), event]
+            { service.on_caller_event(event, peer); });
     }
     service_.on_connection_closed(*this);
 }
@@ -328,8 +326,8 @@
 {
     if (is_idle() && !is_closed_)
     {
-        report(caller_event::idle_close);
-        close(false);
+        report(caller_event::stop_close);
+        close(false, caller_event::bytes_after_stop_close);
     }
 }
 
@@ -352,7 +350,7 @@
         if (is_idle_time_over(now) && is_idle())
         {
             report(caller_event::idle_close);
-            close(false);
+            close(false, caller_event::bytes_after_idle_close);
         }
         return;
     }
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -265,6 +265,7 @@
     {
         return;
     }
+    last_denial_ = attempt_denial::capacity;
     if (!end_if_begun())
     {
         send_error(status_unavailable, refusal_reason::overloaded,
@@ -453,6 +454,7 @@
          {"sends", std::to_string(send_count_)},
          {"peer", sent_to_.last_id_},
          {"denied_by", to_string(last_denial_)},
+         {"last_failure", last_failure_},
          {"events", std::to_string(event_count_)},
          {"prompt_tokens", std::to_string(caller_request_.prompt_tokens_)},
          {"max_tokens", std::to_string(caller_request_.max_output_tokens_)},
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -97,6 +97,7 @@
 {
     auto const keep_alive = shared_from_this();
     time_point const now = core_.clock_.now();
+    last_failure_ = reason;
     close_connection(*attempt_);
     record_attempt_outcome(outcome, now);
     release_reservations(*attempt_);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -205,6 +205,10 @@
     };
     log(log_level::info, log_event::process_stopped,
         {{"requests", std::to_string(core_.active_.size())},
+         {"resting", std::to_string(std::count_if(
+                         connections_.begin(), connections_.end(),
+                         [](std::shared_ptr<caller_connection> const& each)
+                         { return each->is_idle(); }))},
          {"refused", count(stop_ending::refuse)},
          {"unknown", count(stop_ending::respond_unknown)},
          {"broken_off", count(stop_ending::abort_response)}},
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -152,7 +152,7 @@
     connected_caller caller(io);
     caller.connection_->close_if_idle();
     EXPECT_EQ(caller.service_.closed_, 1);
-    EXPECT_TRUE(caller.has(caller_event::idle_close));
+    EXPECT_TRUE(caller.has(caller_event::stop_close));
 }
 
 TEST(caller_connection, a_request_that_crosses_the_close_is_counted)
@@ -161,7 +161,7 @@
     connected_caller caller(io);
     caller.connection_->close_if_idle();
     caller.send(request);
-    EXPECT_TRUE(caller.run_until_event(caller_event::bytes_after_close));
+    EXPECT_TRUE(caller.run_until_event(caller_event::bytes_after_stop_close));
     EXPECT_EQ(caller.service_.requests_, 0);
 }
 
