Keep callers' connections at rest until a stopping router ends

Cause: 3 s after the signal the router closed all connections at rest, and read and dropped what arrived on them for a second more, although the process lived on for seconds. Their callers had not been told: they had no answer since the signal, and a request that was on its way when the close went out was received whole and lost. Class: a promise to a caller that is taken back while the caller may still rely on it.

Fix: a stopping router closes a connection after an answer that said `Connection: close`, and leaves those at rest alone until the process itself must end.

The tests that closed a connection by hand as idle now let its idle time pass instead.

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -114,8 +114,6 @@
     {
         return channel_->is_open() && !channel_->is_drained();
     }
-    /// Closes the connection for a planned stop if no request is in progress.
-    void close_if_idle();
     void on_tick(time_point now);
 
 private:
--- a/include/auburnlb/router/caller_events.hpp
+++ b/include/auburnlb/router/caller_events.hpp
@@ -14,12 +14,9 @@
 {
     /// The connection was closed because it was idle for too long.
     idle_close,
-    /// The connection was closed because it was idle during a planned stop.
-    stop_close,
     /// Bytes, perhaps of a request, arrived after the connection was closed for
-    /// one of the reasons above.
+    /// that.
     bytes_after_idle_close,
-    bytes_after_stop_close,
     /// The same, after the response that announced the close.
     bytes_after_last_response,
     /// Bytes behind the last request, perhaps of another one, were dropped.
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -322,15 +322,6 @@
     service_.on_caller_event(event, channel_->peer());
 }
 
-void caller_connection::close_if_idle()
-{
-    if (is_idle() && !is_closed_)
-    {
-        report(caller_event::stop_close);
-        close(false, caller_event::bytes_after_stop_close);
-    }
-}
-
 bool caller_connection::is_idle_time_over(time_point now) const
 {
     // A shorter limit holds from the next response on, which tells the caller.
--- a/src/router/caller_events.cpp
+++ b/src/router/caller_events.cpp
@@ -33,17 +33,11 @@
     switch (event)
     {
     case caller_event::idle_close:
-        metrics.add("auburnlb_router_idle_closes_total", "cause=\"limit\"");
-        return;
-    case caller_event::stop_close:
-        metrics.add("auburnlb_router_idle_closes_total", "cause=\"stop\"");
+        metrics.add("auburnlb_router_idle_closes_total");
         return;
     case caller_event::bytes_after_idle_close:
         record_dropped_bytes(metrics, "after_idle_close", peer);
         return;
-    case caller_event::bytes_after_stop_close:
-        record_dropped_bytes(metrics, "after_stop_close", peer);
-        return;
     case caller_event::bytes_after_last_response:
         record_dropped_bytes(metrics, "after_last_response", peer);
         return;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -189,10 +189,6 @@
     for (auto const& each : connections)
     {
         each->on_tick(now);
-        if (core_.is_stopping_ && is_notice_over(core_.stop(), now))
-        {
-            each->close_if_idle();
-        }
     }
 }
 
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -127,6 +127,12 @@
         connection_->on_tick(service_.clock_.now());
     }
 
+    void tick_after_idle_time()
+    {
+        tick_after(service_.limits_.idle_timeout_ + idle_close_margin +
+                   milliseconds(1));
+    }
+
     asio::io_context& io_;
     answering_service service_;
     tcp::socket socket_;
@@ -140,7 +146,7 @@
     asio::io_context io;
     connected_caller caller(io);
     caller.send(request);
-    caller.connection_->close_if_idle();
+    caller.tick_after_idle_time();
     EXPECT_EQ(caller.service_.closed_, 0);
     EXPECT_TRUE(caller.run_until_requests(1));
     EXPECT_EQ(caller.service_.requests_, 1);
@@ -150,18 +156,18 @@
 {
     asio::io_context io;
     connected_caller caller(io);
-    caller.connection_->close_if_idle();
+    caller.tick_after_idle_time();
     EXPECT_EQ(caller.service_.closed_, 1);
-    EXPECT_TRUE(caller.has(caller_event::stop_close));
+    EXPECT_TRUE(caller.has(caller_event::idle_close));
 }
 
 TEST(caller_connection, a_request_that_crosses_the_close_is_counted)
 {
     asio::io_context io;
     connected_caller caller(io);
-    caller.connection_->close_if_idle();
+    caller.tick_after_idle_time();
     caller.send(request);
-    EXPECT_TRUE(caller.run_until_event(caller_event::bytes_after_stop_close));
+    EXPECT_TRUE(caller.run_until_event(caller_event::bytes_after_idle_close));
     EXPECT_EQ(caller.service_.requests_, 0);
 }
 
