Leave unread what crosses the close of an idle connection

Cause: the router went on to read a closed idle connection for a second, as it must after a last response, and dropped what it read. Nothing is in flight on an idle connection that this could save. The idle time counted from the moment at which the response was handed to the channel, although most of a large one may still wait there.

Fix: an idle connection is closed at once; the system resets what still arrives, and no request is accepted that gets no answer. The idle time begins when the last response is written.

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -129,8 +129,8 @@
     void serve();
     void reject(unsigned status);
     /// Closes the connection and removes it from its service.
-    /// @param event reported if bytes arrive afterwards
-    void close(bool is_abrupt, caller_event event);
+    void close(bool is_abrupt);
+    void close_if_idle(time_point now);
     void finish_request();
     void report(caller_event event);
     bool is_idle_time_over(time_point now) const;
--- a/include/auburnlb/router/caller_events.hpp
+++ b/include/auburnlb/router/caller_events.hpp
@@ -14,11 +14,8 @@
 {
     /// The connection was closed because it was idle for too long.
     idle_close,
-    /// Bytes, perhaps of a request, arrived after the connection was closed for
-    /// that.
-    bytes_after_idle_close,
-    /// The same, after the response that announced the close.
-    bytes_after_last_response,
+    /// Bytes, perhaps of a request, arrived after the last response.
+    bytes_after_close,
     /// Bytes behind the last request, perhaps of another one, were dropped.
     read_ahead_dropped,
     /// The caller closed its sending half while its request was in progress.
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -187,7 +187,7 @@
     {
         report(how_caller_left(end, channel_->has_timed_out()));
     }
-    close(end == channel_end::broken, caller_event::bytes_after_last_response);
+    close(end == channel_end::broken);
     if (handler != nullptr)
     {
         handler->on_caller_left();
@@ -268,7 +268,7 @@
 void caller_connection::abort_response()
 {
     disconnect_handler_ = nullptr;
-    close(!has_begun_response_, caller_event::bytes_after_last_response);
+    close(!has_begun_response_);
 }
 
 void caller_connection::finish_request()
@@ -282,7 +282,7 @@
         {
             report(caller_event::read_ahead_dropped);
         }
-        close(false, caller_event::bytes_after_last_response);
+        close(false);
         return;
     }
     read_pending();
@@ -297,7 +297,7 @@
     send_response(head, "");
 }
 
-void caller_connection::close(bool is_abrupt, caller_event event)
+void caller_connection::close(bool is_abrupt)
 {
     if (std::exchange(is_closed_, true))
     {
@@ -311,8 +311,10 @@
     else
     {
         channel_->close_gracefully(
-            close_linger, [&service = service_, peer = channel_->peer(), event]
-            { service.on_caller_event(event, peer); });
+            close_linger,
+            [&service = service_, peer = channel_->peer()] {
+                service.on_caller_event(caller_event::bytes_after_close, peer);
+            });
     }
     service_.on_connection_closed(*this);
 }
@@ -330,6 +332,23 @@
     return now - phase_began_at_ > allowed + idle_close_margin;
 }
 
+void caller_connection::close_if_idle(time_point now)
+{
+    if (!channel_->is_drained())
+    {
+        // The caller has not got its last response yet.
+        phase_began_at_ = now;
+        return;
+    }
+    if (is_idle_time_over(now) && is_idle())
+    {
+        report(caller_event::idle_close);
+        // A request that crosses the close stays unread: what was not accepted
+        // cannot be lost.
+        close(true);
+    }
+}
+
 void caller_connection::on_tick(time_point now)
 {
     if (is_serving_ || is_closed_)
@@ -338,11 +357,7 @@
     }
     if (!reader_.is_inside_message())
     {
-        if (is_idle_time_over(now) && is_idle())
-        {
-            report(caller_event::idle_close);
-            close(false, caller_event::bytes_after_idle_close);
-        }
+        close_if_idle(now);
         return;
     }
     // The body gets as much time again as the head.
--- a/src/router/caller_events.cpp
+++ b/src/router/caller_events.cpp
@@ -35,11 +35,8 @@
     case caller_event::idle_close:
         metrics.add("auburnlb_router_idle_closes_total");
         return;
-    case caller_event::bytes_after_idle_close:
-        record_dropped_bytes(metrics, "after_idle_close", peer);
-        return;
-    case caller_event::bytes_after_last_response:
-        record_dropped_bytes(metrics, "after_last_response", peer);
+    case caller_event::bytes_after_close:
+        record_dropped_bytes(metrics, "after_close", peer);
         return;
     case caller_event::read_ahead_dropped:
         record_dropped_bytes(metrics, "read_ahead", peer);
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -1,6 +1,7 @@
 // Tests of when a caller's connection counts as idle, what is read on it, and
 // what becomes of requests that cross its close.
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,7 +21,7 @@
 
 std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
-/// Answers each request with an empty response, at once or when told to.
+/// Answers each request with the same response, at once or when told to.
 class answering_service final : public request_service
 {
 public:
@@ -47,7 +48,8 @@
     {
         http_head head;
         head.status_ = 200;
-        std::exchange(in_progress_, nullptr)->send_response(head, "");
+        std::exchange(in_progress_, nullptr)
+            ->send_response(head, response_body_);
     }
 
     manual_clock clock_;
@@ -55,6 +57,7 @@
     bool is_closing_ = false;
     bool answers_at_once_ = true;
     std::shared_ptr<caller_connection> in_progress_;
+    std::string response_body_;
     std::vector<caller_event> events_;
     int requests_ = 0;
     int closed_ = 0;
@@ -161,14 +164,57 @@
     EXPECT_TRUE(caller.has(caller_event::idle_close));
 }
 
-TEST(caller_connection, a_request_that_crosses_the_close_is_counted)
+TEST(caller_connection, a_request_that_crosses_an_idle_close_stays_unread)
 {
     asio::io_context io;
     connected_caller caller(io);
     caller.tick_after_idle_time();
+    ASSERT_EQ(caller.service_.closed_, 1);
     caller.send(request);
-    EXPECT_TRUE(caller.run_until_event(caller_event::bytes_after_idle_close));
-    EXPECT_EQ(caller.service_.requests_, 0);
+    caller.run_a_moment();
+    EXPECT_FALSE(caller.has(caller_event::bytes_after_close));
+    // The system has told the caller that nobody reads any more.
+    asio::error_code failure;
+    asio::write(caller.socket_, asio::buffer(request), failure);
+    EXPECT_EQ(failure, asio::error::broken_pipe);
+}
+
+TEST(caller_connection, a_request_after_the_announced_close_is_counted)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.service_.is_closing_ = true;
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(1));
+    caller.send(request);
+    EXPECT_TRUE(caller.run_until_event(caller_event::bytes_after_close));
+    EXPECT_EQ(caller.service_.requests_, 1);
+}
+
+TEST(caller_connection, a_response_that_is_read_slowly_is_not_cut_as_idle)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.service_.response_body_.assign(std::size_t{8} << 20U, 'x');
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(1));
+    ASSERT_GT(caller.connection_->unsent_bytes(), 0U);
+    caller.tick_after_idle_time();
+    EXPECT_EQ(caller.service_.closed_, 0);
+    std::string received;
+    std::array<char, 1 << 16> piece{};
+    EXPECT_TRUE(caller.run_until(
+        [&]
+        {
+            asio::error_code failure;
+            caller.socket_.non_blocking(true);
+            received.append(piece.data(), caller.socket_.read_some(
+                                              asio::buffer(piece), failure));
+            return received.size() > caller.service_.response_body_.size();
+        }));
+    caller.tick_after(milliseconds(1));
+    caller.tick_after_idle_time();
+    EXPECT_EQ(caller.service_.closed_, 1);
 }
 
 TEST(caller_connection, a_request_behind_the_last_response_is_counted)
