Leave a stopping router time for a silence of a sound engine

Cause: a stopping router sends a stream if its time at an engine that never pauses fits before the last answers. A sound engine may fall silent for about a second and go on. And a response that had begun was broken off with the last answers, 0.35 s before the process ended, although nothing else could be written in its place.

Fix: what is sent in a stop must end before its last answers even if its engine is silent for 1.2 s; what does not is refused at once as not run. A response that has begun goes on up to the end of the process.

--- a/include/auburnlb/coordination/planned_stop.hpp
+++ b/include/auburnlb/coordination/planned_stop.hpp
@@ -15,6 +15,9 @@
 /// A request is sent only if this much time is left, however short it is.
 inline constexpr milliseconds min_request_time{1'000};
 
+/// A sound engine may fall silent for about this long and go on.
+inline constexpr milliseconds engine_silence{1'200};
+
 /// A planned stop that has begun.
 struct planned_stop
 {
@@ -38,9 +41,10 @@
     time_point received_{};
     /// When its caller gets an answer in any case.
     time_point deadline_{};
-    /// How long it takes, as far as can be expected.
+    /// How long it takes, as far as can be expected, at an engine that is never
+    /// silent.
     milliseconds expected_time_{0};
-    /// How long it may take without its deadline.
+    /// How long it may take there without its deadline.
     milliseconds longest_time_{0};
     /// Whether an earlier attempt may have run it, or a response has begun.
     bool may_have_run_ = false;
@@ -70,6 +74,11 @@
 /// one
 stop_ending ending_of(bool has_begun_response, bool was_sent);
 
+/// Returns when a request that is still in progress is ended in this way. A
+/// response that has begun needs no other answer, and may go on up to the end
+/// of the process.
+time_point end_of_request(planned_stop const& stop, stop_ending ending);
+
 } // namespace auburnlb
 
 #endif
--- a/src/coordination/planned_stop.cpp
+++ b/src/coordination/planned_stop.cpp
@@ -55,8 +55,9 @@
     // The load balancer still sends callers here, and few take the longest
     // time.
     bool const is_within_notice = !is_notice_over(stop, request.received_);
-    return (is_within_notice ? request.expected_time_ : request.longest_time_) <
-           left;
+    milliseconds const time =
+        is_within_notice ? request.expected_time_ : request.longest_time_;
+    return time + engine_silence < left;
 }
 
 char const* to_string(stop_ending ending)
@@ -82,4 +83,10 @@
     return was_sent ? stop_ending::respond_unknown : stop_ending::refuse;
 }
 
+time_point end_of_request(planned_stop const& stop, stop_ending ending)
+{
+    return ending == stop_ending::abort_response ? process_end(stop)
+                                                 : answers_end(stop);
+}
+
 } // namespace auburnlb
--- a/src/router/request_stop.cpp
+++ b/src/router/request_stop.cpp
@@ -91,14 +91,14 @@
 std::optional<stop_ending> forwarded_request::end_for_stop(time_point now)
 {
     bool const has_not_run = attempt_->connection_ == nullptr && !may_have_run_;
-    if (now < answers_end(core_.stop()) &&
+    stop_ending const ending =
+        ending_of(caller_->has_begun_response(), !has_not_run);
+    if (now < end_of_request(core_.stop(), ending) &&
         !(is_waiting_ && has_not_run && is_too_late_to_begin()))
     {
         return std::nullopt;
     }
     auto const keep_alive = shared_from_this();
-    stop_ending const ending =
-        ending_of(caller_->has_begun_response(), !has_not_run);
     close_connection(*attempt_);
     if (is_waiting_)
     {
--- a/test/coordination/planned_stop_test.cpp
+++ b/test/coordination/planned_stop_test.cpp
@@ -65,6 +65,27 @@
     EXPECT_FALSE(may_send(stop, call, at(milliseconds(6'000))));
 }
 
+TEST(planned_stop, a_stream_is_sent_only_if_it_outlasts_a_silence_of_its_engine)
+{
+    stopping_request stream = call_received(milliseconds(5'400));
+    stream.longest_time_ = milliseconds(750);
+    EXPECT_TRUE(may_send(stop, stream, at(milliseconds(5'400))));
+    stream.received_ = at(milliseconds(6'000));
+    EXPECT_FALSE(may_send(stop, stream, at(milliseconds(6'000))));
+    stream.received_ = at(milliseconds(2'000));
+    stream.expected_time_ = milliseconds(4'500);
+    EXPECT_FALSE(may_send(stop, stream, at(milliseconds(2'000))));
+}
+
+TEST(planned_stop, a_response_that_has_begun_goes_on_up_to_the_end)
+{
+    EXPECT_EQ(end_of_request(stop, stop_ending::abort_response),
+              process_end(stop));
+    EXPECT_EQ(end_of_request(stop, stop_ending::respond_unknown),
+              answers_end(stop));
+    EXPECT_EQ(end_of_request(stop, stop_ending::refuse), answers_end(stop));
+}
+
 TEST(planned_stop, nothing_new_is_sent_when_the_answers_are_due)
 {
     stopping_request call = call_received(milliseconds(7'300));
