Do not reject a request whose rest came during a pause of the router

What callers would see: a router that was paused, or that read a large configuration in one turn, answered 408 to a request that had arrived whole in time; its rest waited in the socket.

Cause: the time that a request's head and body may take was compared with the clock before what had arrived was read. Fix: a request is rejected as slow only when nothing of it waits to be read.

Evidence: a_pause_of_the_process_rejects_no_request_that_came_in_time failed before and passes; the other 16 tests of caller_connection pass.

--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -364,7 +364,8 @@
     milliseconds const allowed = reader_.is_inside_body()
                                      ? 2 * message_limits_.header_timeout_
                                      : message_limits_.header_timeout_;
-    if (now - phase_began_at_ > allowed)
+    // The rest may have arrived while the process was paused.
+    if (now - phase_began_at_ > allowed && !channel_->has_unread_bytes())
     {
         reject(status_request_timeout);
     }
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -321,6 +321,20 @@
     EXPECT_EQ(caller.service_.closed_, 1);
 }
 
+TEST(caller_connection,
+     a_pause_of_the_process_rejects_no_request_that_came_in_time)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    caller.send("GET /x HTTP/1.1\r\n");
+    caller.run_a_moment();
+    caller.send("Host: h\r\n\r\n");
+    caller.tick_after(caller_limits{}.header_timeout_ + milliseconds(1));
+    EXPECT_EQ(caller.service_.closed_, 0);
+    EXPECT_TRUE(caller.run_until_requests(1));
+    EXPECT_EQ(caller.service_.closed_, 0);
+}
+
 TEST(caller_connection, a_larger_head_limit_holds_for_kept_connections)
 {
     asio::io_context io;
