Give no port twice within a test deployment

Cause, as suspected there: a router binds its three ports some time after it was given them, and until then the next router may be given the same. A deployment now remembers what it has given.

process.platform_cluster_test gives three routers that never bind nine ports of nine: failed 5 of 5 before, passed 5 of 5 after.

--- a/test/process/crashing_fleet.py
+++ b/test/process/crashing_fleet.py
@@ -6,7 +6,7 @@
 import time
 
 from cluster import request
-from platform_cluster import DESK, MODEL, free_ports
+from platform_cluster import DESK, MODEL
 from relay import Relay
 
 
@@ -48,7 +48,7 @@
             router.kill()
 
     def add_engine(self, name, zone, service=MODEL, port=None, relay=None):
-        port = port or (free_ports(1)[0] if self.is_same_engine else 0)
+        port = port or (self.system.take_ports(1)[0] if self.is_same_engine else 0)
         options = ["--record", self.record, "--port", str(port)] + self.crash_options
         if self.has_relays:
             relay = relay or Relay(self.system, f"relay-{name}", self.system.store.port)
--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -54,12 +54,12 @@
             "tenants": [{"name": "workspace", "api-keys": list(keys)}]}
 
 
-def free_ports(count):
-    """Ports on which nothing listens, each once."""
+def free_ports(count, given=()):
+    """Ports on which nothing listens, each once, and none that was given before."""
     chosen = random.SystemRandom()
     found = set()
     while len(found) < count:
-        port = chosen.choice(PORTS)
+        port = chosen.choice([each for each in PORTS if each not in given])
         try:
             socket.create_server(("127.0.0.1", port)).close()
         except OSError:
@@ -121,6 +121,8 @@
         self.routers = []
         self.version = 0
         self.seeds = []
+        # A process binds its ports some time after it was given them.
+        self.given_ports = set()
         self.store = self.start("store", [os.path.join(BUILD, "fake-users_store")])
         self.store.port = int(self.store.first_line.rsplit(":", 1)[1])
         self.configure()
@@ -153,6 +155,12 @@
         assert status == 200, text
         return self.version
 
+    def take_ports(self, count):
+        """Free ports that this deployment gives to nobody else."""
+        ports = free_ports(count, self.given_ports)
+        self.given_ports.update(ports)
+        return ports
+
     def store_mode(self, mode):
         assert request(self.store.port, "POST", "/fake/mode", mode)[0] == 200
 
@@ -185,7 +193,7 @@
 
     def add_router(self, name="router", zone="dc1", store_port=None, ports=None,
                    retry_slack=200.0):
-        callers, ready, control = ports or free_ports(3)
+        callers, ready, control = ports or self.take_ports(3)
         address = f"127.0.0.1:{control}"
         values = {"node": {"name": name, "data_centre": zone, "region": "one"},
                   "log": {"format": "json"},
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -8,7 +8,7 @@
 
 import crashing_request
 from cluster import request
-from platform_cluster import DESK, HOST, MODEL, PlatformCluster, free_ports
+from platform_cluster import DESK, HOST, MODEL, PlatformCluster
 from relay import Relay
 
 ZONES = ("dc1", "dc2")
@@ -119,7 +119,7 @@
 
     def add_member_router(self, name, zone):
         relay = Relay(self, f"relay-{name}", self.store.port)
-        ports = free_ports(3)
+        ports = self.take_ports(3)
 
         def start():
             return self.add_router(name, zone, relay.port, ports)
