Let a relay stand between callers and routers

The relay closed both sides of a connection when one side had closed its half, dropped what was on its way in the other direction, and turned a reset into an end. It now passes the end of a half, and a reset, behind the bytes before it and after the delay; a reset that answers bytes behind an end passes too; a client whose target refuses the connection is reset and listed with its port and time; "pieces BYTES PAUSE_MS" cuts what passes in both directions. Those relays that stand before engines and the store behave so as well.

--- a/fakes/fake_relay.cpp
+++ b/fakes/fake_relay.cpp
@@ -55,6 +55,7 @@
     tcp::acceptor acceptor_;
     relay_condition condition_;
     std::set<std::shared_ptr<relay_session>> sessions_;
+    std::vector<refused_client> refused_;
     std::thread thread_;
 
     impl(std::uint16_t port, std::string const& target);
@@ -92,8 +93,12 @@
             if (!error)
             {
                 forget_closed();
-                auto next = std::make_shared<relay_session>(std::move(client),
-                                                            condition_);
+                auto next = std::make_shared<relay_session>(
+                    std::move(client), condition_,
+                    [this](std::uint16_t port) {
+                        refused_.push_back(
+                            {port, std::chrono::steady_clock::now()});
+                    });
                 sessions_.insert(next);
                 next->start(target_);
             }
@@ -209,6 +214,23 @@
                { impl_->condition_.bytes_per_second_ = bytes_per_second; });
 }
 
+void fake_relay::set_pieces(std::size_t bytes, milliseconds pause)
+{
+    impl_->run(
+        [this, bytes, pause]
+        {
+            impl_->condition_.piece_bytes_ = bytes;
+            impl_->condition_.piece_pause_ = pause;
+        });
+}
+
+std::vector<refused_client> fake_relay::refused() const
+{
+    std::vector<refused_client> refused;
+    impl_->run([&] { refused = impl_->refused_; });
+    return refused;
+}
+
 void fake_relay::set_target(std::string const& target)
 {
     tcp::endpoint const parsed = parse_target(target);
@@ -250,6 +272,11 @@
     {
         set_rate(number);
     }
+    else if (std::uint64_t pause = 0;
+             verb == "pieces" && has_number && words >> pause)
+    {
+        set_pieces(number, milliseconds(pause));
+    }
     else if (verb == "silence")
     {
         silence();
--- a/fakes/fake_relay.hpp
+++ b/fakes/fake_relay.hpp
@@ -1,10 +1,13 @@
-// TCP relay that can silence, cut, delay or throttle what runs through it.
+// TCP relay that can silence, cut, delay, throttle or cut into pieces what runs
+// through it. Otherwise the end of one side's half, and a reset, pass as what
+// they are.
 #ifndef AUBURNLB_FAKES_FAKE_RELAY_HPP
 #define AUBURNLB_FAKES_FAKE_RELAY_HPP
 
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "auburnlb/state/clock.hpp"
 
@@ -19,6 +22,14 @@
     std::size_t silent_ = 0;
 };
 
+/// A client whose connection the target did not take.
+struct refused_client
+{
+    std::uint16_t port_ = 0;
+    /// By the machine's monotonic clock.
+    time_point at_;
+};
+
 /// Thread-safe. Listens on 127.0.0.1.
 class fake_relay
 {
@@ -48,14 +59,18 @@
     void set_delay(milliseconds delay);
     /// Limits each direction of each connection; zero for no limit.
     void set_rate(std::uint64_t bytes_per_second);
+    /// Cuts what passes into pieces with a pause between them; zero bytes for
+    /// as it comes.
+    void set_pieces(std::size_t bytes, milliseconds pause);
     relay_counts counts() const;
+    std::vector<refused_client> refused() const;
 
     /// Relays new connections to another target.
     void set_target(std::string const& target);
 
     /// Runs a command: "silence", "isolate", "lose", "heal", "cut",
-    /// "reset", "delay MS", "rate BYTES_PER_S" or "to HOST:PORT". False when it
-    /// is none of them.
+    /// "reset", "delay MS", "rate BYTES_PER_S", "pieces BYTES PAUSE_MS" or "to
+    /// HOST:PORT". False when it is none of them.
     bool run_command(std::string const& line);
 
 private:
--- a/fakes/relay/main.cpp
+++ b/fakes/relay/main.cpp
@@ -25,8 +25,9 @@
     "Prints \"listening 127.0.0.1:PORT\" and \"control 127.0.0.1:PORT\".\n"
     "Runs until SIGTERM or SIGINT. POST / on the control side takes a\n"
     "command as its body: silence, isolate, lose, heal, cut, reset,\n"
-    "delay MS, rate BYTES_PER_S, to HOST:PORT. GET / counts the\n"
-    "connections.\n";
+    "delay MS, rate BYTES_PER_S, pieces BYTES PAUSE_MS, to HOST:PORT.\n"
+    "GET / counts the connections and lists the clients that the target\n"
+    "refused, each as port and milliseconds of the monotonic clock.\n";
 
 constexpr option long_options[] = {
     {"to", required_argument, nullptr, 't'},
@@ -76,6 +77,18 @@
     return options;
 }
 
+std::string refused_list(fake_relay const& relay)
+{
+    std::string text;
+    for (refused_client const& each : relay.refused())
+    {
+        auto const at = each.at_.time_since_epoch() / milliseconds(1);
+        text += (text.empty() ? "[" : ",[") + std::to_string(each.port_) + "," +
+                std::to_string(at) + "]";
+    }
+    return "[" + text + "]";
+}
+
 http_response control(fake_relay& relay, incoming_request const& request)
 {
     if (request.method_ == "GET")
@@ -83,7 +96,8 @@
         relay_counts const counts = relay.counts();
         return json_response(
             200, "{\"open\":" + std::to_string(counts.open_) +
-                     ",\"silent\":" + std::to_string(counts.silent_) + "}");
+                     ",\"silent\":" + std::to_string(counts.silent_) +
+                     ",\"refused\":" + refused_list(relay) + "}");
     }
     if (!relay.run_command(request.body_))
     {
--- a/fakes/relay_session.hpp
+++ b/fakes/relay_session.hpp
@@ -5,8 +5,10 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <asio.hpp>
 
@@ -20,6 +22,9 @@
 {
     milliseconds delay_{0};
     std::uint64_t bytes_per_second_ = 0;
+    /// Size of the pieces that bytes are cut into; zero for as they come.
+    std::size_t piece_bytes_ = 0;
+    milliseconds piece_pause_{0};
     bool is_isolated_ = false;
     bool loses_answers_ = false;
 };
@@ -28,8 +33,11 @@
 class relay_session : public std::enable_shared_from_this<relay_session>
 {
 public:
+    using refusal_handler = std::function<void(std::uint16_t client_port)>;
+
+    /// The handler is told of a client whose connection the target refused.
     relay_session(asio::ip::tcp::socket client,
-                  relay_condition const& condition);
+                  relay_condition const& condition, refusal_handler on_refused);
 
     void start(asio::ip::tcp::endpoint const& target);
     bool is_open() const { return client_.is_open(); }
@@ -42,10 +50,19 @@
     void close();
 
 private:
+    enum class chunk_kind
+    {
+        bytes,
+        /// The sender's half is closed.
+        end,
+        reset,
+    };
+
     struct delayed_chunk
     {
         time_point due_;
         std::string bytes_;
+        chunk_kind kind_ = chunk_kind::bytes;
     };
 
     static constexpr std::size_t chunk_bytes = 16U << 10U;
@@ -61,8 +78,12 @@
         bool is_reading_ = false;
         bool is_writing_ = false;
         bool is_ended_ = false;
+        bool is_reset_ = false;
+        bool has_passed_end_ = false;
         /// When the rate lets the next byte through.
         time_point next_free_{};
+        /// When the next piece may be passed on.
+        time_point next_piece_{};
 
         direction(asio::ip::tcp::socket& from, asio::ip::tcp::socket& to,
                   asio::ip::tcp::socket::executor_type const& executor);
@@ -71,13 +92,20 @@
     void on_connected(asio::error_code error);
     void read(direction& way);
     void on_read(direction& way, asio::error_code error, std::size_t bytes);
+    void pass_bytes(direction& way, std::string_view bytes);
+    void pass_end(direction& way);
+    void pass_reset(direction& way);
+    /// After its end, a sender can still reset the connection.
+    void watch_for_reset(direction& way);
+    direction& opposite(direction const& way);
     time_point due_time(direction& way, std::size_t bytes) const;
     void write_next(direction& way);
     void write_now(direction& way);
+    void write_end(direction& way);
     void on_written(direction& way, asio::error_code error);
-    void close_when_drained(direction& way);
 
     relay_condition const& condition_;
+    refusal_handler on_refused_;
     asio::ip::tcp::socket client_;
     asio::ip::tcp::socket server_;
     direction upstream_;
--- a/test/process/relay.py
+++ b/test/process/relay.py
@@ -1,5 +1,6 @@
 """A relay between two processes, which harms what passes through it."""
 
+import json
 import os
 
 from cluster import BUILD, request
@@ -17,3 +18,22 @@
 
     def command(self, text):
         assert request(self.control, "POST", "/", text)[0] == 200, text
+
+    def refused(self):
+        """Port and time of each client that the target did not take."""
+        listed = json.loads(request(self.control, "GET", "/")[2])["refused"]
+        return [(port, at_ms / 1000) for port, at_ms in listed]
+
+
+class CallerRelay(Relay):
+    """The way between callers and one router, which its callers take for the router."""
+
+    def __init__(self, system, router, link):
+        super().__init__(system, f"way-{router.node}", router.callers)
+        self.node = router.node
+        self.callers = self.port
+        self.set_link(link)
+
+    def set_link(self, link):
+        self.command(f"delay {link.delay_s * 1000:.0f}")
+        self.command(f"pieces {link.piece_bytes} {link.pause_s * 1000:.0f}")
