--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -114,8 +114,6 @@
     {
         return channel_->is_open() && !channel_->is_drained();
     }
-    /// Closes the connection if no request is in progress.
-    void close_if_idle();
     void on_tick(time_point now);
 
 private:
@@ -132,6 +130,7 @@
     void reject(unsigned status);
     /// Closes the connection and removes it from its service.
     void close(bool is_abrupt);
+    void close_if_idle(time_point now);
     void finish_request();
     void report(caller_event event);
     bool is_idle_time_over(time_point now) const;
--- a/include/auburnlb/router/caller_events.hpp
+++ b/include/auburnlb/router/caller_events.hpp
@@ -12,9 +12,9 @@
 
 enum class caller_event
 {
-    /// The connection was closed because it was idle.
+    /// The connection was closed because it was idle for too long.
     idle_close,
-    /// Bytes, perhaps of a request, arrived after the connection was closed.
+    /// Bytes, perhaps of a request, arrived after the last response.
     bytes_after_close,
     /// Bytes behind the last request, perhaps of another one, were dropped.
     read_ahead_dropped,
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -324,15 +324,6 @@
     service_.on_caller_event(event, channel_->peer());
 }
 
-void caller_connection::close_if_idle()
-{
-    if (is_idle() && !is_closed_)
-    {
-        report(caller_event::idle_close);
-        close(false);
-    }
-}
-
 bool caller_connection::is_idle_time_over(time_point now) const
 {
     // A shorter limit holds from the next response on, which tells the caller.
@@ -341,6 +332,23 @@
     return now - phase_began_at_ > allowed + idle_close_margin;
 }
 
+void caller_connection::close_if_idle(time_point now)
+{
+    if (!channel_->is_drained())
+    {
+        // The caller has not got its last response yet.
+        phase_began_at_ = now;
+        return;
+    }
+    if (is_idle_time_over(now) && is_idle())
+    {
+        report(caller_event::idle_close);
+        // A request that crosses the close stays unread: what was not accepted
+        // cannot be lost.
+        close(true);
+    }
+}
+
 void caller_connection::on_tick(time_point now)
 {
     if (is_serving_ || is_closed_)
@@ -349,11 +357,7 @@
     }
     if (!reader_.is_inside_message())
     {
-        if (is_idle_time_over(now) && is_idle())
-        {
-            report(caller_event::idle_close);
-            close(false);
-        }
+        close_if_idle(now);
         return;
     }
     // The body gets as much time again as the head.
