Return to the silent attempt when a waiting stream is refused as crashing

What callers would see: a stream that had begun is broken off because a part of its prompt turns out to crash engines while it waits for a second attempt, although the engine of its first attempt, silent for a second, would go on.

Cause: refuse_waiting returns to a superseded attempt before it ends a request, refuse_crashing did not. Nothing new is sent to an engine.

--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -276,6 +276,10 @@
 void forwarded_request::refuse_crashing()
 {
     is_waiting_ = false;
+    if (resume_superseded("suspected_crash"))
+    {
+        return;
+    }
     if (!end_if_begun())
     {
         send_error(status_unavailable, refusal_reason::suspected_crash,
