Begin no idle time while the system still holds the last response

What callers would see: a caller that reads an answer slowly, and then sends its next request within the announced idle time, finds its connection closed.

Cause: the idle time began when the last byte was handed to the system, whose buffers hold much of a large answer. Fix: a connection on which the caller has not acknowledged everything is not idle. What was read ahead of a response that is broken off is counted as dropped, too.

The test of the shorter idle limit waits for the acknowledgement of its last response now, which the system may delay; its bounds are as before.

--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -106,6 +106,13 @@
         return !is_serving_ && !reader_.is_inside_message() &&
                !channel_->has_unread_bytes();
     }
+    /// Whether bytes of the caller wait to be read.
+    bool has_unread_bytes() const { return channel_->has_unread_bytes(); }
+    /// Whether the caller has not acknowledged all that was sent.
+    bool has_unacknowledged_bytes() const
+    {
+        return channel_->has_unacknowledged_bytes();
+    }
     /// Bytes that are not yet written to the socket.
     std::size_t unsent_bytes() const { return channel_->unsent_bytes(); }
     /// Whether bytes are still being written, also after the connection was
@@ -133,6 +140,8 @@
     void close_if_idle(time_point now);
     void finish_request();
     void report(caller_event event);
+    /// Reports bytes of later requests that the close drops.
+    void report_read_ahead();
     bool is_idle_time_over(time_point now) const;
     void append_connection_fields(std::string& out) const;
 
--- a/include/auburnlb/router/tcp_channel.hpp
+++ b/include/auburnlb/router/tcp_channel.hpp
@@ -80,6 +80,8 @@
     std::size_t unsent_bytes() const { return unsent_.size(); }
     /// Whether bytes have arrived that the receiver has not been given.
     bool has_unread_bytes() const;
+    /// Whether the peer has not acknowledged all that was sent.
+    bool has_unacknowledged_bytes() const;
     /// Whether no bytes are buffered.
     bool is_drained() const { return unsent_.empty(); }
     bool has_sent_anything() const { return has_sent_; }
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -268,6 +268,7 @@
 void caller_connection::abort_response()
 {
     disconnect_handler_ = nullptr;
+    report_read_ahead();
     close(!has_begun_response_);
 }
 
@@ -278,16 +279,21 @@
     phase_began_at_ = service_.now();
     if (is_last_request_)
     {
-        if (!pending_.empty())
-        {
-            report(caller_event::read_ahead_dropped);
-        }
+        report_read_ahead();
         close(false);
         return;
     }
     read_pending();
 }
 
+void caller_connection::report_read_ahead()
+{
+    if (!pending_.empty())
+    {
+        report(caller_event::read_ahead_dropped);
+    }
+}
+
 void caller_connection::reject(unsigned status)
 {
     is_last_request_ = true;
@@ -342,6 +348,11 @@
     }
     if (is_idle_time_over(now) && is_idle())
     {
+        if (channel_->has_unacknowledged_bytes())
+        {
+            phase_began_at_ = now;
+            return;
+        }
         report(caller_event::idle_close);
         // A request that crosses the close stays unread: what was not accepted
         // cannot be lost.
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -5,8 +5,10 @@
 #include <charconv>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <asio/steady_timer.hpp>
 
@@ -157,6 +159,15 @@
     return socket_.available(failure) > 0 && !failure;
 }
 
+bool tcp_channel::has_unacknowledged_bytes() const
+{
+    int bytes = 0;
+    // Native handles are not const in this library.
+    int const handle =
+        const_cast<asio::ip::tcp::socket&>(socket_).native_handle();
+    return ::ioctl(handle, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void tcp_channel::read_available()
 {
     asio::error_code failure;
--- a/test/router/caller_connection_test.cpp
+++ b/test/router/caller_connection_test.cpp
@@ -72,6 +72,9 @@
     {
         tcp::acceptor acceptor(
             io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        // A small buffer: the rest waits at the router's end.
+        socket_.open(tcp::v4());
+        socket_.set_option(asio::socket_base::receive_buffer_size(8 << 10));
         socket_.connect(acceptor.local_endpoint());
         connection_ = std::make_shared<caller_connection>(
             service_, tcp_channel::accepted(acceptor.accept()));
@@ -111,6 +114,15 @@
         return run_until([&] { return has(event); });
     }
 
+    /// The system may acknowledge a response later than it arrives.
+    void run_until_acknowledged()
+    {
+        std::string bytes(1 << 16, '\0');
+        socket_.read_some(asio::buffer(bytes));
+        EXPECT_TRUE(run_until(
+            [&] { return !connection_->has_unacknowledged_bytes(); }));
+    }
+
     /// Runs the router for a moment, in which it must not do something.
     void run_a_moment()
     {
@@ -226,6 +238,21 @@
     EXPECT_EQ(caller.service_.requests_, 1);
 }
 
+TEST(caller_connection,
+     a_response_that_only_the_system_holds_is_not_cut_as_idle)
+{
+    asio::io_context io;
+    connected_caller caller(io);
+    // Little enough for the buffers of the system, too much for the caller's.
+    caller.service_.response_body_.assign(std::size_t{512} << 10U, 'x');
+    caller.send(request);
+    ASSERT_TRUE(caller.run_until_requests(1));
+    ASSERT_TRUE(caller.run_until(
+        [&] { return caller.connection_->unsent_bytes() == 0; }));
+    caller.tick_after_idle_time();
+    EXPECT_EQ(caller.service_.closed_, 0);
+}
+
 TEST(caller_connection, a_caller_that_closes_during_its_request_is_counted)
 {
     asio::io_context io;
@@ -261,6 +288,7 @@
     EXPECT_EQ(caller.service_.closed_, 0);
     caller.send(request);
     ASSERT_TRUE(caller.run_until_requests(2));
+    caller.run_until_acknowledged();
     // This response has announced the shorter limit.
     caller.tick_after(milliseconds(1'000));
     EXPECT_EQ(caller.service_.closed_, 0);
