Count a planned stop from its signal, and end none before it has read

What callers would see: a router whose SIGTERM comes while the process is paused, or while it reads a large configuration, is killed by the platform in the middle of its answers: with a pause of 1.5 s it ended 9.31 s after the signal, of 8 s that it has. And a pause across the end of the stop ended the process before what had arrived meanwhile was read.

Cause: the stop counted from the moment at which the signal was handled, and its end was decided by the clock alone. Its limit followed settings that were read during the stop.

Fix: pause_record keeps the pauses that the ticks show; a stop begins at the earliest time at which its signal can have come, holds its limit, and decides nothing in the first tick after a pause, in which waiting bytes are read.

--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -13,6 +13,7 @@
 #include <asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include "auburnlb/coordination/pause_record.hpp"
 #include "auburnlb/coordination/versioned_entries.hpp"
 #include "auburnlb/router/caller_connection.hpp"
 #include "auburnlb/router/crash_store.hpp"
@@ -130,6 +131,7 @@
     /// The requests that the planned stop has ended.
     std::map<stop_ending, std::size_t> stop_endings_;
     asio::steady_timer timer_;
+    pause_record pauses_;
     time_point last_tick_{};
     std::chrono::steady_clock::time_point last_steady_{};
     time_point next_slow_tick_{};
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -68,9 +68,6 @@
     {
     }
 
-    /// The planned stop, once it has begun.
-    planned_stop stop() const { return {stop_began_at_, options_.stop_limit_}; }
-
     asio::io_context& io_;
     clock_source const& clock_;
     platform_protocol const& protocol_;
@@ -107,8 +104,9 @@
     std::optional<time_point> first_router_stop_end_;
     std::uint64_t last_ticket_ = 0;
     bool is_stopping_ = false;
-    /// When the planned stop began.
-    time_point stop_began_at_{};
+    /// The planned stop, once it has begun; settings that are read later do not
+    /// change it.
+    planned_stop stop_;
     metrics_registry metrics_;
 };
 
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -183,8 +183,8 @@
     }
     if (core_.is_stopping_)
     {
-        auto const left = core_.stop_began_at_ + core_.options_.stop_limit_ -
-                          core_.clock_.now();
+        auto const left =
+            core_.stop_.began_at_ + core_.stop_.limit_ - core_.clock_.now();
         state["stopping_ms"] =
             std::chrono::duration_cast<milliseconds>(left).count();
     }
--- a/src/router/request_stop.cpp
+++ b/src/router/request_stop.cpp
@@ -60,7 +60,7 @@
         is_retryable() ? response_time(static_cast<double>(
                              caller_request_.max_output_tokens_))
                        : std::chrono::ceil<milliseconds>(deadline_ - now);
-    return may_send(core_.stop(), request, now);
+    return may_send(core_.stop_, request, now);
 }
 
 void forwarded_request::refuse_for_stop()
@@ -78,8 +78,7 @@
     }
     // All routers are stopping. The first one to stop is also the first one to
     // be back.
-    time_point const own_end =
-        core_.stop_began_at_ + core_.options_.stop_limit_;
+    time_point const own_end = core_.stop_.began_at_ + core_.stop_.limit_;
     time_point const end =
         std::min(core_.first_router_stop_end_.value_or(own_end), own_end);
     auto const left = std::chrono::duration_cast<milliseconds>(
@@ -93,7 +92,7 @@
     bool const has_not_run = attempt_->connection_ == nullptr && !may_have_run_;
     stop_ending const ending =
         ending_of(caller_->has_begun_response(), !has_not_run);
-    if (now < end_of_request(core_.stop(), ending) &&
+    if (now < end_of_request(core_.stop_, ending) &&
         !(is_waiting_ && has_not_run && is_too_late_to_begin()))
     {
         return std::nullopt;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -108,6 +108,7 @@
         on_crash(endpoint_run, crash);
     };
     last_tick_ = core_.clock_.now();
+    pauses_.last_tick_ = last_tick_;
     last_steady_ = std::chrono::steady_clock::now();
     publish_watch_role();
     schedule_tick();
@@ -134,7 +135,8 @@
         return;
     }
     time_point const now = core_.clock_.now();
-    core_.stop_began_at_ = now;
+    // The platform counts from the signal, which may have come during a pause.
+    core_.stop_ = {earliest_arrival(pauses_, now), core_.options_.stop_limit_};
     placement_.release(now);
     log(log_level::info, log_event::process_stopping,
         {{"requests", std::to_string(core_.active_.size())}},
@@ -143,13 +145,13 @@
 
 void router::check_stop(time_point now)
 {
-    if (!core_.is_stopping_)
+    if (!core_.is_stopping_ || pauses_.has_just_ended_)
     {
         return;
     }
     end_requests_for_stop(now);
-    bool const is_done = is_notice_over(core_.stop(), now) && has_finished();
-    if (is_done || now >= process_end(core_.stop()))
+    bool const is_done = is_notice_over(core_.stop_, now) && has_finished();
+    if (is_done || now >= process_end(core_.stop_))
     {
         log_stop();
         core_.io_.stop();
@@ -205,6 +207,10 @@
                          connections_.begin(), connections_.end(),
                          [](std::shared_ptr<caller_connection> const& each)
                          { return each->is_idle(); }))},
+         {"unread", std::to_string(std::count_if(
+                        connections_.begin(), connections_.end(),
+                        [](std::shared_ptr<caller_connection> const& each)
+                        { return each->has_unread_bytes(); }))},
          {"refused", count(stop_ending::refuse)},
          {"unknown", count(stop_ending::respond_unknown)},
          {"broken_off", count(stop_ending::abort_response)}},
@@ -246,6 +252,7 @@
 void router::on_tick()
 {
     time_point const now = core_.clock_.now();
+    record_tick(pauses_, now);
     detect_suspension(now);
     core_.pool_.on_tick(now);
     core_.http_client_.on_tick(now);
--- a/test/process/resting_connections_test.py
+++ b/test/process/resting_connections_test.py
@@ -15,6 +15,7 @@
 # How long the load balancer may go on to send callers.
 NOTICE_S = 3
 LATENCY_MS = 20
+PAUSE_S = 1.5
 
 
 class RestingConnection(threading.Thread):
@@ -112,6 +113,21 @@
             for each in resting:
                 each.connection.close()
 
+    def test_stop_whose_signal_comes_in_a_pause_ends_before_the_kill(self):
+        with calm() as system:
+            router = system.routers[0]
+            resting = self.rest(system, router.callers, 2)
+            router.send(signal.SIGSTOP)
+            time.sleep(0.3)
+            router.send(signal.SIGTERM)
+            began = time.monotonic()
+            time.sleep(PAUSE_S)
+            router.send(signal.SIGCONT)
+            self.assertEqual(router.child.wait(20), 0)
+            self.assertLess(time.monotonic() - began, STOP_LIMIT_S)
+            for each in resting:
+                each.connection.close()
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
