Begin no stream late in a stop whose length is not known

What callers would see: a stream of a service without layers, or one that names no number of tokens, is begun 5 s after the SIGTERM of its router and cut at its end.

Cause: such a stream was judged by four latency targets, but the target of a stream is that of its first event. Fix: it is begun late only if its deadline leaves it the time, as a call that must not run twice.

--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -94,6 +94,9 @@
     /// Returns how long the response takes, with a margin; for a model, over
     /// the chosen path.
     milliseconds response_time(double tokens) const;
+    /// Whether the length of the longest response is known well enough to be
+    /// begun late in a planned stop.
+    bool may_estimate_longest_time() const;
     /// Refuses the request for the planned stop, or ends it if it may have run.
     void refuse_for_stop();
     std::int32_t priority() const;
--- a/src/router/request_stop.cpp
+++ b/src/router/request_stop.cpp
@@ -47,6 +47,18 @@
         static_cast<std::int64_t>(expected_ms * late_response_margin));
 }
 
+bool forwarded_request::may_estimate_longest_time() const
+{
+    if (!is_retryable())
+    {
+        // A call that must not run twice is not begun on an estimate.
+        return false;
+    }
+    // The latency target of a stream is that of its first event.
+    return is_stream() ? is_model() && caller_request_.max_output_tokens_ > 0
+                       : true;
+}
+
 bool forwarded_request::can_finish_before_stop(time_point now) const
 {
     stopping_request request;
@@ -55,11 +67,11 @@
     request.may_have_run_ = may_have_run_ || event_count_ > 0;
     request.expected_time_ =
         response_time(is_model() ? expected_output_tokens() : 0);
-    // A call that must not run twice is not begun on an estimate.
     request.longest_time_ =
-        is_retryable() ? response_time(static_cast<double>(
-                             caller_request_.max_output_tokens_))
-                       : std::chrono::ceil<milliseconds>(deadline_ - now);
+        may_estimate_longest_time()
+            ? response_time(
+                  static_cast<double>(caller_request_.max_output_tokens_))
+            : std::chrono::ceil<milliseconds>(deadline_ - now);
     return may_send(core_.stop_, request, now);
 }
 
