Let the soak's callers stay, with latency, and check them by the one check

New for all seeds: a request without an answer or a stream cut is broken unless its router ended, its caller left, or (no planned seed) an engine was harmed.

Planned seeds (seed % 4 == 0) get relays of 20 ms each way, callers that the load balancer still sends to stopping routers, rests of up to 5 s, and, from a generator of their own, silent engines, short pauses of routers, changes and storms of limits, stops that overlap, SIGHUPs and changes.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -1,46 +1,15 @@
 """Callers of the soak: each keeps its connection for as long as it is open and notes what
 it sees of every request."""
 
-import http.client
 import random
 import threading
 import time
 
-from platform_cluster import EVENTS, HOST, KEY
+from kept_connection import KeptConnection, leave, new_exchange
+from platform_cluster import EVENTS
 
-CALLER_TIMEOUT_S = 20
-STREAM_TIMEOUT_S = 10.0
-CALL_TIMEOUT_S = 1.0
-
-
-class Outcome:
-    """What a caller saw of one request."""
-
-    def __init__(self, request_id, kind, member):
-        self.request_id = request_id
-        self.kind = kind
-        self.router = member.name
-        self.member = member
-        self.incarnation = member.incarnation
-        self.started = time.monotonic()
-        self.ended = None
-        self.status = 0
-        self.headers = {}
-        self.text = ""
-        self.is_whole = False
-        self.has_left = False
-        self.failure = ""
-        self.is_kept_connection = False
-        # For a request on a route that was added: its number.
-        self.route = 0
-
-    def limit_s(self):
-        return STREAM_TIMEOUT_S if self.kind == "stream" else CALL_TIMEOUT_S
-
-    def __str__(self):
-        return (f"{self.request_id} at {self.router} run {self.incarnation}: "
-                f"status {self.status}, {len(self.text)} bytes, whole {self.is_whole}, "
-                f"left {self.has_left}, {self.ended - self.started:.2f} s {self.failure}")
+# Longer than the notice of a planned stop.
+LONG_REST_S = 5.0
 
 
 class CallerThread(threading.Thread):
@@ -51,6 +20,8 @@
         self.world = world
         self.promises = promises
         self.rng = random.Random(f"{seed}-{number}")
+        # Draws what earlier seeds did not have.
+        self.rests = random.Random(f"rests-{seed}-{number}")
         self.number = number
         self.count = 0
         self.is_over = threading.Event()
@@ -60,7 +31,9 @@
     def run(self):
         while not self.is_over.is_set():
             self.one()
-            time.sleep(self.rng.uniform(0, 0.04))
+            self.is_over.wait(self.rng.uniform(0, 0.04))
+            if self.number % 2 and self.rests.random() < 0.05:
+                self.is_over.wait(self.rests.uniform(0, LONG_REST_S))
         self.drop()
 
     def drop(self):
@@ -69,18 +42,21 @@
             self.connection = None
 
     def connect(self):
-        """Uses the open connection on; otherwise any router that is ready."""
+        """Uses the open connection on, also when its router is not ready any more;
+        otherwise any router that callers are sent to."""
         if self.connection is not None and self.rng.random() < 0.05:
             self.drop()
-        if self.connection is not None:
+        if self.connection is not None and self.connection.may_send():
             return True
         ready = list(self.world.ready)
         if not ready:
             return False
         self.member = self.rng.choice(ready)
-        self.connection = http.client.HTTPConnection("127.0.0.1", self.member.callers,
-                                                     timeout=CALLER_TIMEOUT_S)
-        return True
+        try:
+            self.connection = KeptConnection(self.member.way)
+        except OSError:
+            self.connection = None
+        return self.connection is not None
 
     def one(self):
         kind = self.rng.choices(("stream", "book", "look", "added"), (50, 25, 15, 10))[0]
@@ -88,40 +64,16 @@
         if not self.connect():
             return
         self.count += 1
-        outcome = Outcome(f"{kind}-{self.number}-{self.count}", kind, self.member)
-        outcome.is_kept_connection = self.connection.sock is not None
-        if kind == "added":
-            outcome.route = self.rng.randint(1, max(1, self.world.newest_route))
-        try:
-            self.exchange(outcome, leaves_after if kind == "stream" else None)
-        except (http.client.HTTPException, OSError) as failure:
-            outcome.failure = repr(failure)
-            self.drop()
-        outcome.ended = time.monotonic()
-        self.promises.note(outcome)
-
-    def exchange(self, outcome, leaves_after):
-        method = "POST" if outcome.kind in ("stream", "book") else "GET"
-        path = f"/added-{outcome.route}/x" if outcome.route else f"/{outcome.kind}/x"
-        self.connection.request(method, path, "{}" if method == "POST" else None, {
-            "Host": HOST, "Authorization": f"Token {KEY}",
-            "Auburnlb-Request-Id": outcome.request_id,
-            "Auburnlb-Deadline-Ms": str(int(outcome.limit_s() * 1000)),
-            "Auburnlb-Model": "m", "Auburnlb-Token-Counts": f"100,{EVENTS}"})
-        answer = self.connection.getresponse()
-        outcome.status = answer.status
-        outcome.headers = {name.lower(): value for name, value in answer.getheaders()}
-        while True:
-            piece = answer.read1(65536)
-            if not piece:
-                break
-            outcome.text += piece.decode()
-            if leaves_after is not None and outcome.text.count("\n\n") >= leaves_after:
-                outcome.has_left = True
-                self.drop()
-                return
-        # Tells an empty answer's end, too, without which the connection is not used on.
-        answer.read()
-        outcome.is_whole = True
-        if answer.will_close:
-            self.drop()
+        route = self.rng.randint(1, max(1, self.world.newest_route)) if kind == "added" else 0
+        path = f"/added-{route}/x" if route else f"/{kind}/x"
+        record = new_exchange(self.member, f"{kind}-{self.number}-{self.count}", path)
+        record.is_route_new = route > 0
+        record.route = route
+        record.incarnation = self.member.incarnation
+
+        def leave_early(seen):
+            if seen.body.count(b"\n\n") >= leaves_after:
+                leave()
+        is_leaving = kind == "stream" and leaves_after is not None
+        self.connection.exchange(record, path, on_piece=leave_early if is_leaving else None)
+        self.promises.note(record)
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -1,10 +1,12 @@
 """Faults that the soak injects from outside, drawn by a seed. They overlap freely; each
 is undone when its time is over."""
 
+import math
 import random
 import signal
 import time
 
+from caller_view import Span
 from cluster import request
 from platform_cluster import MODEL
 
@@ -13,6 +15,7 @@
 DESK_FAULTS = ("shed", "error", "lose", "extra", "foreign", "unframed", "mute")
 LINK_FAULTS = ("silence", "isolate", "lose", "cut", "reset", "delay 80", "rate 20000")
 DRAIN_S = 3.0
+CALL_TIMEOUT_S = 1.0
 
 
 class Fault:
@@ -83,12 +86,14 @@
     if not member.is_running() or member.is_paused:
         return None
     request(member.process.port, "POST", "/fake/drain", "")
+    world.leaving.add(member.name)
     return lambda run=member.incarnation: end_drained(world, member, run)
 
 
 def end_drained(world, member, run):
     """Nothing may run any more at an engine whose drain was told long ago; another drain
     may have ended that run."""
+    world.leaving.discard(member.name)
     is_same_run = member.incarnation == run and not member.is_end_expected
     if is_same_run and member.is_running() and not member.is_paused:
         world.drained.append((member.name, world.streams_at(member)))
@@ -189,6 +194,58 @@
     return undo
 
 
+def silence_engines(world, fault):
+    """Sound engines that fall silent for about a second and go on."""
+    names = [name for name, member in world.engines_by_name.items()
+             if member.is_running() and not member.is_paused and not member.is_end_expected
+             and name not in world.leaving]
+    if not names:
+        return None
+    member, _ = pick([world.engines_by_name[name] for name in names], fault.choice)
+    member.pause()
+    silence = Span(time.monotonic(), math.inf)
+    world.silences.append(silence)
+
+    def undo():
+        member.resume()
+        # Calls that waited for it end within their timeout.
+        silence.ended_at = time.monotonic() + CALL_TIMEOUT_S
+    return undo
+
+
+def suspend_router(world, fault):
+    """A short pause of a router's host."""
+    member, _ = pick(world.routers_by_name.values(), fault.choice)
+    if not member.is_running() or member.is_paused:
+        return None
+    member.pause()
+    silence = Span(time.monotonic(), math.inf)
+    world.silences.append(silence)
+
+    def undo():
+        member.resume()
+        silence.ended_at = time.monotonic() + CALL_TIMEOUT_S
+    return undo
+
+
+def change_limits(world, fault):
+    """One change, or a storm of them."""
+    idle_ms, rest = pick((2000, 5000, 20000), fault.choice)
+    body_bytes, rest = pick((65536, 131072), rest)
+    world.limits = {"idle-timeout-ms": idle_ms, "max-body-bytes": body_bytes,
+                    "header-timeout-ms": 500 + 500 * round(rest)}
+    for _ in range(8 if rest < 0.3 else 1):
+        world.configure(routes=world.extra_routes)
+
+
+def stop_router_again(world, fault):
+    """Beside the stops of the schedule, also while that of another router goes on."""
+    members = [each for each in world.routers_by_name.values()
+               if each.is_running() and not each.is_end_expected]
+    if members:
+        pick(members, fault.choice)[0].stop(fault.for_s)
+
+
 KINDS = {each.__name__: each for each in (
     kill_router, kill_all_routers, stop_router, hang_up, pause_router, pause_engine,
     kill_engine, drain_engine, spoil_engine, harm_engine_link, harm_store_link, harm_store,
@@ -196,7 +253,14 @@
 PLANNED = ("stop_router", "hang_up", "drain_engine", "change_configuration")
 # Drawn beside the others, so that the schedules of earlier seeds stay as they were.
 LATER_KINDS = {each.__name__: each for each in (restore_store, back_off_engine, leave_engine)}
-ALL_KINDS = KINDS | LATER_KINDS
+# Drawn beside planned work, and overlapping it.
+BESIDE_PLANNED = {each.__name__: each for each in (
+    silence_engines, suspend_router, change_limits, stop_router_again, hang_up,
+    change_configuration)}
+ALL_KINDS = KINDS | LATER_KINDS | BESIDE_PLANNED
+# In these an engine may break streams off itself.
+ENGINE_TROUBLES = ("pause_engine", "kill_engine", "drain_engine", "spoil_engine",
+                   "harm_engine_link", "back_off_engine", "leave_engine")
 # Drawn less often, so that something is served in between.
 RARE = ("kill_all_routers",)
 
@@ -213,16 +277,17 @@
         for_s = DRAIN_S + 0.3 if kind == "drain_engine" else rng.uniform(0.2, 3.0)
         schedule.append(Fault(at_s, kind, for_s, rng.random()))
         at_s += rng.uniform(1.5, 3.0) if is_planned else rng.uniform(0.1, 1.6)
-    return schedule if is_planned else sorted(
-        schedule + draw_later_kinds(seed, seconds), key=lambda fault: fault.at_s)
+    later = draw_later_kinds(f"beside-{seed}", seconds, BESIDE_PLANNED, 1.2) if is_planned \
+        else draw_later_kinds(f"later-{seed}", seconds, LATER_KINDS, 3.0)
+    return sorted(schedule + later, key=lambda fault: fault.at_s)
 
 
-def draw_later_kinds(seed, seconds):
-    rng = random.Random(f"later-{seed}")
+def draw_later_kinds(name, seconds, kinds, longest_s):
+    rng = random.Random(name)
     schedule = []
     at_s = rng.uniform(0.5, 2.0)
     while at_s < seconds:
-        kind = rng.choice(list(LATER_KINDS))
-        schedule.append(Fault(at_s, kind, rng.uniform(0.2, 3.0), rng.random()))
+        kind = rng.choice(list(kinds))
+        schedule.append(Fault(at_s, kind, rng.uniform(0.2, longest_s), rng.random()))
         at_s += rng.uniform(1.0, 3.0)
     return schedule
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "process"))
 import faults  # noqa: E402
 from callers import CallerThread  # noqa: E402
+from caller_view import Link, Span  # noqa: E402
 from cluster import request, wait_until  # noqa: E402
 from crashing_request import CrashingRequest  # noqa: E402
 from platform_cluster import Caller, expected_events  # noqa: E402
@@ -25,6 +26,11 @@
 # The end of a planned stop after its limit of eight seconds.
 STOP_LIMIT_S = 8 + 2
 POLL_S = 0.05
+# What depends on a lost engine stalls so long before it is broken off, and the engine
+# itself needs a moment to start again.
+STALL_S = 3.0 + 1.0
+# The way of callers to routers beside planned work.
+LINK = Link(delay_s=0.02)
 # The stand-in engine's code when a request has crashed it, and when it starts again.
 CRASH_CODE = 3
 RESTART_TIMES_S = (0, 0.3, 1.0, 2.0, 4.0, 6.0)
@@ -38,7 +44,7 @@
         self.has_crashing_request = seed % 4 == 1
         self.seed = seed
         self.schedule = faults.draw_schedule(seed, seconds, self.is_planned)
-        self.world = World()
+        self.world = World(LINK if self.is_planned else None)
         self.promises = Promises(self.world, self.is_planned)
         self.undo = []
         self.probes = 0
@@ -51,12 +57,16 @@
             list(self.world.engines_by_name.values())
 
     def watch_readiness(self):
-        """Callers are sent to routers that say that they are ready."""
+        """Callers are sent to routers that say that they are ready, or seem so."""
         while not self.is_over.is_set():
             self.world.ready = [each for each in self.world.routers_by_name.values()
-                                if self.is_ready(each)]
+                                if self.is_sent_callers(each)]
             time.sleep(0.1)
 
+    def is_sent_callers(self, member):
+        """Beside planned work, the load balancer is slow to leave a stopping router."""
+        return self.is_ready(member) or (self.is_planned and member.is_running())
+
     @staticmethod
     def is_ready(member):
         try:
@@ -89,6 +99,8 @@
 
     def note_crash(self, member):
         """The engine comes back before or after its routers have settled."""
+        now = time.monotonic()
+        self.world.engine_troubles.append(Span(now - STALL_S, now + STALL_S))
         if not member.is_end_expected:
             member.note_end(self.restart_times.choice(RESTART_TIMES_S), False)
 
@@ -106,10 +118,16 @@
                 self.run_undo()
                 time.sleep(POLL_S)
             print(f"{time.monotonic() - began:6.2f} {fault}")
+            self.note_engine_trouble(fault)
             undo = faults.ALL_KINDS[fault.kind](self.world, fault)
             if undo:
                 self.undo.append((time.monotonic() + fault.for_s, undo))
 
+    def note_engine_trouble(self, fault):
+        if fault.kind in faults.ENGINE_TROUBLES:
+            now = time.monotonic()
+            self.world.engine_troubles.append(Span(now, now + fault.for_s + STALL_S))
+
     def heal(self):
         while self.undo:
             self.tend_members()
@@ -175,7 +193,7 @@
             each.join()
         self.check_left()
         self.promises.check_drained()
-        self.promises.check_runs()
+        self.promises.check_callers()
         self.crashing.check(self.promises)
         self.is_over.set()
         watcher.join()
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -2,13 +2,15 @@
 each engine and between each router and the store, whose processes end and start again."""
 
 import json
+import math
 import signal
 import time
 
 import crashing_request
+from caller_view import Link, Span
 from cluster import request
 from platform_cluster import DESK, HOST, MODEL, PlatformCluster
-from relay import Relay
+from relay import CallerRelay, Relay
 
 ZONES = ("dc1", "dc2")
 ENGINES_PER_ZONE = 3
@@ -26,7 +28,8 @@
         self.process = None
         self.incarnation = 0
         # When it was last killed, stopped, paused or let go on, by the monotonic clock.
-        self.touched = 0.0
+        self.touches = [0.0]
+        self.pauses = []
         self.is_end_expected = False
         self.is_planned_end = False
         self.is_paused = False
@@ -40,6 +43,18 @@
         self.stop_began = self.restart_at = None
         self.touched = time.monotonic()
 
+    @property
+    def touched(self):
+        return self.touches[-1]
+
+    @touched.setter
+    def touched(self, at):
+        self.touches.append(at)
+
+    def troubles(self):
+        """Each time at which it was touched, and each pause."""
+        return [Span(at, at) for at in self.touches] + self.pauses
+
     def is_running(self):
         return self.process.child.poll() is None
 
@@ -62,19 +77,31 @@
     def pause(self):
         self.touched = time.monotonic()
         self.is_paused = True
+        self.pauses.append(Span(self.touched, math.inf))
         self.process.send(signal.SIGSTOP)
 
     def resume(self):
         self.touched = time.monotonic()
         self.is_paused = False
+        for each in self.pauses:
+            each.ended_at = min(each.ended_at, self.touched)
         self.process.send(signal.SIGCONT)
 
 
 class World(PlatformCluster):
     """All members by name, and what the operators wrote."""
 
-    def __init__(self):
+    def __init__(self, link=None):
         super().__init__()
+        # The way between callers and routers; without one they are next to each other.
+        self.link = link or Link()
+        self.has_ways = link is not None
+        self.limits = {}
+        # Times in which an engine may break off, and in which one is silent but sound.
+        self.engine_troubles = []
+        self.silences = []
+        # Engines that are being drained.
+        self.leaving = set()
         self.engines_by_name = {}
         self.routers_by_name = {}
         self.extra_routes = []
@@ -96,7 +123,8 @@
 
     def configure(self, **changes):
         """Lets bookings be sent to a second endpoint, so that a wrong repeat is seen."""
-        return super().configure(book_attempts=2, **changes)
+        return super().configure(book_attempts=2, limits=getattr(self, "limits", None),
+                                 **changes)
 
     def add_member_engine(self, name, service, zone):
         relay = Relay(self, f"relay-{name}", self.store.port)
@@ -122,8 +150,10 @@
         def start():
             return self.add_router(name, zone, relay.port, ports)
         member = Member(name, relay, start)
+        member.node = name
         member.callers, member.ready, member.control = ports
         member.start()
+        member.way = CallerRelay(self, member, self.link) if self.has_ways else member
         self.routers_by_name[name] = member
         return member
 
@@ -141,6 +171,11 @@
         self.configure(routes=self.extra_routes)
         self.newest_route = number
 
+    def refused(self):
+        """Callers that no router took."""
+        return [each for member in self.routers_by_name.values() if self.has_ways
+                for each in member.way.refused()]
+
     def save_copy(self):
         assert request(self.store.port, "POST", "/fake/save", "")[0] == 200
 
