End no router by a prompt part that is no UTF-8

Callers saw routers end one after another: a client whose prompt part has an identifier that is not UTF-8 has a stream in progress when its engine crashes, and the router that serves it ends by an uncaught nlohmann::json::type_error (SIGABRT), with all requests in progress.

Cause: the traits of a crash name the parts of prompts, and peer_exchange::send_request() and crash_store::write() dump them without an error handler. The library's default is to throw.

Class: JSON that holds text from outside is written by dump_text(), which replaces such bytes; in the router (questions to peers, crashes, lease, list of routers, retries, refusals), the entry (status, drain), the companion (steps, releases) and for claims. The throwing reads on the same paths were read: all are caught where they stand.

The identifiers are hexadecimal on the users' wire. Only the parts that the router reads are checked; spaces around an identifier are allowed.

--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -201,7 +201,8 @@
     milliseconds retry_delay();
 
     void send_error(unsigned status, refusal_reason reason,
-                    std::optional<milliseconds> retry_after);
+                    std::optional<milliseconds> retry_after,
+                    std::string const& message = {});
     void record_metrics(char const* outcome, time_point now);
     void end_request(char const* outcome, unsigned status);
     bool is_stream() const { return route_->kind_ == route_kind::stream; }
--- a/include/auburnlb/router/http_message.hpp
+++ b/include/auburnlb/router/http_message.hpp
@@ -48,6 +48,9 @@
 /// Compares two strings, ignoring the case of ASCII letters.
 bool equals_ignoring_case(std::string_view left, std::string_view right);
 
+/// Returns the text without spaces and tabs at its ends.
+std::string_view trim(std::string_view text);
+
 /// Whether a header field is hop-by-hop and must not be forwarded.
 bool is_hop_by_hop_field(http_head const& head, std::string_view name);
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -19,6 +19,7 @@
 #include "auburnlb/entry/routing_view_builder.hpp"
 #include "auburnlb/entry/status_report.hpp"
 #include "auburnlb/entry/stream_service.hpp"
+#include "auburnlb/state/json_text.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/service_object.hpp"
 #include "auburnlb/transport/config_manager.hpp"
@@ -559,9 +560,8 @@
                              endpoint.address_,
                              "endpoint " + name + " is unreachable"};
             }
-            return nlohmann::ordered_json{{"endpoint", name},
-                                          {"state", "leaving"}}
-                .dump();
+            return dump_text(nlohmann::ordered_json{{"endpoint", name},
+                                                    {"state", "leaving"}});
         }
         return error{error_code::not_found, "drain endpoint", name,
                      "there is no endpoint " + name};
--- a/src/entry/status_report.cpp
+++ b/src/entry/status_report.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "auburnlb/state/json_text.hpp"
+
 namespace auburnlb
 {
 
@@ -60,7 +62,7 @@
     {
         status["endpoints"].push_back(describe_endpoint(endpoint));
     }
-    return status.dump();
+    return dump_text(status);
 }
 
 } // namespace auburnlb
--- a/src/protocol/claim_codec.cpp
+++ b/src/protocol/claim_codec.cpp
@@ -6,6 +6,7 @@
 
 #include "auburnlb/protocol/claim_log.hpp"
 #include "auburnlb/protocol/claim_shards.hpp"
+#include "auburnlb/state/json_text.hpp"
 
 namespace auburnlb
 {
@@ -221,12 +222,14 @@
     {
         keys.push_back(to_value(key));
     }
-    return json{
-        {"service", segment.service_},    {"log", to_value(segment.log_)},
-        {"number", segment.number_},      {"writer", to_hex(segment.writer_)},
-        {"content", segment.content_id_}, {"kind", to_string(segment.kind_)},
-        {"keys", std::move(keys)},        {"shards", segment.shards_}}
-        .dump();
+    return dump_text(json{{"service", segment.service_},
+                          {"log", to_value(segment.log_)},
+                          {"number", segment.number_},
+                          {"writer", to_hex(segment.writer_)},
+                          {"content", segment.content_id_},
+                          {"kind", to_string(segment.kind_)},
+                          {"keys", std::move(keys)},
+                          {"shards", segment.shards_}});
 }
 
 result<claim_segment> segment_from_json(std::string const& text)
@@ -266,10 +269,9 @@
                         {"is_sealed", entry.is_sealed_},
                         {"sealed_at_ms", entry.sealed_at_ms_}});
     }
-    return json{{"service", table.service_},
-                {"shards", std::move(shards)},
-                {"logs", std::move(logs)}}
-        .dump();
+    return dump_text(json{{"service", table.service_},
+                          {"shards", std::move(shards)},
+                          {"logs", std::move(logs)}});
 }
 
 result<claim_table> table_from_json(std::string const& text)
--- a/src/router/crash_store.cpp
+++ b/src/router/crash_store.cpp
@@ -10,6 +10,7 @@
 #include "auburnlb/router/entry_messages.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/json_depth.hpp"
+#include "auburnlb/state/json_text.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -118,9 +119,9 @@
     store_object object;
     object.name_ = core_.options_.name_;
     object.revision_ = revision_;
-    object.value_ = json{{"written_ms", unix_ms()},
-                         {"causes", write_crash_causes(update, now)}}
-                        .dump();
+    object.value_ =
+        dump_text(json{{"written_ms", unix_ms()},
+                       {"causes", write_crash_causes(update, now)}});
     is_call_pending_ = true;
     http_client_.call(
         core_.options_.store_address_,
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/json_text.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -170,7 +171,7 @@
         log(log_level::info, log_event::request_refused,
             {{"detail", parsed.error().detail_}}, "the request is malformed");
         send_error(status_bad_request, refusal_reason::invalid_field,
-                   std::nullopt);
+                   std::nullopt, parsed.error().detail_);
         return false;
     }
     caller_request_ = std::move(parsed).value();
@@ -388,7 +389,8 @@
 }
 
 void forwarded_request::send_error(unsigned status, refusal_reason reason,
-                                   std::optional<milliseconds> retry_after)
+                                   std::optional<milliseconds> retry_after,
+                                   std::string const& message)
 {
     http_head head;
     head.status_ = status;
@@ -400,10 +402,14 @@
             static_cast<double>(retry_after->count()) / ms_per_s);
         head.fields_.push_back({"Retry-After", text});
     }
-    nlohmann::json const body{{"error", to_string(reason)},
-                              {"code", static_cast<int>(reason)}};
+    nlohmann::json body{{"error", to_string(reason)},
+                        {"code", static_cast<int>(reason)}};
+    if (!message.empty())
+    {
+        body["message"] = message;
+    }
     core_.metrics_.count_refusal(reason);
-    caller_->send_response(head, body.dump());
+    caller_->send_response(head, dump_text(body));
     end_request(to_string(reason), status);
 }
 
--- a/src/router/http_message.cpp
+++ b/src/router/http_message.cpp
@@ -27,19 +27,6 @@
         std::tolower(static_cast<unsigned char>(letter)));
 }
 
-std::string_view trim(std::string_view text)
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
-    {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
-    {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 /// Whether a comma-separated list contains the name.
 bool contains_name(std::string_view list, std::string_view name)
 {
@@ -75,6 +62,19 @@
 
 } // namespace
 
+std::string_view trim(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+    {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+    {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
 bool equals_ignoring_case(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -11,6 +11,7 @@
 #include "auburnlb/router/crash_messages.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/json_depth.hpp"
+#include "auburnlb/state/json_text.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -269,7 +270,7 @@
         request["endpoint_epoch"] = known.epoch_;
         request["endpoint_revision"] = known.revision_;
     }
-    http_client_.call(address, {"POST", "/exchange", request.dump()},
+    http_client_.call(address, {"POST", "/exchange", dump_text(request)},
                       request_timeout,
                       [this, address, revision](result<http_reply> const& reply)
                       { on_reply(address, revision, reply); });
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -10,6 +10,7 @@
 
 #include "auburnlb/router/crash_messages.hpp"
 #include "auburnlb/router/entry_messages.hpp"
+#include "auburnlb/state/json_text.hpp"
 
 namespace auburnlb
 {
@@ -212,7 +213,7 @@
             }
         }
     }
-    return state.dump(-1, ' ', false, json::error_handler_t::replace);
+    return dump_text(state);
 }
 
 void peer_exchange::read_state(std::string const& address, peer& peer,
--- a/src/router/placement_lease.cpp
+++ b/src/router/placement_lease.cpp
@@ -8,6 +8,7 @@
 
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/json_depth.hpp"
+#include "auburnlb/state/json_text.hpp"
 
 namespace auburnlb
 {
@@ -108,10 +109,8 @@
     store_object object;
     object.name_ = placement_lease_name;
     object.revision_ = action.expected_version_.revision_;
-    object.value_ = nlohmann::json{
-        {"holder", action.holder_},
-        {"renewals",
-         ++renewals_}}.dump();
+    object.value_ = dump_text(
+        nlohmann::json{{"holder", action.holder_}, {"renewals", ++renewals_}});
     http_client_.call(
         core_.options_.store_address_,
         core_.protocol_.write_put_call_(lease_object_kind, object),
--- a/src/router/retry_exchange.cpp
+++ b/src/router/retry_exchange.cpp
@@ -7,6 +7,7 @@
 
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/json_depth.hpp"
+#include "auburnlb/state/json_text.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -62,15 +63,15 @@
     json const wanted = request.value("wanted", json());
     if (!service.is_string())
     {
-        return reject("service has the value " + service.dump());
+        return reject("service has the value " + dump_text(service));
     }
     if (!wanted.is_number_unsigned())
     {
-        return reject("wanted has the value " + wanted.dump());
+        return reject("wanted has the value " + dump_text(wanted));
     }
     std::uint32_t const lent =
         lend(service.get<std::string>(), wanted.get<std::uint32_t>());
-    return {status_ok, "application/json", json{{"lent", lent}}.dump()};
+    return {status_ok, "application/json", dump_text(json{{"lent", lent}})};
 }
 
 std::uint32_t retry_exchange::lend(std::string const& service,
@@ -118,7 +119,7 @@
                                   loan_request const& request, time_point now)
 {
     json const body{{"service", service}, {"wanted", request.count_}};
-    http_client_.call(request.router_, {"POST", "/retries", body.dump()},
+    http_client_.call(request.router_, {"POST", "/retries", dump_text(body)},
                       request_timeout,
                       [this, service, now](result<http_reply> const& reply)
                       { on_reply(service, now, reply); });
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -9,6 +9,7 @@
 #include "auburnlb/router/forwarded_request.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/json_depth.hpp"
+#include "auburnlb/state/json_text.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -379,10 +380,9 @@
     {
         store_object object;
         object.name_ = core_.options_.name_;
-        object.value_ =
+        object.value_ = dump_text(
             nlohmann::json{{"control", core_.options_.control_address_},
-                           {"data_centre", core_.options_.data_centre_}}
-                .dump();
+                           {"data_centre", core_.options_.data_centre_}});
         core_.http_client_.call(
             core_.options_.store_address_,
             core_.protocol_.write_put_call_(router_object_kind, object),
--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "auburnlb/state/json_text.hpp"
 #include "parse_response.hpp"
 
 namespace auburnlb
@@ -165,7 +166,7 @@
         keys.push_back({step.stream_, step.position_});
     }
     http_request request{
-        "POST", base_url_ + "/v1/steps", {}, body.dump(), timeout};
+        "POST", base_url_ + "/v1/steps", {}, dump_text(body), timeout};
     send_request<std::vector<engine_step_result>>(
         http_, std::move(request), "run steps", base_url_,
         [keys = std::move(keys)](json const& value)
@@ -177,8 +178,11 @@
                             handler<bool> handler)
 {
     json const body{{"streams", streams}};
-    http_request request{
-        "POST", base_url_ + "/v1/release", {}, body.dump(), control_timeout};
+    http_request request{"POST",
+                         base_url_ + "/v1/release",
+                         {},
+                         dump_text(body),
+                         control_timeout};
     send_request<bool>(
         http_, std::move(request), "release streams", base_url_,
         [](json const&) { return true; }, std::move(handler));
@@ -199,7 +203,7 @@
     json const body{{"layers", {layers.first_, layers.end_}},
                     {"fencing_number", fencing_number}};
     http_request request{
-        "POST", base_url_ + "/v1/orders", {}, body.dump(), control_timeout};
+        "POST", base_url_ + "/v1/orders", {}, dump_text(body), control_timeout};
     send_request<bool>(
         http_, std::move(request), "order layers", base_url_,
         [](json const&) { return true; }, std::move(handler));
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -136,6 +136,8 @@
          {std::pair{"Auburnlb-Deadline-Ms", "soon"},
           std::pair{"Auburnlb-Token-Counts", "12"},
           std::pair{"Auburnlb-Token-Counts", "12,x"},
+          std::pair{"Auburnlb-Prefix-Hash", "5c:800,\xff\xfe:410,e4:250"},
+          std::pair{"Auburnlb-Prefix-Hash", "5c 1e:800,e4:250"},
           std::pair{"Last-Event-Id", "-1"}})
     {
         http_head head = usual_head();
--- a/test/process/crashing_prompt_test.py
+++ b/test/process/crashing_prompt_test.py
@@ -50,6 +50,26 @@
             self.assertGreater(len(late_sound), 20)
             self.assertGreaterEqual(sum(late_sound), len(late_sound) // 2)
 
+    def test_identifier_that_is_no_utf8_ends_no_router(self):
+        with PlatformCluster() as system, \
+                CrashingFleet(system, ("dc1", "dc2"), 4, ["--crash-body", "crash"]) as fleet:
+            answers = []
+            for number in range(8):
+                router = system.routers[number % len(system.routers)]
+                headers = {"Auburnlb-Prefix-Hash": "5a:40,\xff\xfe:40,1:20"}
+                answers.append(in_background(Caller, router, "POST", "/stream/x",
+                                             f"odd-{number}", headers, "crash"))
+                time.sleep(REQUEST_INTERVAL_S)
+            answers = [task.result() for task in answers]
+            for router in system.routers:
+                self.assertIsNone(router.child.poll(), "a router ended by itself")
+                self.assertEqual(system.stream(router, "sound").text, expected_events())
+            for answer in answers:
+                self.assertEqual(answer.status, 400)
+                self.assertIn("Auburnlb-Prefix-Hash", answer.text)
+                self.assertIn("5a:40,\ufffd\ufffd:40,1:20", answer.text)
+            self.assertEqual(fleet.runs("odd-"), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
