Keep signals that come before a daemon has set their handlers

An entry or a companion ended by SIGHUP at any time.

Cause: the router set its handlers after it had read its settings; entry and companion never blocked SIGHUP.

The router lets them through when its handlers are set, so that an early SIGHUP is followed then. A SIGTERM that came before the process listens ends it with code 0 and E0102, without listening first. Entry and companion read their settings only at their start, so SIGHUP stays blocked there. What comes before main, while libraries are loaded, is still the system's own.

Evidence: process.early_signals_test sends the signals while the daemon waits for its settings at a pipe, so no timing decides.

--- a/daemons/companion/main.cpp
+++ b/daemons/companion/main.cpp
@@ -9,7 +9,7 @@
 int main(int argc, char** argv)
 {
     using namespace auburnlb;
-    block_stop_signals();
+    block_signals();
     daemon_command const command =
         read_daemon_command(argc, argv, "auburnlb-companion");
     if (command.exit_)
@@ -23,6 +23,12 @@
             options.error().detail_);
         return static_cast<int>(exit_code::usage);
     }
+    if (is_stop_pending())
+    {
+        log(log_level::info, log_event::process_stopped, {},
+            "stopped before it listened");
+        return static_cast<int>(exit_code::success);
+    }
     auto started = companion::start(std::move(options).value());
     if (!started)
     {
--- a/daemons/router/main.cpp
+++ b/daemons/router/main.cpp
@@ -12,6 +12,7 @@
 #include "auburnlb/router/router.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/transport/daemon_command.hpp"
+#include "auburnlb/transport/stop_signals.hpp"
 #include "protocol.hpp"
 
 namespace
@@ -114,7 +115,7 @@
 
 int main(int argc, char** argv)
 {
-    std::signal(SIGPIPE, SIG_IGN);
+    block_signals();
     daemon_command const command =
         read_daemon_command(argc, argv, "auburnlb-router");
     if (command.exit_)
@@ -128,11 +129,18 @@
             options.error().detail_);
         return static_cast<int>(exit_code::usage);
     }
+    if (is_stop_pending())
+    {
+        log(log_level::info, log_event::process_stopped, {},
+            "stopped before it listened");
+        return static_cast<int>(exit_code::success);
+    }
     constexpr int single_thread = 1;
     asio::io_context io(single_thread);
     boot_clock const clock;
     router process(io, clock, platform::protocol(), std::move(options).value());
     supervisor const supervisor(io, process, command.settings_path_);
+    unblock_signals();
     if (auto started = process.start(); !started)
     {
         log(log_level::error, log_event::port_unavailable,
