Close callers' connections after an answer when an entry stops

Callers saw requests without an answer or a refusal beside a planned stop of an entry: the process ended when no request was in progress, whatever connections rested open. A request that crossed the end was reset unread, and for the first 200 ms the refusals of a stopping entry did not say that their connection closes.

From the start of the stop on each answer says Connection: close, and the process ends when no caller's connection is open, or at its limit. What crosses is refused with 503. Connections at rest are closed by the read timeout as before (10 s); so that this is no surprise to callers either, kept connections are now promised one second less (Keep-Alive: timeout=9). An entry without open connections stops as quickly as before; one whose callers rest takes up to 10 s.

Evidence: process.crossing_requests_test.

--- a/include/auburnlb/transport/http_server.hpp
+++ b/include/auburnlb/transport/http_server.hpp
@@ -83,8 +83,11 @@
     virtual ~http_server() = default;
 
     virtual std::uint16_t port() const = 0;
-    /// Stops accepting connections and adds "Connection: close" to every later
-    /// response. Requests in progress continue.
+    /// Adds "Connection: close" to every later response. A connection at rest
+    /// stays open, since its caller may be sending a request.
+    virtual void close_after_responses() = 0;
+    /// Does the same and stops accepting connections. Requests in progress
+    /// continue.
     virtual void drain() = 0;
     /// Received requests whose response is not yet completely written to the
     /// connection. A graceful shutdown waits for zero after drain().
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -664,6 +664,7 @@
             return;
         }
         leaving_since_ = clock_.now();
+        caller_server_->close_after_responses();
         log(log_level::info, log_event::process_stopping, {},
             "reporting not ready; requests in progress continue");
     }
@@ -683,6 +684,8 @@
         bool const is_idle = is_drained_ && streams_->in_progress() == 0 &&
                              calls_->in_progress() == 0 &&
                              caller_server_->requests_in_progress() == 0 &&
+                             // A request may be on its way on each of them.
+                             caller_server_->open_connections() == 0 &&
                              since > 2 * readiness_off_delay;
         if (is_idle || since > options_.drain_limit_)
         {
--- a/src/transport/http_exchange.cpp
+++ b/src/transport/http_exchange.cpp
@@ -20,11 +20,11 @@
 } // namespace
 
 exchange::exchange(asio::io_context& context, connection_table& table,
-                   std::atomic<bool> const& is_draining,
+                   connection_ending const& ending,
                    restinio::request_handle_t request)
     : context_(&context)
     , table_(table)
-    , is_draining_(is_draining)
+    , ending_(ending)
     , connection_(request->connection_id())
     , request_(std::move(request))
 {
@@ -256,9 +256,14 @@
         builder.append_header(name, value);
     }
     // A request behind the response that closes the connection gets none.
-    if (is_draining_ && !table_.has_later(connection_, this))
+    if (ending_.is_closing_ && !table_.has_later(connection_, this))
     {
         builder.connection_close();
+        return;
+    }
+    if (!ending_.keep_alive_.empty() && request_->header().should_keep_alive())
+    {
+        builder.append_header("Keep-Alive", ending_.keep_alive_);
     }
 }
 
--- a/src/transport/http_exchange.hpp
+++ b/src/transport/http_exchange.hpp
@@ -30,12 +30,20 @@
 
 using stream_builder = restinio::response_builder_t<restinio::chunked_output_t>;
 
+/// What responses tell callers about the end of their connection.
+struct connection_ending
+{
+    /// Value of Keep-Alive; empty if nothing is promised.
+    std::string keep_alive_;
+    std::atomic<bool> is_closing_{false};
+};
+
 /// One request and its reply.
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
     exchange(asio::io_context& context, connection_table& table,
-             std::atomic<bool> const& is_draining,
+             connection_ending const& ending,
              restinio::request_handle_t request);
 
     void send(http_response response);
@@ -106,7 +114,7 @@
     std::atomic<std::size_t> unsent_bytes_{0};
 
     connection_table& table_;
-    std::atomic<bool> const& is_draining_;
+    connection_ending const& ending_;
     restinio::connection_id_t const connection_;
     /// Used only by the writer while there is one. All three keep the
     /// connection alive, so they are released before the server's io_context is
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -31,6 +31,18 @@
 constexpr std::size_t max_pipelined_requests = 2;
 constexpr std::size_t max_header_count = 100;
 constexpr std::size_t read_buffer_bytes = 8U << 10U;
+/// Callers are promised less than the idle limit, so that a request sent at the
+/// end of the promise arrives before the connection closes.
+constexpr milliseconds idle_margin{1'000};
+
+/// Returns the value of Keep-Alive; empty if the limit is too short to promise
+/// anything.
+std::string keep_alive_value(milliseconds idle_limit)
+{
+    auto const promised =
+        std::chrono::floor<seconds>(idle_limit - idle_margin).count();
+    return promised < 1 ? std::string() : "timeout=" + std::to_string(promised);
+}
 
 class reply_handle final : public http_reply
 {
@@ -98,6 +110,7 @@
     restinio_server(http_server_options options, request_handler handler)
         : options_(std::move(options))
         , handler_(std::move(handler))
+        , ending_{keep_alive_value(options_.read_timeout_)}
         , server_(restinio::external_io_context(context_),
                   [this](auto& settings) { configure(settings); })
     {
@@ -118,12 +131,14 @@
 
     std::uint16_t port() const override { return port_; }
 
+    void close_after_responses() override { ending_.is_closing_ = true; }
+
     /// Shuts down the listening socket instead of closing it, which is safe
     /// while server threads use it; RESTinio then stops accepting connections.
     void drain() override
     {
+        close_after_responses();
         std::lock_guard lock(stop_mutex_);
-        is_draining_ = true;
         if (!is_stopped_)
         {
             ::shutdown(acceptor_handle_, SHUT_RDWR);
@@ -185,8 +200,8 @@
     {
         incoming_request incoming = to_incoming_request(*request);
         auto const connection = request->connection_id();
-        auto const added = std::make_shared<exchange>(
-            context_, table_, is_draining_, std::move(request));
+        auto const added = std::make_shared<exchange>(context_, table_, ending_,
+                                                      std::move(request));
         table_.add(connection, added);
         auto reply = std::make_shared<reply_handle>(added);
         if (header_bytes(incoming) > options_.max_header_bytes_)
@@ -219,7 +234,7 @@
     http_server_options options_;
     request_handler handler_;
     connection_table table_;
-    std::atomic<bool> is_draining_{false};
+    connection_ending ending_;
     std::mutex stop_mutex_;
     bool is_stopped_ = false;
     int acceptor_handle_ = -1;
