--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -19,6 +19,7 @@
 #include "auburnlb/entry/routing_view_builder.hpp"
 #include "auburnlb/entry/status_report.hpp"
 #include "auburnlb/entry/stream_service.hpp"
+#include "auburnlb/state/json_text.hpp"
 #include "auburnlb/state/log.hpp"
 #include "auburnlb/state/service_object.hpp"
 #include "auburnlb/transport/config_manager.hpp"
@@ -559,9 +560,8 @@
                              endpoint.address_,
                              "endpoint " + name + " is unreachable"};
             }
-            return nlohmann::ordered_json{{"endpoint", name},
-                                          {"state", "leaving"}}
-                .dump();
+            return dump_text(nlohmann::ordered_json{{"endpoint", name},
+                                                    {"state", "leaving"}});
         }
         return error{error_code::not_found, "drain endpoint", name,
                      "there is no endpoint " + name};
@@ -664,6 +664,7 @@
             return;
         }
         leaving_since_ = clock_.now();
+        caller_server_->close_after_responses();
         log(log_level::info, log_event::process_stopping, {},
             "reporting not ready; requests in progress continue");
     }
@@ -683,6 +684,8 @@
         bool const is_idle = is_drained_ && streams_->in_progress() == 0 &&
                              calls_->in_progress() == 0 &&
                              caller_server_->requests_in_progress() == 0 &&
+                             // A request may be on its way on each of them.
+                             caller_server_->open_connections() == 0 &&
                              since > 2 * readiness_off_delay;
         if (is_idle || since > options_.drain_limit_)
         {
