Take no response for another one's on a used connection

What callers saw: on a kept connection to an endpoint that writes a second copy of an answer late, the next caller got the answer of the request before (a copy without the request's name), or a 200 with the body of a 500 (a copy that broke off within a field's value, so that the status line of the real answer became part of that value).

Cause: a response that names no request was taken for the awaited one; only a refusal was distrusted on a connection that had carried other requests. A head was accepted whatever its text contained.

Fix: origin_of() decides from a head which request it belongs to. One that names none, on a connection that was used before, is skipped like one that names another, and the real answer is awaited; where none comes, an idempotent call is sent elsewhere and any other ends at its deadline as unknown. check_response() believes no such response either. The reader takes a head for malformed whose reason phrase or field values contain a status line, and a head that names or signs two requests ends its attempt as broken: a request that may run once gets 502, any other one is sent again. auburnlb_router_skipped_responses_total counts what was skipped.

The three tests, http_reader (each cut of a head, read in pieces of 1 to 20 bytes), response_check and platform_requests pass.

--- a/include/auburnlb/coordination/response_check.hpp
+++ b/include/auburnlb/coordination/response_check.hpp
@@ -1,5 +1,6 @@
-// Decides whether an endpoint's complete response may be passed on to the
-// caller. No other code makes this decision.
+// Decides which request an endpoint's response belongs to, and whether a
+// complete response may be passed on to the caller. No other code makes these
+// decisions.
 #ifndef AUBURNLB_COORDINATION_RESPONSE_CHECK_HPP
 #define AUBURNLB_COORDINATION_RESPONSE_CHECK_HPP
 
@@ -10,6 +11,38 @@
 namespace auburnlb
 {
 
+/// What the head of a response shows about the request that it responds to.
+struct head_facts
+{
+    /// It names a request, and whether that is the awaited one.
+    bool names_request_ = false;
+    bool names_awaited_request_ = false;
+    /// Its connection has carried other requests.
+    bool is_connection_reused_ = false;
+    /// A field that a response has once is there twice.
+    bool has_repeated_fields_ = false;
+
+    bool operator==(head_facts const&) const = default;
+};
+
+/// Which request a response belongs to.
+enum class response_origin
+{
+    awaited_request,
+    another_request,
+    /// Endpoints name the request in each response, so that one that names none
+    /// may be left from an earlier request of its connection.
+    unknown,
+    /// The heads of two responses have become one, so that nothing of it or
+    /// after it can be believed.
+    several_requests,
+};
+
+/// For metrics.
+char const* to_string(response_origin origin);
+
+response_origin origin_of(head_facts const& facts);
+
 /// What is known of a complete response.
 struct response_facts
 {
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -113,6 +113,12 @@
     std::string superseded_endpoint() const;
     double expected_output_tokens() const;
 
+    /// Returns which request a response on the attempt's connection belongs
+    /// to.
+    response_origin origin_of_response(endpoint_attempt const& attempt,
+                                       http_head const& head) const;
+    /// Returns whether the response ends the attempt. Any other is skipped.
+    bool is_response_of(endpoint_attempt const& attempt, http_head const& head);
     /// Applies what the response says about the endpoint's availability.
     void read_notices(endpoint_attempt const& attempt, time_point now);
     /// Applies the rate limit that the response names.
--- a/include/auburnlb/router/http_message.hpp
+++ b/include/auburnlb/router/http_message.hpp
@@ -134,7 +134,10 @@
     /// Counts bytes of the head; returns false if they exceed the limit.
     bool count_head_bytes(std::size_t length);
     void append_header_text(std::string_view text, bool is_name);
-    /// Passes the head to the sink; returns false if a field name is invalid.
+    /// Returns whether a response's head broke off and the next one follows it,
+    /// so that its status line is within the text of the first.
+    bool is_of_two_responses() const;
+    /// Passes the head to the sink; returns false if it is invalid.
     bool finish_head();
     void reset_message();
 
@@ -142,6 +145,7 @@
     http_message_sink& sink_;
     std::size_t max_head_bytes_;
     http_head head_;
+    std::string reason_phrase_;
     std::size_t head_bytes_ = 0;
     bool is_last_text_name_ = false;
     bool is_inside_ = false;
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -69,6 +69,9 @@
     /// The endpoint guarantees that the request was not and will not be
     /// executed.
     bool is_not_executed_ = false;
+    /// A field that a response has once is there twice, as where the heads of
+    /// two responses have become one.
+    bool has_repeated_fields_ = false;
     /// The request that it responds to; empty if not given.
     std::string request_id_;
     /// Requests per second that the endpoint takes from all routers; unset if
--- a/src/coordination/response_check.cpp
+++ b/src/coordination/response_check.cpp
@@ -1,4 +1,4 @@
-// The checks of a complete response, in their order.
+// The checks of a response's head and of a complete response, in their order.
 #include "auburnlb/coordination/response_check.hpp"
 
 namespace auburnlb
@@ -7,25 +7,56 @@
 namespace
 {
 
-response_failure refusal(response_facts const& facts)
+/// A faulty endpoint may repeat the response to an earlier request.
+bool may_be_of_another(bool names_request, bool is_connection_reused)
 {
-    // A faulty endpoint may repeat the refusal of an earlier request.
-    bool const may_be_of_another =
-        !facts.names_request_ && facts.is_connection_reused_;
-    return may_be_of_another
-               ? response_failure{attempt_outcome::broken,
-                                  "the refusal may be of another request"}
-               : response_failure{attempt_outcome::refused,
-                                  "the endpoint refused the request"};
+    return !names_request && is_connection_reused;
 }
 
 } // namespace
 
+char const* to_string(response_origin origin)
+{
+    switch (origin)
+    {
+    case response_origin::awaited_request:
+        return "awaited_request";
+    case response_origin::another_request:
+        return "another_request";
+    case response_origin::unknown:
+        return "unknown";
+    case response_origin::several_requests:
+        return "several_requests";
+    }
+    return "unknown";
+}
+
+response_origin origin_of(head_facts const& facts)
+{
+    if (facts.has_repeated_fields_)
+    {
+        return response_origin::several_requests;
+    }
+    if (facts.names_request_ && !facts.names_awaited_request_)
+    {
+        return response_origin::another_request;
+    }
+    return may_be_of_another(facts.names_request_, facts.is_connection_reused_)
+               ? response_origin::unknown
+               : response_origin::awaited_request;
+}
+
 std::optional<response_failure> check_response(response_facts const& facts)
 {
+    if (may_be_of_another(facts.names_request_, facts.is_connection_reused_))
+    {
+        return response_failure{attempt_outcome::broken,
+                                "the response may be to another request"};
+    }
     if (facts.is_not_executed_)
     {
-        return refusal(facts);
+        return response_failure{attempt_outcome::refused,
+                                "the endpoint refused the request"};
     }
     if (!facts.is_signed_)
     {
--- a/src/router/http_message.cpp
+++ b/src/router/http_message.cpp
@@ -6,6 +6,8 @@
 #include <cctype>
 #include <climits>
 
+#include "auburnlb/protocol/status_line.hpp"
+
 namespace auburnlb
 {
 
@@ -154,6 +156,13 @@
             self.head_.target_.append(at, length);
             return self.count_head_bytes(length) ? 0 : invalid;
         };
+        value.on_status =
+            [](http_parser* parser, char const* at, std::size_t length)
+        {
+            http_reader& self = self_of(parser);
+            self.reason_phrase_.append(at, length);
+            return self.count_head_bytes(length) ? 0 : invalid;
+        };
         value.on_header_field =
             [](http_parser* parser, char const* at, std::size_t length)
         {
@@ -222,6 +231,14 @@
     (is_name ? field.name_ : field.value_).append(text);
 }
 
+bool http_reader::is_of_two_responses() const
+{
+    return contains_status_line(reason_phrase_) ||
+           std::any_of(head_.fields_.begin(), head_.fields_.end(),
+                       [](http_field const& field)
+                       { return contains_status_line(field.value_); });
+}
+
 bool http_reader::finish_head()
 {
     // The parser accepts some names with whitespace, which other
@@ -233,6 +250,10 @@
             return false;
         }
     }
+    if (parser_.type == HTTP_RESPONSE && is_of_two_responses())
+    {
+        return false;
+    }
     if (parser_.type == HTTP_REQUEST)
     {
         head_.method_ =
@@ -253,6 +274,7 @@
 void http_reader::reset_message()
 {
     head_ = http_head{};
+    reason_phrase_.clear();
     head_bytes_ = 0;
     is_last_text_name_ = false;
     is_inside_ = false;
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -24,8 +24,35 @@
 
 bool forwarded_request::is_matching_response(http_head const& head)
 {
-    std::string const id = core_.protocol_.read_response_(head).request_id_;
-    return id.empty() || id == caller_request_.id_;
+    return is_response_of(*attempt_, head);
+}
+
+response_origin
+forwarded_request::origin_of_response(endpoint_attempt const& attempt,
+                                      http_head const& head) const
+{
+    endpoint_response const response = core_.protocol_.read_response_(head);
+    head_facts facts;
+    facts.names_request_ = !response.request_id_.empty();
+    facts.names_awaited_request_ = response.request_id_ == caller_request_.id_;
+    facts.is_connection_reused_ = attempt.is_connection_reused_;
+    facts.has_repeated_fields_ = response.has_repeated_fields_;
+    return origin_of(facts);
+}
+
+bool forwarded_request::is_response_of(endpoint_attempt const& attempt,
+                                       http_head const& head)
+{
+    response_origin const origin = origin_of_response(attempt, head);
+    if (origin == response_origin::another_request ||
+        origin == response_origin::unknown)
+    {
+        core_.metrics_.add("auburnlb_router_skipped_responses_total",
+                           std::string("origin=\"") + to_string(origin) +
+                               "\"");
+        return false;
+    }
+    return true;
 }
 
 void forwarded_request::on_response_head(http_head const& head)
@@ -33,6 +60,11 @@
     attempt_->response_head_ = head;
     attempt_->response_ = core_.protocol_.read_response_(head);
     attempt_->progress_.began_at_ = core_.clock_.now();
+    if (attempt_->response_.has_repeated_fields_)
+    {
+        end_attempt(attempt_outcome::broken, "the head is of two responses");
+        return;
+    }
     read_rate_limit(*attempt_, attempt_->progress_.began_at_);
     read_notices(*attempt_, attempt_->progress_.began_at_);
     attempt_->is_streaming_ = is_stream() && is_success(head.status_) &&
--- a/src/router/request_supersession.cpp
+++ b/src/router/request_supersession.cpp
@@ -110,6 +110,7 @@
     unsigned const status = attempt.response_head_.status_;
     bool const is_final = attempt.response_.is_signed_ &&
                           !attempt.response_.is_not_executed_ &&
+                          !attempt.response_.has_repeated_fields_ &&
                           !is_server_error(status);
     return is_final && (is_success(status) || !caller_->has_begun_response());
 }
@@ -126,6 +127,11 @@
         on_response_head(head);
         return;
     }
+    if (attempt.response_.has_repeated_fields_)
+    {
+        fail_superseded(attempt_outcome::broken);
+        return;
+    }
     time_point const now = core_.clock_.now();
     read_rate_limit(attempt, now);
     read_notices(attempt, now);
--- a/src/router/superseded_attempt.hpp
+++ b/src/router/superseded_attempt.hpp
@@ -29,7 +29,7 @@
     // Each of these may destroy this object.
     bool is_matching_response(http_head const& head) override
     {
-        return request_.is_matching_response(head);
+        return request_.is_response_of(*attempt_, head);
     }
     void on_response_head(http_head const& head) override
     {
--- a/test/coordination/response_check_test.cpp
+++ b/test/coordination/response_check_test.cpp
@@ -1,4 +1,4 @@
-// Tests of which responses are passed on.
+// Tests of which responses are awaited, and which are passed on.
 #include <gtest/gtest.h>
 
 #include "auburnlb/coordination/response_check.hpp"
@@ -61,6 +61,38 @@
     EXPECT_EQ(outcome_of(facts), attempt_outcome::refused);
 }
 
+TEST(response_check, a_success_that_may_be_of_another_request_is_not_passed_on)
+{
+    response_facts facts = success();
+    facts.is_connection_reused_ = true;
+    EXPECT_FALSE(check_response(facts));
+    facts.names_request_ = false;
+    EXPECT_EQ(outcome_of(facts), attempt_outcome::broken);
+    facts.is_connection_reused_ = false;
+    EXPECT_FALSE(check_response(facts));
+}
+
+TEST(response_check, a_head_without_a_name_is_awaited_on_a_new_connection_alone)
+{
+    head_facts facts;
+    EXPECT_EQ(origin_of(facts), response_origin::awaited_request);
+    facts.is_connection_reused_ = true;
+    EXPECT_EQ(origin_of(facts), response_origin::unknown);
+    facts.names_request_ = true;
+    EXPECT_EQ(origin_of(facts), response_origin::another_request);
+    facts.names_awaited_request_ = true;
+    EXPECT_EQ(origin_of(facts), response_origin::awaited_request);
+}
+
+TEST(response_check, a_head_with_repeated_fields_is_of_several_requests)
+{
+    head_facts facts;
+    facts.names_request_ = true;
+    facts.names_awaited_request_ = true;
+    facts.has_repeated_fields_ = true;
+    EXPECT_EQ(origin_of(facts), response_origin::several_requests);
+}
+
 TEST(response_check, an_error_without_a_body_or_a_length_is_passed_on)
 {
     response_facts facts = complete_response();
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -236,3 +236,18 @@
     head.status_ = 421;
     EXPECT_TRUE(platform::read_response(head).is_not_executed_);
 }
+
+TEST(platform_requests, a_head_with_two_names_or_signatures_is_of_two_answers)
+{
+    for (char const* const name :
+         {"Auburnlb-Request-Id", "Auburnlb-Response-Stamp",
+          "Auburnlb-Not-Executed"})
+    {
+        http_head head;
+        head.status_ = 200;
+        head.fields_ = {{name, "1"}, {"X-Own", "1"}, {"x-own", "2"}};
+        EXPECT_FALSE(platform::read_response(head).has_repeated_fields_);
+        head.fields_.push_back({name, "1"});
+        EXPECT_TRUE(platform::read_response(head).has_repeated_fields_);
+    }
+}
--- a/test/router/http_message_test.cpp
+++ b/test/router/http_message_test.cpp
@@ -125,6 +125,40 @@
     }
 }
 
+RC_GTEST_PROP(http_reader, a_head_that_broke_off_does_not_merge_with_the_next,
+              ())
+{
+    std::string const copy = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                             "X-Request: a\r\nX-Signature: s-a\r\n"
+                             "Content-Length: 2\r\nX-Last: 1\r\n";
+    std::string const next = "HTTP/1.1 500 Internal Server Error\r\n"
+                             "Content-Type: text/plain\r\nX-Request: a\r\n"
+                             "X-Signature: s-b\r\nContent-Length: 3\r\n\r\nbad";
+    auto const cut = *rc::gen::inRange<std::size_t>(1, copy.size());
+    std::string const bytes = copy.substr(0, cut) + next;
+    recorder sink;
+    http_reader reader(response, sink, max_head);
+    std::string_view rest = bytes;
+    auto status = http_read_status::need_more;
+    while (status == http_read_status::need_more && !rest.empty())
+    {
+        auto const size = *rc::gen::inRange<std::size_t>(1, 21);
+        auto const read = reader.read(rest.substr(0, size));
+        status = read.status_;
+        rest.remove_prefix(read.consumed_);
+    }
+    RC_ASSERT(status == http_read_status::malformed);
+    RC_ASSERT(sink.heads_.empty());
+}
+
+TEST(http_reader, a_request_may_have_a_status_line_in_a_field)
+{
+    recorder sink;
+    EXPECT_EQ(read_all(sink, request,
+                       "GET / HTTP/1.1\r\nX-Note: HTTP/1.1 200 OK\r\n\r\n"),
+              http_read_status::message_end);
+}
+
 TEST(http_reader, responses_to_head_have_no_body)
 {
     recorder sink;
