Pass on no body that another response completed

What callers saw: a 200 with the endpoint's signature whose body ended in the status line and fields of a second copy ("long long loHTTP/1.1 "), where the answer had broken off in its body and its copy filled the length; the same where an answer without a length was followed by its copy before the end.

Cause: bytes behind a response ended the reuse of its connection, but the response was passed on whatever its body contained.

Fix: where bytes follow a response, or it has no length, a body in which a status line begins, also one that ends among the bytes that follow, is not the endpoint's whole body: the attempt ends as broken (502 for what may run once). A body with a length and nothing behind it may contain status lines as before.

Not mended: a copy that completes a body and whose rest comes in a later read.

--- a/include/auburnlb/coordination/response_check.hpp
+++ b/include/auburnlb/coordination/response_check.hpp
@@ -58,6 +58,8 @@
     bool is_connection_reused_ = false;
     /// It has no content, and only the end of the connection ended it.
     bool is_unframed_and_empty_ = false;
+    /// The beginning of another response may have completed its body.
+    bool contains_response_ = false;
     /// The caller has received the beginning of another response.
     bool has_begun_ = false;
 
--- a/include/auburnlb/protocol/status_line.hpp
+++ b/include/auburnlb/protocol/status_line.hpp
@@ -12,6 +12,11 @@
 /// one follows it.
 bool contains_status_line(std::string_view text);
 
+/// Returns whether a status line begins within the text, which may end within
+/// that line.
+/// @param following what follows the text
+bool begins_status_line(std::string_view text, std::string_view following);
+
 } // namespace auburnlb
 
 #endif
--- a/include/auburnlb/router/connection_pool.hpp
+++ b/include/auburnlb/router/connection_pool.hpp
@@ -76,6 +76,10 @@
 
     std::string const& address() const { return address_; }
 
+    /// Once the response has ended: the first bytes that followed it. The
+    /// response may be shorter than its length, so that these complete it.
+    std::string const& following_bytes() const { return following_bytes_; }
+
     /// Whether the connection has carried other requests.
     bool is_reused() const { return idle_since_ != time_point{}; }
 
@@ -91,8 +95,8 @@
     void on_message_end() override;
     void fail(exchange_failure failure);
     /// Ends the exchange after a complete response.
-    /// @param has_more_bytes unexpected bytes followed the response
-    void finish_exchange(bool has_more_bytes);
+    /// @param may_reuse the connection may carry another request
+    void finish_exchange(bool may_reuse);
 
     connection_pool& pool_;
     std::string address_;
@@ -107,6 +111,7 @@
     /// Bytes of the exchange before the head of its response.
     std::size_t skipped_bytes_ = 0;
     bool has_response_ended_ = false;
+    std::string following_bytes_;
     bool may_reuse_ = true;
     time_point connecting_since_{};
     time_point idle_since_{};
--- a/include/auburnlb/router/endpoint_attempt.hpp
+++ b/include/auburnlb/router/endpoint_attempt.hpp
@@ -44,6 +44,8 @@
     std::string response_body_;
     /// The bytes of response_body_.
     budgeted_bytes buffered_bytes_;
+    /// The first bytes that followed the response.
+    std::string following_bytes_;
     bool is_streaming_ = false;
     /// The connection has carried other requests, whose responses may come.
     bool is_connection_reused_ = false;
@@ -59,6 +61,9 @@
 /// Closes the connection, which makes the endpoint cancel the request.
 void close_connection(endpoint_attempt& attempt);
 
+/// Releases the connection after a complete response, if there is one.
+void finish_exchange(endpoint_attempt& attempt);
+
 void release_reservations(endpoint_attempt& attempt);
 
 /// Returns whether no process listens any more at an engine of the attempt.
--- a/src/coordination/response_check.cpp
+++ b/src/coordination/response_check.cpp
@@ -63,6 +63,11 @@
         return response_failure{attempt_outcome::broken,
                                 "the response has no signature"};
     }
+    if (facts.contains_response_)
+    {
+        return response_failure{attempt_outcome::broken,
+                                "the body contains another response"};
+    }
     if (facts.is_server_error_)
     {
         return response_failure{attempt_outcome::failed,
--- a/src/protocol/status_line.cpp
+++ b/src/protocol/status_line.cpp
@@ -2,6 +2,7 @@
 #include "auburnlb/protocol/status_line.hpp"
 
 #include <algorithm>
+#include <string>
 
 namespace auburnlb
 {
@@ -25,4 +26,14 @@
                        status_line_form.end(), fits) != text.end();
 }
 
+bool begins_status_line(std::string_view text, std::string_view following)
+{
+    // One that begins within the text ends before as many bytes after it.
+    constexpr std::size_t overlap = status_line_form.size() - 1;
+    std::string border(
+        text.substr(text.size() - std::min(text.size(), overlap)));
+    border += following.substr(0, overlap);
+    return contains_status_line(text) || contains_status_line(border);
+}
+
 } // namespace auburnlb
--- a/src/router/connection_pool.cpp
+++ b/src/router/connection_pool.cpp
@@ -31,6 +31,9 @@
 /// response to a request. A faulty endpoint may send them without end.
 constexpr std::size_t max_skipped_bytes = std::size_t{4} * 1024 * 1024;
 
+/// Bytes kept of what follows a response.
+constexpr std::size_t max_following_bytes = 64;
+
 /// Returns the idle limit that follows from the timeout of the Keep-Alive
 /// field, which is in whole seconds.
 milliseconds announced_idle_limit(http_head const& head)
@@ -141,7 +144,8 @@
         }
         if (has_response_ended_)
         {
-            finish_exchange(!bytes.empty());
+            following_bytes_ = bytes.substr(0, max_following_bytes);
+            finish_exchange(bytes.empty());
             return;
         }
     }
@@ -165,7 +169,7 @@
         reader_->read_eof();
         if (has_response_ended_)
         {
-            finish_exchange(true);
+            finish_exchange(false);
             return;
         }
     }
@@ -208,10 +212,10 @@
     has_response_ended_ = !is_skipping_;
 }
 
-void pooled_connection::finish_exchange(bool has_more_bytes)
+void pooled_connection::finish_exchange(bool may_reuse)
 {
     response_receiver* const receiver = std::exchange(receiver_, nullptr);
-    if (has_more_bytes || !may_reuse_ || !channel_->is_drained())
+    if (!may_reuse || !may_reuse_ || !channel_->is_drained())
     {
         // A request that is still being sent is sent completely, because the
         // endpoint could attribute a reset to the caller.
@@ -244,12 +248,12 @@
 connection_pool::acquire(std::string const& address, milliseconds max_idle)
 {
     time_point const now = clock_.now();
+    // A request that needs a new connection leaves the idle ones to others.
+    bool const may_reuse = max_idle > milliseconds(0);
     // cancel() may remove the address.
     for (auto idle = idle_.find(address);
          may_reuse && idle != idle_.end() && !idle->second.empty();
          idle = idle_.find(address))
-    // A request that needs a new connection leaves the idle ones to others.
-    bool const may_reuse = max_idle > milliseconds(0);
     {
         connection_ptr connection = std::move(idle->second.back());
         idle->second.pop_back();
--- a/src/router/endpoint_attempt.cpp
+++ b/src/router/endpoint_attempt.cpp
@@ -15,6 +15,15 @@
     }
 }
 
+void finish_exchange(endpoint_attempt& attempt)
+{
+    if (attempt.connection_ != nullptr)
+    {
+        attempt.following_bytes_ = attempt.connection_->following_bytes();
+        attempt.connection_.reset();
+    }
+}
+
 void release_reservations(endpoint_attempt& attempt)
 {
     for (endpoint_reservation const& each : attempt.reservations_)
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "auburnlb/protocol/status_line.hpp"
 #include "auburnlb/router/endpoint_notices.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/log.hpp"
@@ -20,7 +21,6 @@
 /// Weight of the latest gap in the moving average.
 constexpr double gap_weight = 0.2;
 
-} // namespace
 char const* why_invalid(event_batch const& batch)
 {
     if (batch.has_response_head_)
@@ -31,6 +31,7 @@
                                : "an event is out of order";
 }
 
+} // namespace
 
 bool forwarded_request::is_matching_response(http_head const& head)
 {
@@ -58,8 +59,7 @@
         origin == response_origin::unknown)
     {
         core_.metrics_.add("auburnlb_router_skipped_responses_total",
-                           std::string("origin=\"") + to_string(origin) +
-                               "\"");
+                           std::string("origin=\"") + to_string(origin) + "\"");
         return false;
     }
     return true;
@@ -163,8 +163,7 @@
         begin_stream_response();
         caller_->send_body(batch.bytes_);
     }
-    bool const is_valid = !batch.is_out_of_order_ && !batch.is_too_large_;
-    if (!is_valid && !has_ended_)
+    if (!batch.is_valid() && !has_ended_)
     {
         end_attempt(attempt_outcome::broken, why_invalid(batch));
     }
@@ -218,7 +217,7 @@
 
 void forwarded_request::on_response_end()
 {
-    attempt_->connection_.reset();
+    finish_exchange(*attempt_);
     if (attempt_->is_streaming_)
     {
         finish_stream();
@@ -261,6 +260,13 @@
     facts.is_unframed_and_empty_ = !attempt_->response_head_.is_framed_ &&
                                    attempt_->response_body_.empty() &&
                                    head_.method_ != "HEAD";
+    // A body may contain a status line of its own; with bytes after it or
+    // without a length, it may as well be that of another response.
+    bool const is_end_certain = attempt_->response_head_.is_framed_ &&
+                                attempt_->following_bytes_.empty();
+    facts.contains_response_ =
+        !is_end_certain && begins_status_line(attempt_->response_body_,
+                                              attempt_->following_bytes_);
     facts.has_begun_ = caller_->has_begun_response();
     return facts;
 }
--- a/src/router/request_supersession.cpp
+++ b/src/router/request_supersession.cpp
@@ -108,10 +108,9 @@
 {
     endpoint_attempt const& attempt = *superseded_->attempt_;
     unsigned const status = attempt.response_head_.status_;
-    bool const is_final = attempt.response_.is_signed_ &&
-                          !attempt.response_.is_not_executed_ &&
-                          !attempt.response_.has_repeated_fields_ &&
-                          !is_server_error(status);
+    bool const is_final =
+        attempt.response_.is_signed_ && !attempt.response_.is_not_executed_ &&
+        !attempt.response_.has_repeated_fields_ && !is_server_error(status);
     return is_final && (is_success(status) || !caller_->has_begun_response());
 }
 
@@ -175,7 +174,7 @@
 {
     auto const keep_alive = shared_from_this();
     endpoint_attempt& attempt = *superseded_->attempt_;
-    attempt.connection_.reset();
+    finish_exchange(attempt);
     // Without a length or chunks, the end of the connection tells nothing.
     bool const may_be_cut =
         superseded_->events_.is_inside_event() ||
--- a/test/coordination/response_check_test.cpp
+++ b/test/coordination/response_check_test.cpp
@@ -102,6 +102,18 @@
     EXPECT_EQ(outcome_of(facts), attempt_outcome::broken);
 }
 
+TEST(response_check, a_body_that_another_response_completed_is_not_passed_on)
+{
+    response_facts facts = success();
+    facts.contains_response_ = true;
+    EXPECT_EQ(outcome_of(facts), attempt_outcome::broken);
+    facts.is_success_ = false;
+    facts.is_server_error_ = true;
+    EXPECT_EQ(outcome_of(facts), attempt_outcome::broken);
+    facts.is_not_executed_ = true;
+    EXPECT_EQ(outcome_of(facts), attempt_outcome::refused);
+}
+
 TEST(response_check, nothing_but_its_rest_follows_a_stream_that_has_begun)
 {
     response_facts facts = complete_response();
--- a/test/process/late_answers_test.py
+++ b/test/process/late_answers_test.py
@@ -103,6 +103,38 @@
         self.check_broken_copies([b"P/1.1", b" 200", b"0 OK", b"K\r", b"\r\n", b"\n", b"ype:",
                                   b"quest-Id"])
 
+    def check_own_answer_cut(self, write):
+        """The answer itself breaks off, and its second copy follows."""
+        with RawDeployment(engines=2) as system:
+            system.serve_by(write)
+            for number in range(8):
+                send = system.look if number % 2 else system.book
+                got = send(system.router, f"call-{number}")
+                self.check_own(system, got)
+                self.assertGreaterEqual(got.status, 500)
+
+    def test_answer_that_breaks_off_in_its_body_is_not_completed_by_a_copy(self):
+        def serve(exchange, _):
+            own = answer(exchange.request_id, "long " * 8 + exchange.request_id)
+            exchange.write(own[:-random.randint(1, 40)] + own)
+            return True
+        self.check_own_answer_cut(serve)
+
+    def test_answer_that_breaks_off_in_its_head_is_not_completed_by_a_copy(self):
+        def serve(exchange, _):
+            own = answer(exchange.request_id)
+            exchange.write(own[:random.randint(1, own.index(b"Content-Length"))] + own)
+            return True
+        self.check_own_answer_cut(serve)
+
+    def test_answer_without_a_length_does_not_contain_its_copy(self):
+        def serve(exchange, _):
+            own = render("200 OK", [("Auburnlb-Request-Id", exchange.request_id),
+                                    ("Auburnlb-Response-Stamp", "s")], b"ran it")
+            exchange.write(own + own)
+            return False
+        self.check_own_answer_cut(serve)
+
     def test_copy_after_a_whole_answer_does_not_harm_it(self):
         def serve(exchange, _):
             exchange.write(answer(exchange.request_id) * 2)
@@ -151,6 +183,9 @@
                                 got.text[-200:])
                 if got.status == 200 and got.is_whole:
                     self.assertEqual(got.text, expected_events())
+                if got.status == 200:
+                    self.assertEqual(got.headers["auburnlb-response-stamp"],
+                                     f"stamp-{got.request_id}")
                 if is_whole:
                     self.assertEqual((got.status, got.is_whole), (200, True), got.text)
 
