Order layers on a connection of their own

What could be seen: an engine refused an order (409), and the companion took the order for accepted.

Cause: the response to an order names no order. On a connection that was used before, a late second copy of any other response with 200 passed for it.

Fix: an order is sent on a new connection, on which nothing is left. Orders are rare. Results of steps name their stream, as before.

Failed before, with src/transport of: engine_client .a_late_copy_is_not_the_response_to_an_order (the order succeeded). Now it passes. Not mended: the response to a release is not told from a copy, nor a status from an older one.

--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -200,6 +200,9 @@
                     {"fencing_number", fencing_number}};
     http_request request{
         "POST", base_url_ + "/v1/orders", {}, body.dump(), control_timeout};
+    // Its response names no order, so that a late copy of another one would
+    // pass for it.
+    request.may_reuse_connection_ = false;
     send_request<bool>(
         http_, std::move(request), "order layers", base_url_,
         [](json const&) { return true; }, std::move(handler));
--- a/test/transport/engine_client_test.cpp
+++ b/test/transport/engine_client_test.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <thread>
 
+#include <asio.hpp>
 #include <gtest/gtest.h>
 
 #include "fake_engine.hpp"
@@ -74,6 +75,93 @@
     }
 };
 
+/// An engine that refuses orders, and writes its last response once more before
+/// the next one on a connection.
+class late_engine
+{
+public:
+    late_engine()
+        : thread_(
+              [this]
+              {
+                  accept();
+                  io_.run();
+              })
+    {
+    }
+    ~late_engine()
+    {
+        io_.stop();
+        thread_.join();
+    }
+    late_engine(late_engine const&) = delete;
+    late_engine& operator=(late_engine const&) = delete;
+
+    std::string url() const { return fakes::loopback_url(port_); }
+
+private:
+    struct connection
+    {
+        explicit connection(asio::ip::tcp::socket socket)
+            : socket_(std::move(socket))
+        {
+        }
+        asio::ip::tcp::socket socket_;
+        asio::streambuf received_;
+        std::string last_;
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](asio::error_code const& failure,
+                   asio::ip::tcp::socket socket)
+            {
+                if (!failure)
+                {
+                    auto const accepted =
+                        std::make_shared<connection>(std::move(socket));
+                    serve(accepted);
+                    accept();
+                }
+            });
+    }
+
+    /// Each request has a JSON object as its body.
+    void serve(std::shared_ptr<connection> const& each)
+    {
+        asio::async_read_until(
+            each->socket_, each->received_, "}",
+            [this, each](asio::error_code const& failure, std::size_t size)
+            {
+                if (failure)
+                {
+                    return;
+                }
+                std::string const request(
+                    asio::buffers_begin(each->received_.data()),
+                    asio::buffers_end(each->received_.data()));
+                each->received_.consume(size);
+                std::string const own =
+                    request.find("/v1/orders ") == std::string::npos
+                        ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+                        : "HTTP/1.1 409 Conflict\r\n"
+                          "Content-Length: 2\r\n\r\n{}";
+                asio::error_code ignored;
+                asio::write(each->socket_, asio::buffer(each->last_ + own),
+                            ignored);
+                each->last_ = own;
+                serve(each);
+            });
+    }
+
+    asio::io_context io_;
+    asio::ip::tcp::acceptor acceptor_{io_,
+                                      {asio::ip::address_v4::loopback(), 0}};
+    std::uint16_t port_ = acceptor_.local_endpoint().port();
+    std::thread thread_;
+};
+
 engine_step prompt_step(std::string stream, std::string prompt)
 {
     return {std::move(stream), 0, {std::move(prompt)}, 10, 0, true};
@@ -128,6 +216,21 @@
     EXPECT_EQ(next.error().code_, error_code::response_lost);
 }
 
+TEST(engine_client, a_late_copy_is_not_the_response_to_an_order)
+{
+    late_engine const engine;
+    http_client http;
+    engine_client client(http, engine.url());
+    EXPECT_TRUE(
+        wait_for<bool>([&](auto handler) { client.release({"s"}, handler); }));
+    auto const ordered = wait_for<bool>(
+        [&](auto handler) {
+            client.assign_layers({0, 4}, 1, handler);
+        });
+    ASSERT_FALSE(ordered);
+    EXPECT_EQ(ordered.error().code_, error_code::conflict);
+}
+
 TEST(engine_client, a_replay_of_tokens_continues_the_same_answer)
 {
     served_engine engine(fast_options({0, 8}));
