Take no head that broke off together with the next one

Cause: libcurl keeps the status of the first status line and passes later ones on as fields, where ours began the head anew. It says "unsupported protocol" of such a URL and of such a response.

Fix: a status line within a head, after the body has begun or within the text of another line ends the transfer, so that the response counts as lost. An unsupported protocol is invalid input only where nothing was written.

Failed before, with src/transport of: http_client .a_head_that_breaks_off_does_not_merge_with_the_next (invalid_input at four cuts, then a 200, where the test ended). Now it passes at every cut.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -11,6 +11,7 @@
 
 #include <curl/curl.h>
 
+#include "auburnlb/protocol/status_line.hpp"
 #include "response_end.hpp"
 
 namespace auburnlb
@@ -32,6 +33,7 @@
     http_request request_;
     http_client::response_handler handler_;
     http_response response_;
+    bool has_status_line_ = false;
     /// Whether the empty line after the header fields has come.
     bool is_head_complete_ = false;
     /// Bytes of the body passed to libcurl. Never decreases.
@@ -68,14 +70,34 @@
     return text.substr(first, last - first + 1);
 }
 
+/// Returns whether the line shows that a head broke off and another response
+/// follows it. libcurl would join them under the status of the first.
+bool begins_another_response(transfer const& running, std::string const& line)
+{
+    if (line.rfind("HTTP/", 0) != 0)
+    {
+        return contains_status_line(line);
+    }
+    bool const is_inside_head =
+        running.has_status_line_ && !running.is_head_complete_;
+    return is_inside_head || !running.response_.body_.empty() ||
+           contains_status_line(line.substr(1));
+}
+
 std::size_t on_header(char* data, std::size_t size, std::size_t count,
                       void* context)
 {
     auto& running = *static_cast<transfer*>(context);
     auto& response = running.response_;
     std::string const line(data, size * count);
+    if (begins_another_response(running, line))
+    {
+        constexpr std::size_t fail_transfer = 0;
+        return fail_transfer;
+    }
     if (line.rfind("HTTP/", 0) == 0)
     {
+        running.has_status_line_ = true;
         // A status line starts a new header block, for example after "100".
         response.headers_.clear();
         running.is_head_complete_ = false;
@@ -218,8 +240,11 @@
     switch (code)
     {
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
         return error_code::invalid_input;
+    case CURLE_UNSUPPORTED_PROTOCOL:
+        // libcurl says the same of a response that is not HTTP/1.
+        return written == 0 ? error_code::invalid_input
+                            : error_code::response_lost;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
         return written == 0 ? error_code::unreachable
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -209,6 +209,22 @@
     }
 }
 
+TEST(http_client, a_head_that_breaks_off_does_not_merge_with_the_next)
+{
+    std::string const copy = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                             "X-Note: pan\r\n";
+    std::string const next = "HTTP/1.1 500 Internal Server Error\r\n"
+                             "Content-Type: text/plain\r\n"
+                             "Content-Length: 3\r\n\r\nbad";
+    for (std::size_t cut = 1; cut <= copy.size(); ++cut)
+    {
+        SCOPED_TRACE(copy.substr(0, cut));
+        auto const response = receive(copy.substr(0, cut) + next);
+        ASSERT_FALSE(response) << response.value().status_;
+        EXPECT_EQ(response.error().code_, error_code::response_lost);
+    }
+}
+
 TEST(http_client, a_success_that_ends_before_its_body_is_lost)
 {
     for (std::string const bytes :
