--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -167,6 +167,21 @@
     }
 }
 
+TEST(http_client, bytes_on_an_idle_connection_are_no_response)
+{
+    fakes::repeating_server const server;
+    http_client client;
+    for (int number = 1; number <= 20; ++number)
+    {
+        auto const response =
+            client.send_and_wait({"GET", server.base_url() + "/x", {}, {}});
+        ASSERT_TRUE(response) << to_string(response.error());
+        EXPECT_EQ(response.value().body_, std::to_string(number));
+        // The second copy has come then.
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+}
+
 TEST(http_client, says_unreachable_when_nobody_listens)
 {
     std::uint16_t port = 0;
