--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "auburnlb/protocol/status_line.hpp"
 #include "auburnlb/router/endpoint_notices.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/log.hpp"
@@ -20,12 +21,48 @@
 /// Weight of the latest gap in the moving average.
 constexpr double gap_weight = 0.2;
 
+char const* why_invalid(event_batch const& batch)
+{
+    if (batch.has_response_head_)
+    {
+        return "an event contains another response";
+    }
+    return batch.is_too_large_ ? "an event is too large"
+                               : "an event is out of order";
+}
+
 } // namespace
 
 bool forwarded_request::is_matching_response(http_head const& head)
 {
-    std::string const id = core_.protocol_.read_response_(head).request_id_;
-    return id.empty() || id == caller_request_.id_;
+    return is_response_of(*attempt_, head);
+}
+
+response_origin
+forwarded_request::origin_of_response(endpoint_attempt const& attempt,
+                                      http_head const& head) const
+{
+    endpoint_response const response = core_.protocol_.read_response_(head);
+    head_facts facts;
+    facts.names_request_ = !response.request_id_.empty();
+    facts.names_awaited_request_ = response.request_id_ == caller_request_.id_;
+    facts.is_connection_reused_ = attempt.is_connection_reused_;
+    facts.has_repeated_fields_ = response.has_repeated_fields_;
+    return origin_of(facts);
+}
+
+bool forwarded_request::is_response_of(endpoint_attempt const& attempt,
+                                       http_head const& head)
+{
+    response_origin const origin = origin_of_response(attempt, head);
+    if (origin == response_origin::another_request ||
+        origin == response_origin::unknown)
+    {
+        core_.metrics_.add("auburnlb_router_skipped_responses_total",
+                           std::string("origin=\"") + to_string(origin) + "\"");
+        return false;
+    }
+    return true;
 }
 
 void forwarded_request::on_response_head(http_head const& head)
@@ -33,6 +70,11 @@
     attempt_->response_head_ = head;
     attempt_->response_ = core_.protocol_.read_response_(head);
     attempt_->progress_.began_at_ = core_.clock_.now();
+    if (attempt_->response_.has_repeated_fields_)
+    {
+        end_attempt(attempt_outcome::broken, "the head is of two responses");
+        return;
+    }
     read_rate_limit(*attempt_, attempt_->progress_.began_at_);
     read_notices(*attempt_, attempt_->progress_.began_at_);
     attempt_->is_streaming_ = is_stream() && is_success(head.status_) &&
@@ -121,12 +163,9 @@
         begin_stream_response();
         caller_->send_body(batch.bytes_);
     }
-    bool const is_valid = !batch.is_out_of_order_ && !batch.is_too_large_;
-    if (!is_valid && !has_ended_)
+    if (!batch.is_valid() && !has_ended_)
     {
-        end_attempt(attempt_outcome::broken, batch.is_too_large_
-                                                 ? "an event is too large"
-                                                 : "an event is out of order");
+        end_attempt(attempt_outcome::broken, why_invalid(batch));
     }
 }
 
@@ -178,7 +217,7 @@
 
 void forwarded_request::on_response_end()
 {
-    attempt_->connection_.reset();
+    finish_exchange(*attempt_);
     if (attempt_->is_streaming_)
     {
         finish_stream();
@@ -221,6 +260,13 @@
     facts.is_unframed_and_empty_ = !attempt_->response_head_.is_framed_ &&
                                    attempt_->response_body_.empty() &&
                                    head_.method_ != "HEAD";
+    // A body may contain a status line of its own; with bytes after it or
+    // without a length, it may as well be that of another response.
+    bool const is_end_certain = attempt_->response_head_.is_framed_ &&
+                                attempt_->following_bytes_.empty();
+    facts.contains_response_ =
+        !is_end_certain && begins_status_line(attempt_->response_body_,
+                                              attempt_->following_bytes_);
     facts.has_begun_ = caller_->has_begun_response();
     return facts;
 }
--- a/src/router/request_supersession.cpp
+++ b/src/router/request_supersession.cpp
@@ -108,9 +108,9 @@
 {
     endpoint_attempt const& attempt = *superseded_->attempt_;
     unsigned const status = attempt.response_head_.status_;
-    bool const is_final = attempt.response_.is_signed_ &&
-                          !attempt.response_.is_not_executed_ &&
-                          !is_server_error(status);
+    bool const is_final =
+        attempt.response_.is_signed_ && !attempt.response_.is_not_executed_ &&
+        !attempt.response_.has_repeated_fields_ && !is_server_error(status);
     return is_final && (is_success(status) || !caller_->has_begun_response());
 }
 
@@ -126,6 +126,11 @@
         on_response_head(head);
         return;
     }
+    if (attempt.response_.has_repeated_fields_)
+    {
+        fail_superseded(attempt_outcome::broken);
+        return;
+    }
     time_point const now = core_.clock_.now();
     read_rate_limit(attempt, now);
     read_notices(attempt, now);
@@ -151,7 +156,7 @@
     // A copy, since the batch refers to the splitter's buffer.
     event_splitter events = superseded_->events_;
     event_batch const batch = events.feed(piece);
-    if (batch.is_out_of_order_ || batch.is_too_large_)
+    if (!batch.is_valid())
     {
         fail_superseded(attempt_outcome::broken);
         return;
@@ -169,7 +174,7 @@
 {
     auto const keep_alive = shared_from_this();
     endpoint_attempt& attempt = *superseded_->attempt_;
-    attempt.connection_.reset();
+    finish_exchange(attempt);
     // Without a length or chunks, the end of the connection tells nothing.
     bool const may_be_cut =
         superseded_->events_.is_inside_event() ||
