Stamp the stand-in's answer without a length as its others

The soak's (12 s, with the fix) failed once: a read that was whole bore the stamp "s", which is what the stand-in writes with the fault "unframed", while the check asks for the request's own stamp. The router passed on what it got.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -452,7 +452,8 @@
         if (fault == "unframed")
         {
             caller.send_raw("HTTP/1.1 200 OK\r\nAuburnlb-Request-Id: " + id +
-                            "\r\nAuburnlb-Response-Stamp: s\r\n\r\nran " + id);
+                            "\r\nAuburnlb-Response-Stamp: signed-" + id +
+                            "\r\n\r\nran " + id);
             caller.abort_response();
             return;
         }
