--- a/test/process/late_answers_test.py
+++ b/test/process/late_answers_test.py
@@ -91,13 +91,15 @@
             system.serve_by(serve)
             for number in range(60):
                 send = system.look if number % 4 == 3 else system.book
-                self.check_own(system, send(system.router, f"call-{number}"), failed - succeeded)
+                got = send(system.router, f"call-{number}")
+                self.check_own(system, got, failed - succeeded)
                 if not cuts:
                     break
         self.assertEqual(cuts, [], "not all copies were written")
 
     def test_copy_that_breaks_off_in_a_value_makes_no_success_of_a_failure(self):
-        self.check_broken_copies([b"ain; charset", b": text", b"lain", b"utf-8", b"tamp-", b"call-"])
+        self.check_broken_copies([b"ain; charset", b": text", b"lain", b"utf-8", b"tamp-",
+                                  b"call-"])
 
     def test_copy_that_breaks_off_elsewhere_makes_no_success_of_a_failure(self):
         self.check_broken_copies([b"P/1.1", b" 200", b"0 OK", b"K\r", b"\r\n", b"\n", b"ype:",
