Send orders to the very engine that they are for

Cause: an order named no engine; the report taken before it was not compared with the run that the order is for, so the expected number of orders held at the wrong engine; and a probe that another run answered cleared the suspicion against the lost one, so the planner counted it as present.

An order now names its engine, as a request does, and an engine that is another refuses it. The report before it must come from the run that the order is for, at the address of that run. A probe answered by a later run, an order refused as misdirected, and a later run that registers at the address all show that the run is lost; an answer that names no run of a model's engine shows nothing. A reply counts only for the order that it belongs to, so a reply from before a loss of the lease starts no order after it.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -17,7 +17,7 @@
 // one ends it. A post to /fake/backoff sets the backoff in seconds that "shed"
 // asks for. A post to /fake/leave makes all responses say that the engine
 // leaves, one to /fake/register writes its entry again. GET /fake/runs gives
-// the runs by id.
+// the runs by id, the orders that it accepted and those for other engines.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -185,7 +185,7 @@
         }
         else if (head.target_ == "/order")
         {
-            order(*caller, json::parse(body));
+            order(*caller, head, json::parse(body));
         }
         else
         {
@@ -221,13 +221,16 @@
             state_.is_draining_ = true;
             register_entry();
         }
-        fakes::answer_json(caller, 200,
-                           json{{"runs", state_.runs_},
-                                {"cancelled", state_.cancelled_},
-                                {"arrivals_ms", state_.arrivals_ms_},
-                                {"refusals_ms", state_.refusals_ms_},
-                                {"streams", state_.streams_}}
-                               .dump());
+        fakes::answer_json(
+            caller, 200,
+            json{{"runs", state_.runs_},
+                 {"cancelled", state_.cancelled_},
+                 {"arrivals_ms", state_.arrivals_ms_},
+                 {"refusals_ms", state_.refusals_ms_},
+                 {"orders", state_.accepted_orders_},
+                 {"misdirected_orders", state_.misdirected_orders_},
+                 {"streams", state_.streams_}}
+                .dump());
     }
 
     json report() const
@@ -244,8 +247,17 @@
         return value;
     }
 
-    void order(caller_connection& caller, json const& body)
+    void order(caller_connection& caller, http_head const& head,
+               json const& body)
     {
+        std::string const* const instance = head.find(names::expect_instance);
+        if (instance != nullptr && *instance != options_.id_)
+        {
+            constexpr unsigned misdirected = 421;
+            state_.misdirected_orders_.push_back(body);
+            fakes::answer_json(caller, misdirected, "{}");
+            return;
+        }
         if (state_.is_busy_ ||
             body.value("expect", state_.orders_) != state_.orders_)
         {
@@ -253,6 +265,7 @@
             return;
         }
         layer_range const layers{body["from"], body["to"]};
+        state_.accepted_orders_.push_back(body);
         ++state_.orders_;
         state_.is_busy_ = true;
         state_.layers_.reset();
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -14,6 +14,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
 #include "auburnlb/router/caller_connection.hpp"
 #include "auburnlb/router/internal_http_client.hpp"
@@ -26,6 +27,10 @@
 {
     std::optional<layer_range> layers_;
     std::uint64_t orders_ = 0;
+    /// Bodies of the orders that it accepted, and of those that it refused
+    /// since they are for another engine.
+    std::vector<nlohmann::json> accepted_orders_;
+    std::vector<nlohmann::json> misdirected_orders_;
     bool is_busy_ = false;
     bool is_draining_ = false;
     std::string fault_ = "none";
--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -57,7 +57,8 @@
     time_point probe_failed_{};
     /// When the first of the latest consecutive probes failed.
     time_point silent_since_{};
-    /// Whether the last failed probe found no process at the address.
+    /// Whether the last failed probe found no process of this run at the
+    /// address.
     bool is_refusing_connections_ = false;
     /// When the last probe was sent, and whether its outcome is pending.
     time_point probe_sent_{};
@@ -165,6 +166,12 @@
 run_status status_of_run(endpoint_record const& record,
                          std::uint64_t started_ms);
 
+/// What an answer to a probe says of the run that a record names.
+/// @param started_ms the start of the run that reported; unset for an answer
+/// without a report, as a plain service gives it
+run_status status_of_answer(endpoint_record const& record,
+                            std::optional<std::uint64_t> started_ms);
+
 /// Removes and returns the doubtful records that are listed for so long that
 /// they are to be applied. Forgets old removed runs.
 std::vector<endpoint_record> take_confirmed(endpoint_directory& directory,
@@ -224,6 +231,14 @@
 void record_probe_failure(known_endpoint& endpoint, bool is_refused,
                           time_point now);
 
+/// Records an answer to a probe. One of another run shows nothing of this one,
+/// or that it has ended.
+void record_probe_answer(known_endpoint& endpoint, run_status status,
+                         time_point now);
+
+/// Records that another run is at the endpoint's address.
+void record_run_replaced(known_endpoint& endpoint, time_point now);
+
 /// Returns whether the endpoint's process is gone, or it has not responded to
 /// probes for so long that it is probably lost.
 bool is_probably_lost(known_endpoint const& endpoint, time_point now);
--- a/include/auburnlb/router/endpoint_prober.hpp
+++ b/include/auburnlb/router/endpoint_prober.hpp
@@ -60,7 +60,7 @@
     void on_reply(endpoint_ptr const& endpoint,
                   result<http_reply> const& reply);
     void on_report(known_endpoint& endpoint, engine_report const& report,
-                   time_point now);
+                   run_status status, time_point now);
 
     internal_http_client& http_client_;
     platform_protocol const& protocol_;
--- a/include/auburnlb/router/placement_controller.hpp
+++ b/include/auburnlb/router/placement_controller.hpp
@@ -59,9 +59,13 @@
     {
         order_phase phase_ = order_phase::awaiting_report;
         layer_range layers_;
-        std::uint64_t started_ms_ = 0;
+        /// The run that the order is for.
+        endpoint_ptr endpoint_;
+        milliseconds load_time_{0};
         /// When the phase times out.
         time_point deadline_{};
+        /// Distinguishes it from other orders to the engine.
+        std::uint64_t number_ = 0;
     };
 
     /// Progress of the engines that join a service without placed layers.
@@ -89,16 +93,20 @@
     void expire_orders(time_point now);
     void begin_order(plan_step const& step, model_profile const& model,
                      time_point now);
-    /// Applies what a response to a report call says about the engine. Returns
-    /// whether the engine is leaving.
-    bool apply_report_notices(std::string const& id, http_reply const& reply,
-                              time_point now);
-    void on_report(std::string const& id, result<http_reply> const& reply,
-                   milliseconds load_time);
-    void on_order_reply(std::string const& id, result<http_reply> const& reply,
-                        milliseconds load_time);
-    void fail_order(std::string const& id, std::string const& reason);
-    std::string address_of(std::string const& id) const;
+    /// Returns the order, or null if it is no longer the engine's last one.
+    order* find_order(std::string const& id, std::uint64_t number);
+    /// Returns the number of orders that the engine has accepted, or why it
+    /// must not get the order.
+    result<std::uint64_t> check_report(order const& order,
+                                       result<http_reply> const& reply,
+                                       time_point now);
+    void on_report(std::string const& id, std::uint64_t number,
+                   result<http_reply> const& reply);
+    void send_order(order& order, std::uint64_t accepted_orders,
+                    time_point now);
+    void on_order_reply(std::string const& id, std::uint64_t number,
+                        result<http_reply> const& reply);
+    void fail_order(order& order, std::string const& reason);
 
     router_core& core_;
     internal_http_client& http_client_;
@@ -107,6 +115,7 @@
     /// Written to the object, so that each renewal changes it.
     std::uint64_t renewals_ = 0;
     std::map<std::string, order> orders_;
+    std::uint64_t last_order_ = 0;
     /// By service.
     std::map<std::string, initial_join> initial_joins_;
     /// By service.
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -116,6 +116,8 @@
     std::string method_;
     std::string target_;
     std::string body_;
+    /// Further header fields.
+    std::vector<http_field> fields_ = {};
 
     bool operator==(http_call const&) const = default;
 };
@@ -170,9 +172,11 @@
 
     http_call (*write_report_call_)();
     result<engine_report> (*read_report_)(std::string const& body);
+    /// @param endpoint_id the only engine that may accept the order
     /// @param expected_orders the engine refuses the order if the number of
     /// orders that it has accepted is different
-    http_call (*write_placement_call_)(layer_range const& layers,
+    http_call (*write_placement_call_)(std::string const& endpoint_id,
+                                       layer_range const& layers,
                                        std::uint64_t expected_orders);
 
     std::string (*kind_name_)(store_kind kind);
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -102,6 +102,22 @@
     return leaves ? endpoint_change::leaving : endpoint_change::updated;
 }
 
+/// An address serves one process, so the runs that began there before this one
+/// have ended, whether or not they are still listed.
+void replace_runs_at_address(endpoint_directory& directory,
+                             endpoint_record const& record, time_point now)
+{
+    for (auto const& [id, endpoint] : directory.endpoints_)
+    {
+        endpoint_record const& known = endpoint->record_;
+        if (known.id_ != record.id_ && known.address_ == record.address_ &&
+            known.started_ms_ < record.started_ms_)
+        {
+            record_run_replaced(*endpoint, now);
+        }
+    }
+}
+
 double load_score(known_endpoint const& endpoint,
                   std::string const& data_centre, time_point now)
 {
@@ -151,6 +167,7 @@
         {
             keep_notices(*removed.mapped().endpoint_, *entry);
         }
+        replace_runs_at_address(directory, record, now);
         return endpoint_change::joined;
     }
     entry->missing_since_.reset();
@@ -162,6 +179,7 @@
     entry->is_removed_ = true;
     entry = std::make_shared<known_endpoint>();
     entry->record_ = record;
+    replace_runs_at_address(directory, record, now);
     return endpoint_change::replaced;
 }
 
@@ -199,6 +217,17 @@
                                            : run_status::unknown;
 }
 
+run_status status_of_answer(endpoint_record const& record,
+                            std::optional<std::uint64_t> started_ms)
+{
+    if (started_ms)
+    {
+        return status_of_run(record, *started_ms);
+    }
+    return record.accelerator_.empty() ? run_status::alive
+                                       : run_status::unknown;
+}
+
 std::vector<endpoint_record> take_confirmed(endpoint_directory& directory,
                                             time_point now)
 {
@@ -356,6 +385,25 @@
     endpoint.is_refusing_connections_ = is_refused;
 }
 
+void record_probe_answer(known_endpoint& endpoint, run_status status,
+                         time_point now)
+{
+    if (status == run_status::alive)
+    {
+        endpoint.probe_answered_ = now;
+    }
+    if (status == run_status::ended)
+    {
+        record_run_replaced(endpoint, now);
+    }
+}
+
+void record_run_replaced(known_endpoint& endpoint, time_point now)
+{
+    record_probe_failure(endpoint, true, now);
+    record_health_signal(endpoint.health_, health_signal::silence, now);
+}
+
 bool is_probably_lost(known_endpoint const& endpoint, time_point now)
 {
     if (!has_failed_since(endpoint, endpoint.silent_since_))
--- a/src/router/endpoint_prober.cpp
+++ b/src/router/endpoint_prober.cpp
@@ -1,6 +1,8 @@
 // Probes and the evaluation of their results.
 #include "auburnlb/router/endpoint_prober.hpp"
 
+#include <optional>
+
 #include "auburnlb/router/endpoint_notices.hpp"
 #include "auburnlb/state/log.hpp"
 
@@ -69,12 +71,16 @@
         on_probe_failed(endpoint, reply.error(), now);
         return;
     }
-    endpoint->probe_answered_ = now;
-    apply_notices(*endpoint, protocol_.read_response_(reply.value().head_),
-                  now);
-    // A plain service responds without a report; the response alone shows that
-    // it is alive.
     auto const report = protocol_.read_report_(reply.value().body_);
+    run_status const status = status_of_answer(
+        endpoint->record_,
+        report ? std::optional(report.value().started_ms_) : std::nullopt);
+    record_probe_answer(*endpoint, status, now);
+    if (status == run_status::alive)
+    {
+        apply_notices(*endpoint, protocol_.read_response_(reply.value().head_),
+                      now);
+    }
     if (!report)
     {
         count("answered");
@@ -82,15 +88,14 @@
                              endpoint->probe_sent_);
         return;
     }
-    on_report(*endpoint, report.value(), now);
+    on_report(*endpoint, report.value(), status, now);
 }
 
 void endpoint_prober::on_report(known_endpoint& endpoint,
-                                engine_report const& report, time_point now)
+                                engine_report const& report, run_status status,
+                                time_point now)
 {
-    record_slowness(endpoint.health_, report.slowness_, now);
     endpoint_record const& record = endpoint.record_;
-    run_status const status = status_of_run(record, report.started_ms_);
     count(status == run_status::alive ? "answered" : "other_run");
     if (status != run_status::alive || !report.layers_)
     {
@@ -98,6 +103,7 @@
     }
     if (status == run_status::alive)
     {
+        record_slowness(endpoint.health_, report.slowness_, now);
         handlers_.on_alive_(run_id_of(record), endpoint.probe_sent_);
     }
     if (status == run_status::ended)
--- a/src/router/internal_http_client.cpp
+++ b/src/router/internal_http_client.cpp
@@ -22,6 +22,10 @@
 {
     std::string out = call.method_ + " " + call.target_ + " HTTP/1.1\r\n";
     append_field(out, "Host", address);
+    for (http_field const& each : call.fields_)
+    {
+        append_field(out, each.name_, each.value_);
+    }
     if (!call.body_.empty())
     {
         append_field(out, "Content-Type", "application/json");
--- a/src/router/placement_controller.cpp
+++ b/src/router/placement_controller.cpp
@@ -62,6 +62,12 @@
            std::to_string(lease.held_version_.revision_);
 }
 
+error report_error(known_endpoint const& endpoint, std::string const& reason)
+{
+    return {error_code::response_lost, "read report", endpoint.record_.id_,
+            reason};
+}
+
 milliseconds load_time_of(layer_range const& layers, model_profile const& model)
 {
     double const share = static_cast<double>(layers.end_ - layers.first_) /
@@ -257,121 +263,130 @@
 void placement_controller::expire_orders(time_point now)
 {
     std::erase_if(orders_,
-                  [&](auto const& entry)
+                  [now](auto const& entry)
                   {
-                      auto const found =
-                          core_.directory_.endpoints_.find(entry.first);
-                      if (found == core_.directory_.endpoints_.end())
-                      {
-                          return true;
-                      }
-                      endpoint_record const& record = found->second->record_;
+                      order const& order = entry.second;
                       bool const is_done =
-                          entry.second.phase_ == order_phase::loading &&
-                          record.layers_ == entry.second.layers_;
-                      return is_done || now >= entry.second.deadline_ ||
-                             record.started_ms_ != entry.second.started_ms_;
+                          order.phase_ == order_phase::loading &&
+                          order.endpoint_->record_.layers_ == order.layers_;
+                      return is_done || now >= order.deadline_ ||
+                             order.endpoint_->is_removed_;
                   });
 }
 
-std::string placement_controller::address_of(std::string const& id) const
-{
-    auto const found = core_.directory_.endpoints_.find(id);
-    return found == core_.directory_.endpoints_.end()
-               ? ""
-               : found->second->record_.address_;
-}
-
 void placement_controller::begin_order(plan_step const& step,
                                        model_profile const& model,
                                        time_point now)
 {
     endpoint_ptr const& endpoint = core_.directory_.endpoints_[step.id_];
-    orders_[step.id_] = {order_phase::awaiting_report, step.layers_,
-                         endpoint->record_.started_ms_,
-                         now + report_timeout * 2};
-    milliseconds const load_time = load_time_of(step.layers_, model);
+    std::uint64_t const number = ++last_order_;
+    orders_[step.id_] = {order_phase::awaiting_report,
+                         step.layers_,
+                         endpoint,
+                         load_time_of(step.layers_, model),
+                         now + report_timeout * 2,
+                         number};
     http_client_.call(
         endpoint->record_.address_, core_.protocol_.write_report_call_(),
         report_timeout,
-        [this, id = step.id_, load_time](result<http_reply> const& reply)
-        { on_report(id, reply, load_time); });
+        [this, id = step.id_, number](result<http_reply> const& reply)
+        { on_report(id, number, reply); });
 }
 
-bool placement_controller::apply_report_notices(std::string const& id,
-                                                http_reply const& reply,
-                                                time_point now)
+placement_controller::order*
+placement_controller::find_order(std::string const& id, std::uint64_t number)
 {
-    auto const found = core_.directory_.endpoints_.find(id);
-    if (found == core_.directory_.endpoints_.end())
-    {
-        return false;
-    }
-    known_endpoint& endpoint = *found->second;
-    apply_notices(endpoint, core_.protocol_.read_response_(reply.head_), now);
-    return is_leaving(endpoint);
+    auto const found = orders_.find(id);
+    bool const is_last =
+        found != orders_.end() && found->second.number_ == number;
+    return is_last ? &found->second : nullptr;
 }
 
-void placement_controller::on_report(std::string const& id,
-                                     result<http_reply> const& reply,
-                                     milliseconds load_time)
+result<std::uint64_t> placement_controller::check_report(
+    order const& order, result<http_reply> const& reply, time_point now)
 {
-    auto const found = orders_.find(id);
-    time_point const now = core_.clock_.now();
-    if (found == orders_.end() || !held_fencing_number(lease_, now))
-    {
-        return;
-    }
-    if (reply && apply_report_notices(id, reply.value(), now))
+    known_endpoint& endpoint = *order.endpoint_;
+    if (!reply)
     {
-        fail_order(id, "the engine is leaving");
-        return;
+        return reply.error();
     }
-    if (!reply || reply.value().head_.status_ != status_ok)
+    http_head const& head = reply.value().head_;
+    if (head.status_ != status_ok)
     {
-        fail_order(id, reply ? "status " +
-                                   std::to_string(reply.value().head_.status_)
-                             : to_string(reply.error()));
-        return;
+        return report_error(endpoint, "status " + std::to_string(head.status_));
     }
     auto const report = core_.protocol_.read_report_(reply.value().body_);
     if (!report)
     {
-        fail_order(id, to_string(report.error()));
-        return;
+        return report.error();
+    }
+    if (endpoint.is_removed_ ||
+        status_of_run(endpoint.record_, report.value().started_ms_) !=
+            run_status::alive)
+    {
+        return report_error(endpoint, "another run answers at its address");
+    }
+    apply_notices(endpoint, core_.protocol_.read_response_(head), now);
+    if (is_leaving(endpoint))
+    {
+        return report_error(endpoint, "the engine is leaving");
     }
     if (report.value().is_busy_)
     {
-        fail_order(id, "another order is in progress");
+        return report_error(endpoint, "another order is in progress");
+    }
+    return report.value().orders_;
+}
+
+void placement_controller::on_report(std::string const& id,
+                                     std::uint64_t number,
+                                     result<http_reply> const& reply)
+{
+    order* const order = find_order(id, number);
+    time_point const now = core_.clock_.now();
+    if (order == nullptr || !is_leader(now))
+    {
+        return;
+    }
+    auto const accepted_orders = check_report(*order, reply, now);
+    if (!accepted_orders)
+    {
+        fail_order(*order, to_string(accepted_orders.error()));
         return;
     }
-    order& order = found->second;
+    send_order(*order, accepted_orders.value(), now);
+}
+
+void placement_controller::send_order(order& order,
+                                      std::uint64_t accepted_orders,
+                                      time_point now)
+{
+    endpoint_record const& record = order.endpoint_->record_;
     order.phase_ = order_phase::order_sent;
     order.deadline_ = now + order_timeout + late_order_time;
-    http_client_.call(
-        address_of(id),
-        core_.protocol_.write_placement_call_(order.layers_,
-                                              report.value().orders_),
-        order_timeout,
-        [this, id, load_time](result<http_reply> const& order_reply)
-        { on_order_reply(id, order_reply, load_time); });
+    http_client_.call(record.address_,
+                      core_.protocol_.write_placement_call_(
+                          record.id_, order.layers_, accepted_orders),
+                      order_timeout,
+                      [this, id = record.id_,
+                       number = order.number_](result<http_reply> const& reply)
+                      { on_order_reply(id, number, reply); });
 }
 
 void placement_controller::on_order_reply(std::string const& id,
-                                          result<http_reply> const& reply,
-                                          milliseconds load_time)
+                                          std::uint64_t number,
+                                          result<http_reply> const& reply)
 {
-    auto const found = orders_.find(id);
-    if (found == orders_.end())
+    order* const order = find_order(id, number);
+    if (order == nullptr)
     {
         return;
     }
     time_point const now = core_.clock_.now();
-    order& order = found->second;
     unsigned const status = reply ? reply.value().head_.status_ : 0;
     log(log_level::info, log_event::layers_ordered,
         {{"peer", id},
-         {"layers", range_text(order.layers_)},
+         {"layers", range_text(order->layers_)},
          {"fence", fence_text(lease_)},
          {"status", std::to_string(status)}},
         reply ? "an engine was ordered to hold layers"
@@ -380,28 +395,31 @@
                        "status=\"" + std::to_string(status) + "\"");
     if (status == status_ok || status == status_accepted)
     {
-        order.phase_ = order_phase::loading;
-        order.deadline_ = now + load_time;
+        order->phase_ = order_phase::loading;
+        order->deadline_ = now + order->load_time_;
         return;
     }
     if (!reply)
     {
         // The engine may have accepted the order, or may still execute it.
-        order.deadline_ = now + late_order_time;
+        order->deadline_ = now + late_order_time;
         return;
     }
-    fail_order(id, "status " + std::to_string(status) +
-                       (status == status_conflict
-                            ? ", the engine's state has changed"
-                            : ""));
+    if (status == status_misdirected)
+    {
+        record_run_replaced(*order->endpoint_, now);
+    }
+    fail_order(*order, "status " + std::to_string(status) +
+                           (status == status_conflict
+                                ? ", the engine's state has changed"
+                                : ""));
 }
 
-void placement_controller::fail_order(std::string const& id,
-                                      std::string const& reason)
+void placement_controller::fail_order(order& order, std::string const& reason)
 {
     log(log_level::info, log_event::order_failed,
-        {{"peer", id}, {"reason", reason}}, "an order to an engine failed");
-    order& order = orders_[id];
+        {{"peer", order.endpoint_->record_.id_}, {"reason", reason}},
+        "an order to an engine failed");
     order.phase_ = order_phase::failed;
     order.deadline_ = core_.clock_.now() + failure_pause;
 }
--- a/test/coordination/endpoint_directory_test.cpp
+++ b/test/coordination/endpoint_directory_test.cpp
@@ -64,6 +64,65 @@
     EXPECT_EQ(status_of_run(record("a"), 500), run_status::unknown);
 }
 
+TEST(endpoint_directory, an_answer_of_another_run_clears_no_suspicion)
+{
+    endpoint_directory directory;
+    endpoint_record value = record("a");
+    value.accelerator_ = "card";
+    apply(directory, value);
+    known_endpoint& lost = *directory.endpoints_["a"];
+    record_probe_failure(lost, true, start);
+    ASSERT_TRUE(is_probably_lost(lost, start));
+    for (std::optional<std::uint64_t> const started_ms :
+         {std::optional<std::uint64_t>(2'000),
+          std::optional<std::uint64_t>(500), std::optional<std::uint64_t>()})
+    {
+        record_probe_answer(lost, status_of_answer(value, started_ms),
+                            start + seconds(1));
+        EXPECT_TRUE(is_probably_lost(lost, start + seconds(1)));
+    }
+    record_probe_answer(lost, status_of_answer(value, 1'000),
+                        start + seconds(2));
+    EXPECT_FALSE(is_probably_lost(lost, start + seconds(2)));
+}
+
+TEST(endpoint_directory, an_answer_of_a_later_run_shows_that_this_one_is_lost)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    known_endpoint& lost = *directory.endpoints_["a"];
+    record_probe_answer(lost, status_of_answer(lost.record_, 2'000), start);
+    EXPECT_TRUE(is_probably_lost(lost, start));
+}
+
+TEST(endpoint_directory, a_plain_service_is_alive_if_it_answers_without_report)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    known_endpoint& plain = *directory.endpoints_["a"];
+    record_probe_failure(plain, false, start);
+    record_probe_answer(plain, status_of_answer(plain.record_, std::nullopt),
+                        start + seconds(2));
+    EXPECT_FALSE(is_probably_lost(plain, start + seconds(2)));
+}
+
+TEST(endpoint_directory, an_endpoint_whose_address_is_used_again_is_lost)
+{
+    endpoint_directory directory;
+    apply(directory, record("a"));
+    endpoint_record next = record("b");
+    next.address_ = record("a").address_;
+    next.started_ms_ = 900;
+    apply(directory, next);
+    EXPECT_FALSE(is_probably_lost(*directory.endpoints_["a"], start));
+    next = record("c");
+    next.address_ = record("a").address_;
+    next.started_ms_ = 2'000;
+    apply(directory, next);
+    EXPECT_TRUE(is_probably_lost(*directory.endpoints_["a"], start));
+    EXPECT_FALSE(is_probably_lost(*directory.endpoints_["c"], start));
+}
+
 TEST(endpoint_directory, reports_each_change)
 {
     endpoint_directory directory;
--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -175,9 +175,12 @@
     EXPECT_FALSE(platform::read_report("{}"));
 }
 
-TEST(platform_engines, an_order_names_layers_and_expected_orders)
+TEST(platform_engines, an_order_names_engine_layers_and_expected_orders)
 {
-    http_call const call = platform::write_placement_call({20, 31}, 4);
+    http_call const call =
+        platform::write_placement_call("engine-7", {20, 31}, 4);
+    EXPECT_EQ(call.fields_, (std::vector<http_field>{
+                                {"Auburnlb-Expect-Instance", "engine-7"}}));
     EXPECT_EQ(call.method_, "POST");
     EXPECT_EQ(call.target_, "/order");
     EXPECT_EQ(json::parse(call.body_),
