Keep missing entries only where they may have lapsed for want of the store

Cause: whichever call succeeded after one that had failed, for whatever reason, put removals off for 2.2 s. The first call after a failure was a watch that waits, so its answer, often the very removal, was taken for the return of the store; and what had been put off was dropped on a tick of 100 ms.

store_contact now decides by what the router knows: the time between the last answer of the store and the first one after a failure. The first call after a failure gets an immediate answer, which dates the return; the 2.2 s count from there, and are checked on each tick of 10 ms.

--- a/fakes/users_store/main.cpp
+++ b/fakes/users_store/main.cpp
@@ -4,7 +4,8 @@
 // A test may post to /fake/mode: "up"; "busy" answers 503; "many" answers 429;
 // "silent" answers nothing; "reset" closes the connection; "lose" does the
 // write and closes the connection. Calls with "operator=1" in their query are
-// served in every mode. A post to /fake/compact drops the history; one to
+// served in every mode. A post to /fake/cut closes the connections of waiting
+// watches; one to /fake/compact drops the history; one to
 // /fake/save takes a copy, and one to /fake/restore goes back to it. A post to
 // /fake/raw?kind=KIND&name=NAME makes its body the text of that object in lists
 // and events, whatever it is.
@@ -57,6 +58,8 @@
     std::uint64_t epoch_ = 1;
     std::string mode_ = "up";
     std::uint64_t calls_ = 0;
+    /// How often waiting watches were cut off.
+    std::uint64_t cuts_ = 0;
     /// Texts that stand in place of objects; an object names its index.
     std::vector<std::string> raw_texts_;
 };
@@ -208,6 +211,7 @@
         , kind_(std::move(kind))
         , revision_(revision)
         , epoch_(state.epoch_)
+        , cuts_(state.cuts_)
         , end_(std::chrono::steady_clock::now() + wait)
         , timer_(io)
     {
@@ -220,7 +224,7 @@
             return;
         }
         caller_->set_disconnect_handler(this);
-        if (state_.epoch_ != epoch_)
+        if (state_.epoch_ != epoch_ || state_.cuts_ != cuts_)
         {
             auto const caller = std::exchange(caller_, nullptr);
             caller->set_disconnect_handler(nullptr);
@@ -251,6 +255,7 @@
     std::string kind_;
     std::uint64_t revision_;
     std::uint64_t epoch_;
+    std::uint64_t cuts_;
     std::chrono::steady_clock::time_point end_;
     asio::steady_timer timer_;
 };
@@ -337,6 +342,10 @@
             state_.history_.clear();
             state_.compacted_ = state_.revision_;
         }
+        if (head.target_ == "/fake/cut")
+        {
+            ++state_.cuts_;
+        }
         if (head.target_ == "/fake/save")
         {
             state_.copy_ = state_;
--- a/include/auburnlb/coordination/endpoint_directory.hpp
+++ b/include/auburnlb/coordination/endpoint_directory.hpp
@@ -111,6 +111,8 @@
     /// Before this time, the platform's list may be incomplete: entries may
     /// have expired while the platform was unreachable.
     time_point list_trusted_at_{};
+    /// An endpoint may be missing from the list.
+    bool has_missing_ = false;
 };
 
 /// How long the platform's list may lack live endpoints after the platform has
@@ -182,7 +184,8 @@
 endpoint_change apply_removal(endpoint_directory& directory,
                               std::string const& id, time_point now);
 
-/// Handles the platform's return after it was unreachable.
+/// Handles the platform's return after entries may have lapsed. Missing
+/// endpoints are kept for list_recovery_time from now on.
 void on_platform_recovered(endpoint_directory& directory, time_point now);
 
 /// Removes and returns the endpoints that are still missing from the list, once
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -13,6 +13,7 @@
 #include <asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include "auburnlb/coordination/store_contact.hpp"
 #include "auburnlb/coordination/versioned_entries.hpp"
 #include "auburnlb/router/caller_connection.hpp"
 #include "auburnlb/router/crash_store.hpp"
@@ -60,6 +61,8 @@
     void schedule_tick();
     void on_tick();
     void update_gauges();
+    /// Removes the endpoints that are still not listed.
+    void drop_missing_endpoints(time_point now);
     void start_waiting_requests(time_point now);
     void detect_suspension(time_point now);
     void check_stop(time_point now);
@@ -92,6 +95,9 @@
     void update_watch_role(time_point now);
     void publish_watch_role();
     store_reachability current_store_reachability() const;
+    /// Handles the outcome of a call to the store. Missing entries are kept for
+    /// a while if they may have lapsed because it was out of reach.
+    void on_store_outcome(bool is_answered);
     void on_store_reachable(char const* kind, bool is_reachable,
                             std::string const& reason);
     void on_entries_rejected(char const* kind, std::string const& name,
@@ -113,6 +119,7 @@
     /// watch the store.
     std::string configuration_text_;
     versioned_entries endpoint_entries_;
+    store_contact store_contact_;
     /// The refused traits that were applied to the queues.
     std::vector<request_traits> applied_refusals_;
     store_feed configuration_feed_;
--- a/include/auburnlb/router/router_options.hpp
+++ b/include/auburnlb/router/router_options.hpp
@@ -25,6 +25,8 @@
     std::string store_address_;
     /// Time within which a lost connection to the store is detected.
     milliseconds store_loss_detection_{2'500};
+    /// Interval at which endpoints write to the store.
+    milliseconds endpoint_heartbeat_{1'200};
     /// Control addresses of other routers to contact first; may be stale.
     std::vector<std::string> seeds_;
     retry_limits retries_;
--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -30,6 +30,8 @@
     /// The store became reachable or unreachable.
     std::function<void(bool is_reachable, std::string const& reason)>
         on_reachable_;
+    /// A call was answered or has failed.
+    std::function<void(bool is_answered)> on_outcome_;
     /// The store was restored from an older copy. The revision is the last one
     /// that is known of the previous history.
     std::function<void(std::uint64_t epoch, std::uint64_t revision)>
--- a/include/auburnlb/state/settings.hpp
+++ b/include/auburnlb/state/settings.hpp
@@ -357,6 +357,13 @@
     milliseconds(25'000),
     "How long a connection to the store that died may go unnoticed, in "
     "milliseconds."};
+inline constexpr setting<milliseconds> router_endpoint_heartbeat{
+    "router",
+    "endpoint_heartbeat_ms",
+    milliseconds(1'200),
+    milliseconds(100),
+    milliseconds(60'000),
+    "Interval at which endpoints write to the store, in milliseconds."};
 inline constexpr setting<milliseconds> router_stop_limit{
     "router",
     "stop_limit_ms",
--- a/src/coordination/endpoint_directory.cpp
+++ b/src/coordination/endpoint_directory.cpp
@@ -261,6 +261,7 @@
     if (now < directory.list_trusted_at_)
     {
         found->second->missing_since_ = now;
+        directory.has_missing_ = true;
         return endpoint_change::none;
     }
     found->second->is_removed_ = true;
@@ -278,10 +279,11 @@
                                          time_point now)
 {
     std::vector<endpoint_ptr> removed;
-    if (now < directory.list_trusted_at_)
+    if (!directory.has_missing_ || now < directory.list_trusted_at_)
     {
         return removed;
     }
+    directory.has_missing_ = false;
     std::erase_if(directory.endpoints_,
                   [&](auto const& entry)
                   {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -253,6 +253,7 @@
     configuration_feed_.on_tick(now);
     endpoint_feed_.on_tick(now);
     peers_.on_tick(now);
+    drop_missing_endpoints(now);
     placement_.on_tick(now);
     auto const active = core_.active_;
     for (auto const& each : active)
@@ -268,12 +269,6 @@
         return;
     }
     next_slow_tick_ = now + slow_tick_interval;
-    for (endpoint_ptr const& each : expire_missing(core_.directory_, now))
-    {
-        log(log_level::info, log_event::peer_lost,
-            {{"peer", each->record_.id_}, {"reason", "not listed"}},
-            "an endpoint is still missing after the platform's recovery");
-    }
     for (endpoint_record const& each : take_confirmed(core_.directory_, now))
     {
         on_record(each, record_age::newest);
@@ -290,6 +285,17 @@
     update_gauges();
 }
 
+void router::drop_missing_endpoints(time_point now)
+{
+    for (endpoint_ptr const& each : expire_missing(core_.directory_, now))
+    {
+        core_.pool_.close_idle(each->record_.address_);
+        log(log_level::info, log_event::peer_lost,
+            {{"peer", each->record_.id_}, {"reason", "not listed"}},
+            "an endpoint is still missing after the platform's recovery");
+    }
+}
+
 void router::update_gauges()
 {
     core_.metrics_.set_gauge("auburnlb_router_active_requests", "",
--- a/src/router/router_options.cpp
+++ b/src/router/router_options.cpp
@@ -42,6 +42,7 @@
     options.control_address_ = values.get(router_control);
     options.store_address_ = values.get(router_store);
     options.store_loss_detection_ = values.get(router_store_silence);
+    options.endpoint_heartbeat_ = values.get(router_endpoint_heartbeat);
     options.seeds_ = split_list(values.get(router_seeds));
     options.retries_.ratio_ = values.get(router_retry_ratio);
     options.retries_.slack_ = values.get(router_retry_slack);
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -226,6 +226,22 @@
                         : store_reachability::none;
 }
 
+void router::on_store_outcome(bool is_answered)
+{
+    if (!is_answered)
+    {
+        record_store_failure(store_contact_, core_.clock_.now());
+        return;
+    }
+    time_point const now = core_.clock_.now();
+    bool const may_have_lapsed = record_store_answer(
+        store_contact_, now, core_.options_.endpoint_heartbeat_);
+    if (may_have_lapsed && has_endpoints_)
+    {
+        on_platform_recovered(core_.directory_, now);
+    }
+}
+
 void router::on_store_reachable(char const* kind, bool is_reachable,
                                 std::string const& reason)
 {
@@ -279,9 +295,11 @@
             }
         }
     };
-    return {apply, apply,
+    return {apply,
+            apply,
             [this](bool is_reachable, std::string const& reason)
             { on_store_reachable("configuration", is_reachable, reason); },
+            [this](bool is_answered) { on_store_outcome(is_answered); },
             [this](std::uint64_t epoch, std::uint64_t revision)
             { on_store_restored("configuration", epoch, revision); },
             [this](std::size_t count)
@@ -299,13 +317,8 @@
                    store_version const& version)
             { on_endpoint_delta(to_delta(objects, version, false)); },
             [this](bool is_reachable, std::string const& reason)
-            {
-                if (is_reachable && has_endpoints_)
-                {
-                    on_platform_recovered(core_.directory_, core_.clock_.now());
-                }
-                on_store_reachable("endpoints", is_reachable, reason);
-            },
+            { on_store_reachable("endpoints", is_reachable, reason); },
+            [this](bool is_answered) { on_store_outcome(is_answered); },
             [this](std::uint64_t epoch, std::uint64_t revision)
             {
                 // The copy lacks endpoints that registered after it was made.
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -18,6 +18,9 @@
 /// failed watch.
 constexpr milliseconds next_call_reserve{300};
 constexpr milliseconds min_watch_wait{500};
+/// After a failure, a watch gets an immediate response, which dates the store's
+/// return.
+constexpr milliseconds no_watch_wait{1};
 constexpr milliseconds list_timeout{1'000};
 
 /// Pause after a change, so that one call returns all changes of a burst.
@@ -104,16 +107,18 @@
 
 void store_feed::watch()
 {
-    http_client_.call(
-        address_, protocol_.write_watch_call_(kind_, revision_, watch_wait_),
-        watch_wait_ + watch_margin,
-        [this, activation = activation_](auto const& reply)
-        {
-            if (activation == activation_)
-            {
-                on_watch_reply(reply);
-            }
-        });
+    milliseconds const wait =
+        consecutive_failures_ > 0 ? no_watch_wait : watch_wait_;
+    http_client_.call(address_,
+                      protocol_.write_watch_call_(kind_, revision_, wait),
+                      wait + watch_margin,
+                      [this, activation = activation_](auto const& reply)
+                      {
+                          if (activation == activation_)
+                          {
+                              on_watch_reply(reply);
+                          }
+                      });
 }
 
 bool store_feed::continues_history(result<http_reply> const& reply)
@@ -239,6 +244,7 @@
     next_call_ = time_point{};
     last_response_at_ = clock_.now();
     has_reported_ = true;
+    handlers_.on_outcome_(true);
     if (!std::exchange(is_reachable_, true))
     {
         handlers_.on_reachable_(true, "");
@@ -253,6 +259,7 @@
     ++consecutive_failures_;
     has_outcome_ = true;
     next_call_ = clock_.now() + pause;
+    handlers_.on_outcome_(false);
     bool const was_reachable = std::exchange(is_reachable_, false);
     if (was_reachable || !std::exchange(has_reported_, true))
     {
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -116,6 +116,7 @@
         describe(router_retry_slack),
         describe(router_retry_window),
         describe(router_store_silence),
+        describe(router_endpoint_heartbeat),
         describe(router_stop_limit),
     };
 }
