Rely on a watcher of the store no longer than its last answer shows

A router that was calm ran requests with a key that had been dropped 2.0 to 2.6 s before: the routers that watch the store for it were cut off from it without notice, and said "reachable" until their waiting watches timed out.

A watcher's word is now as old as the last answer that it had from the store; routers tell each other that age. A watcher whose answer is older than half a wait and 0.6 s is not counted: the next two routers by address watch in its place, and all of a data centre 0.5 s later, so that a slow store is not asked by every router at once. For this to show in time at rest, the watches of a router's two feeds end in turn (staggered_wait), so the last answer is half a wait old at most. Answers to other routers also show that the store was up while this one did not reach it (store_contact).

In a data centre of more than four routers, those that do not replace a watcher learn of a change by their next question, up to 0.4 s later; such a fleet was not played, nor were the calls while a store is slow or watchers are cut off.

--- a/include/auburnlb/router/peer_exchange.hpp
+++ b/include/auburnlb/router/peer_exchange.hpp
@@ -50,6 +50,10 @@
     std::function<announced_lease()> latest_lease_;
     std::function<void(announced_lease const&)> on_lease_;
     std::function<store_reachability()> store_reachability_;
+    /// When the store last answered this router; unset before.
+    std::function<std::optional<time_point>()> store_answered_at_;
+    /// The store answered another router at this time.
+    std::function<void(time_point at)> on_store_answer_;
 };
 
 /// Polls the other routers and responds to their requests.
@@ -97,6 +101,10 @@
         /// its data centre.
         std::map<std::string, std::uint32_t> senders_;
         store_reachability reachability_ = store_reachability::none;
+        /// When the store last answered it, at the earliest.
+        std::optional<time_point> store_answered_at_;
+        /// When the last request was sent to it.
+        time_point asked_at_{};
     };
 
     /// All routers of the same or of an unknown data centre, and one of each
@@ -111,6 +119,7 @@
     void read_state(std::string const& address, peer& peer,
                     nlohmann::json const& state, time_point now);
     void read_endpoints(nlohmann::json const& state, time_point now);
+    void read_store_answer(peer& peer, nlohmann::json const& state);
     void read_peers(nlohmann::json const& state);
     void update_peer_stops(time_point now);
     void send_request(std::string const& address, peer& peer,
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -98,6 +98,9 @@
     /// Handles the outcome of a call to the store. Missing entries are kept for
     /// a while if they may have lapsed because it was out of reach.
     void on_store_outcome(bool is_answered);
+    /// Handles an answer of the store to this router or to another one.
+    void on_store_answer(time_point at);
+    std::optional<time_point> store_answered_at() const;
     void on_store_reachable(char const* kind, bool is_reachable,
                             std::string const& reason);
     void on_entries_rejected(char const* kind, std::string const& name,
--- a/include/auburnlb/router/store_feed.hpp
+++ b/include/auburnlb/router/store_feed.hpp
@@ -55,10 +55,16 @@
     /// Starts tracking with a new list, or stops it.
     void set_active(bool is_active);
     store_reachability reachability() const;
+    /// Unset before the first answer of the store.
+    std::optional<time_point> last_answer() const;
+    milliseconds watch_wait() const { return watch_wait_; }
+    /// Lets the watches end in turn with those of another feed.
+    void stagger_with(store_feed const& other) { other_ = &other; }
 
 private:
     void list();
     void watch();
+    milliseconds next_wait(time_point now) const;
     void on_list_reply(result<http_reply> const& reply);
     void on_watch_reply(result<http_reply> const& reply);
     /// Returns whether a response continues the history that this feed has
@@ -94,6 +100,9 @@
     bool has_reported_ = false;
     time_point next_call_{};
     time_point last_response_at_{};
+    /// When the pending watch ends at the latest.
+    time_point watch_end_{};
+    store_feed const* other_ = nullptr;
     std::uint32_t consecutive_failures_ = 0;
 };
 
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -98,7 +98,10 @@
                                now - *peer.last_response_at_ < watcher_lifetime;
         if (is_recent && is_local(peer) && !peer.stop_end_)
         {
-            found.push_back({address, peer.reachability_});
+            found.push_back({address, peer.reachability_,
+                             peer.store_answered_at_
+                                 ? now - *peer.store_answered_at_
+                                 : nanoseconds::max()});
         }
     }
     return found;
@@ -249,6 +252,7 @@
                                  milliseconds interval, time_point now)
 {
     peer.is_request_pending_ = true;
+    peer.asked_at_ = now;
     peer.next_call_ = now + interval;
     json request{{"from", core_.options_.control_address_},
                  {"data_centre", core_.options_.data_centre_},
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -195,6 +195,12 @@
     add_crash_causes(state, request);
     state["avoided"] = unresponsive_endpoints();
     state["store"] = to_string(handlers_.store_reachability_());
+    if (auto const answered_at = handlers_.store_answered_at_())
+    {
+        state["store_answer_age_ms"] = std::chrono::duration_cast<milliseconds>(
+                                           core_.clock_.now() - *answered_at)
+                                           .count();
+    }
     store_version const& known = handlers_.endpoint_entries_().version_;
     state["endpoint_epoch"] = known.epoch_;
     state["endpoint_revision"] = known.revision_;
@@ -248,6 +254,7 @@
         handlers_.on_configuration_(text->get<std::string>(), address);
     }
     peer.reachability_ = parse_store_reachability(state.value("store", ""));
+    read_store_answer(peer, state);
     read_endpoints(state, now);
     read_peers(state);
 }
@@ -277,6 +284,20 @@
     }
 }
 
+void peer_exchange::read_store_answer(peer& peer, json const& state)
+{
+    auto const age = state.find("store_answer_age_ms");
+    if (age == state.end() || !age->is_number_unsigned())
+    {
+        return;
+    }
+    // The age was taken after the question was sent.
+    time_point const at = peer.asked_at_ - read_short_time(*age);
+    peer.store_answered_at_ =
+        std::max(peer.store_answered_at_.value_or(at), at);
+    handlers_.on_store_answer_(at);
+}
+
 void peer_exchange::read_peers(json const& state)
 {
     for (json const& each : state.value("peers", json::array()))
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -67,6 +67,8 @@
                       { return handle_control_request(head, body); })
     , timer_(io)
 {
+    configuration_feed_.stagger_with(endpoint_feed_);
+    endpoint_feed_.stagger_with(configuration_feed_);
 }
 
 router::~router()
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -188,8 +188,10 @@
 void router::update_watch_role(time_point now)
 {
     bool const is_watching =
-        placement_.is_leader(now) || is_watcher(core_.options_.control_address_,
-                                                peers_.watch_candidates(now));
+        placement_.is_leader(now) ||
+        is_watcher(core_.options_.control_address_,
+                   peers_.watch_candidates(now),
+                   max_answer_age(endpoint_feed_.watch_wait()));
     if (is_watching == is_watching_)
     {
         return;
@@ -233,15 +235,25 @@
         record_store_failure(store_contact_, core_.clock_.now());
         return;
     }
-    time_point const now = core_.clock_.now();
+    on_store_answer(core_.clock_.now());
+}
+
+void router::on_store_answer(time_point at)
+{
     bool const may_have_lapsed = record_store_answer(
-        store_contact_, now, core_.options_.endpoint_heartbeat_);
+        store_contact_, at, core_.options_.endpoint_heartbeat_);
     if (may_have_lapsed && has_endpoints_)
     {
-        on_platform_recovered(core_.directory_, now);
+        on_platform_recovered(core_.directory_, at);
     }
 }
 
+std::optional<time_point> router::store_answered_at() const
+{
+    return std::max(configuration_feed_.last_answer(),
+                    endpoint_feed_.last_answer());
+}
+
 void router::on_store_reachable(char const* kind, bool is_reachable,
                                 std::string const& reason)
 {
@@ -345,9 +357,11 @@
             [this] { return placement_.latest_lease(); },
             [this](announced_lease const& lease)
             { placement_.on_announced_lease(lease, core_.clock_.now()); },
-            [this]
+            [this] { return current_store_reachability(); },
+            [this] { return store_answered_at(); },
+            [this](time_point at)
             {
-                return current_store_reachability();
+                on_store_answer(at);
             }};
 }
 
--- a/src/router/store_feed.cpp
+++ b/src/router/store_feed.cpp
@@ -105,10 +105,30 @@
                       });
 }
 
+std::optional<time_point> store_feed::last_answer() const
+{
+    return last_response_at_ == time_point{} ? std::nullopt
+                                             : std::optional(last_response_at_);
+}
+
+milliseconds store_feed::next_wait(time_point now) const
+{
+    if (consecutive_failures_ > 0)
+    {
+        return no_watch_wait;
+    }
+    bool const is_other_waiting =
+        other_ != nullptr && other_->is_active_ && other_->is_call_pending_;
+    return is_other_waiting
+               ? staggered_wait(watch_wait_, other_->watch_end_, now)
+               : watch_wait_;
+}
+
 void store_feed::watch()
 {
-    milliseconds const wait =
-        consecutive_failures_ > 0 ? no_watch_wait : watch_wait_;
+    time_point const now = clock_.now();
+    milliseconds const wait = next_wait(now);
+    watch_end_ = now + wait;
     http_client_.call(address_,
                       protocol_.write_watch_call_(kind_, revision_, wait),
                       wait + watch_margin,
--- a/test/coordination/store_watchers_test.cpp
+++ b/test/coordination/store_watchers_test.cpp
@@ -7,11 +7,30 @@
 namespace auburnlb
 {
 
+namespace
+{
+
+constexpr milliseconds max_age{1'000};
+constexpr milliseconds watch_wait{2'000};
+time_point const start = time_point{} + seconds(100);
+
+bool is_watcher(std::string const& own_address,
+                std::vector<watch_candidate> const& others)
+{
+    return auburnlb::is_watcher(own_address, others, max_age);
+}
+
+watch_candidate reachable(std::string const& address,
+                          milliseconds answer_age = milliseconds(0))
+{
+    return {address, store_reachability::reachable, answer_age};
+}
+
+} // namespace
+
 TEST(store_watchers, the_two_lowest_addresses_watch)
 {
-    std::vector<watch_candidate> const others{
-        {"a", store_reachability::reachable},
-        {"b", store_reachability::reachable}};
+    std::vector<watch_candidate> const others{reachable("a"), reachable("b")};
     EXPECT_FALSE(is_watcher("c", others));
     EXPECT_TRUE(is_watcher("aa", others));
 }
@@ -24,7 +43,7 @@
 TEST(store_watchers, a_router_that_cannot_reach_the_store_is_replaced)
 {
     EXPECT_TRUE(is_watcher("c", {{"a", store_reachability::unreachable},
-                                 {"b", store_reachability::reachable},
+                                 reachable("b"),
                                  {"d", store_reachability::none}}));
 }
 
@@ -73,6 +92,7 @@
             is_watcher(each.address_, others_of(each)))
         {
             each.reachability_ = store_reachability::reachable;
+            each.answer_age_ = nanoseconds(0);
         }
     }
     std::size_t watching = 0;
@@ -86,6 +106,56 @@
     RC_ASSERT(watching == std::min(able_to_reach, target_watchers));
 }
 
+TEST(store_watchers, a_watcher_whose_answers_are_old_is_replaced_by_two_others)
+{
+    std::vector<watch_candidate> others{
+        reachable("a", max_age),
+        reachable("b", max_age),
+        {"c", store_reachability::none, nanoseconds::max()},
+        {"d", store_reachability::none, nanoseconds::max()}};
+    EXPECT_TRUE(is_watcher("bb", others));
+    EXPECT_TRUE(is_watcher("cc", others));
+    EXPECT_FALSE(is_watcher("e", others));
+    others[0].answer_age_ = max_age - milliseconds(1);
+    EXPECT_FALSE(is_watcher("e", others));
+}
+
+TEST(store_watchers, all_watch_if_nobody_replaces_the_watchers)
+{
+    std::vector<watch_candidate> const others{
+        reachable("a", max_age + replacement_time),
+        reachable("b", max_age + replacement_time),
+        {"c", store_reachability::none, nanoseconds::max()},
+        {"d", store_reachability::none, nanoseconds::max()}};
+    EXPECT_TRUE(is_watcher("e", others));
+}
+
+TEST(store_watchers, a_watcher_that_tells_no_time_is_not_relied_on)
+{
+    EXPECT_TRUE(is_watcher("c", {{"a", store_reachability::reachable}}));
+}
+
+/// Each feed asks again as soon as its watch ends. After some rounds, answers
+/// come every half wait, and no feed asks more often than once a wait.
+RC_GTEST_PROP(store_watchers, the_watches_of_two_feeds_end_in_turn, ())
+{
+    constexpr int rounds = 8;
+    time_point first = start;
+    time_point second =
+        start + milliseconds(*rc::gen::inRange(0, 2'000)) + milliseconds(1);
+    for (int round = 0; round < rounds; ++round)
+    {
+        time_point& next = first <= second ? first : second;
+        time_point const other = first <= second ? second : first;
+        milliseconds const wait = staggered_wait(watch_wait, other, next);
+        RC_ASSERT(wait > milliseconds(0));
+        RC_ASSERT(wait <= watch_wait);
+        next += wait;
+    }
+    auto const gap = first < second ? second - first : first - second;
+    RC_ASSERT(gap == watch_wait / 2);
+}
+
 TEST(store_watchers, reachability_round_trips_through_text)
 {
     for (store_reachability const each :
