--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -189,8 +189,10 @@
 void router::update_watch_role(time_point now)
 {
     bool const is_watching =
-        placement_.is_leader(now) || is_watcher(core_.options_.control_address_,
-                                                peers_.watch_candidates(now));
+        placement_.is_leader(now) ||
+        is_watcher(core_.options_.control_address_,
+                   peers_.watch_candidates(now),
+                   max_answer_age(endpoint_feed_.watch_wait()));
     if (is_watching == is_watching_)
     {
         return;
@@ -227,6 +229,32 @@
                         : store_reachability::none;
 }
 
+void router::on_store_outcome(bool is_answered)
+{
+    if (!is_answered)
+    {
+        record_store_failure(store_contact_, core_.clock_.now());
+        return;
+    }
+    on_store_answer(core_.clock_.now());
+}
+
+void router::on_store_answer(time_point at)
+{
+    bool const may_have_lapsed = record_store_answer(
+        store_contact_, at, core_.options_.endpoint_heartbeat_);
+    if (may_have_lapsed && has_endpoints_)
+    {
+        on_platform_recovered(core_.directory_, at);
+    }
+}
+
+std::optional<time_point> router::store_answered_at() const
+{
+    return std::max(configuration_feed_.last_answer(),
+                    endpoint_feed_.last_answer());
+}
+
 void router::on_store_reachable(char const* kind, bool is_reachable,
                                 std::string const& reason)
 {
@@ -280,9 +308,11 @@
             }
         }
     };
-    return {apply, apply,
+    return {apply,
+            apply,
             [this](bool is_reachable, std::string const& reason)
             { on_store_reachable("configuration", is_reachable, reason); },
+            [this](bool is_answered) { on_store_outcome(is_answered); },
             [this](std::uint64_t epoch, std::uint64_t revision)
             { on_store_restored("configuration", epoch, revision); },
             [this](std::size_t count)
@@ -300,13 +330,8 @@
                    store_version const& version)
             { on_endpoint_delta(to_delta(objects, version, false)); },
             [this](bool is_reachable, std::string const& reason)
-            {
-                if (is_reachable && has_endpoints_)
-                {
-                    on_platform_recovered(core_.directory_, core_.clock_.now());
-                }
-                on_store_reachable("endpoints", is_reachable, reason);
-            },
+            { on_store_reachable("endpoints", is_reachable, reason); },
+            [this](bool is_answered) { on_store_outcome(is_answered); },
             [this](std::uint64_t epoch, std::uint64_t revision)
             {
                 // The copy lacks endpoints that registered after it was made.
@@ -333,9 +358,11 @@
             [this] { return placement_.latest_lease(); },
             [this](announced_lease const& lease)
             { placement_.on_announced_lease(lease, core_.clock_.now()); },
-            [this]
+            [this] { return current_store_reachability(); },
+            [this] { return store_answered_at(); },
+            [this](time_point at)
             {
-                return current_store_reachability();
+                on_store_answer(at);
             }};
 }
 
