Read streams no faster than their callers take them

Callers saw their kept connections close without an answer: one engine spilled bytes into its streams, the router kept up to 16 MB for each of their callers, and was killed for its memory.

Cause: nothing stopped the reading from an engine whose caller did not keep up, nothing bounded what all callers had not taken, and text without identifiers counted as progress, so that the attempt was never ended.

Now a stream is not read on while its caller has over 256 KiB to take, or over 16 KiB while all streams have used half of their 16 MB. The pause is no silence of the endpoint: it is not counted in the time without progress. A caller that takes nothing for as long as callers wait for an event is dropped, and one with over 8 KiB to take once the 16 MB are exceeded. Callers' connections are read as before, so that those who leave are seen. The kernel's buffer of a stream's connection is kept at 64 KiB. An event without an identifier is passed on, but is no progress, as nothing can continue after it; 256 KiB of such text end the attempt as broken. Incomplete events count against the same 16 MB. A buffer that was sent is given back.

The cases of a paused stream that goes on, and of a caller that leaves or reads nothing, are guards.

--- a/fakes/users_engine_stream.cpp
+++ b/fakes/users_engine_stream.cpp
@@ -16,6 +16,11 @@
 
 constexpr milliseconds event_interval{20};
 constexpr milliseconds call_timeout{300};
+constexpr std::size_t large_event_bytes = std::size_t{100} * 1024;
+/// An endless stream stays so far ahead of its reader.
+constexpr std::size_t endless_lead_bytes = std::size_t{1024} * 1024;
+constexpr milliseconds endless_pause{2};
+constexpr int max_endless_writes = 10;
 /// How long work that depends on a lost engine stalls.
 constexpr milliseconds stall_limit{3'000};
 
@@ -25,6 +30,12 @@
            "\n\n";
 }
 
+std::string large_event_text(std::uint64_t id)
+{
+    return "id: " + std::to_string(id) +
+           "\ndata: " + std::string(large_event_bytes, 'x') + "\n\n";
+}
+
 } // namespace
 
 http_head completion_metadata(unsigned status, std::string const& request_id,
@@ -156,6 +167,21 @@
     is_unframed_ ? caller_->send_raw(text) : caller_->send_body(text);
 }
 
+/// Writes without end, as fast as the other end reads.
+void running_stream::write_endless()
+{
+    bool const is_text = owner_.state_.fault_ == "spill";
+    for (int count = 0; count < max_endless_writes; ++count)
+    {
+        if (caller_->unsent_bytes() < endless_lead_bytes)
+        {
+            write(is_text ? std::string(large_event_bytes, 'x') + "\n\n"
+                          : large_event_text(next_++));
+        }
+    }
+    wait(endless_pause);
+}
+
 void running_stream::finish()
 {
     auto const caller = release_caller();
@@ -164,8 +190,14 @@
 
 void running_stream::write_event()
 {
-    std::string const text = event_text(next_);
     std::string const& fault = owner_.state_.fault_;
+    if (fault == "spill" || fault == "flood")
+    {
+        write_endless();
+        return;
+    }
+    std::string const text =
+        fault == "bulk" ? large_event_text(next_) : event_text(next_);
     bool const breaks_off = fault == "half" || fault == "torn" ||
                             (fault == "stumble" && !is_resumed_);
     bool const is_half = breaks_off && next_ == owner_.options_.events_ / 2;
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -91,6 +91,7 @@
     void step();
     void check_part(std::size_t index);
     void write_event();
+    void write_endless();
     void write(std::string_view text);
     /// Ends the response as its framing asks for.
     void finish();
--- a/include/auburnlb/coordination/byte_budget.hpp
+++ b/include/auburnlb/coordination/byte_budget.hpp
@@ -11,19 +11,27 @@
 struct byte_budget
 {
     std::size_t limit_ = 0;
-    /// Invariant: at most limit_.
+    /// At most limit_, except for bytes that were taken without being asked
+    /// for.
     std::size_t used_ = 0;
 
     bool operator==(byte_budget const&) const = default;
 };
 
+inline bool is_exceeded(byte_budget const& budget)
+{
+    return budget.used_ > budget.limit_;
+}
+
 /// The bytes that one owner has taken from a budget, which it returns at its
 /// end.
 class budgeted_bytes
 {
 public:
+    /// Counts nothing until it is given a budget.
+    budgeted_bytes() = default;
     explicit budgeted_bytes(byte_budget& budget)
-        : budget_(budget)
+        : budget_(&budget)
     {
     }
     ~budgeted_bytes() { release(); }
@@ -33,24 +41,38 @@
     /// Takes bytes from the budget; returns false if it has too few left.
     bool try_add(std::size_t bytes)
     {
-        if (budget_.limit_ - budget_.used_ < bytes)
+        if (budget_ != nullptr && budget_->used_ + bytes > budget_->limit_)
         {
             return false;
         }
-        budget_.used_ += bytes;
-        taken_ += bytes;
+        set(taken_ + bytes);
         return true;
     }
 
-    /// Returns all bytes to the budget.
-    void release()
+    /// Has exactly so many bytes, also beyond the limit: they exist already.
+    void set(std::size_t bytes)
+    {
+        if (budget_ != nullptr)
+        {
+            budget_->used_ = budget_->used_ - taken_ + bytes;
+        }
+        taken_ = bytes;
+    }
+
+    /// Moves the bytes to another budget.
+    void move_to(byte_budget& budget)
     {
-        budget_.used_ -= taken_;
-        taken_ = 0;
+        std::size_t const bytes = taken_;
+        release();
+        budget_ = &budget;
+        set(bytes);
     }
 
+    /// Returns all bytes to the budget.
+    void release() { set(0); }
+
 private:
-    byte_budget& budget_;
+    byte_budget* budget_ = nullptr;
     std::size_t taken_ = 0;
 };
 
--- a/include/auburnlb/protocol/event_splitter.hpp
+++ b/include/auburnlb/protocol/event_splitter.hpp
@@ -17,14 +17,15 @@
     /// Refers to the input or to the splitter's buffer; valid until the next
     /// call of the splitter.
     std::string_view bytes_;
-    /// Number of events, without those that are only comments.
+    /// Number of events, without those that have no identifier: nothing can
+    /// continue after them, and a faulty engine may send them without end.
     std::uint32_t events_ = 0;
     /// Identifier of the last event that has one.
     std::optional<std::uint64_t> last_id_;
     /// An identifier is not greater than the previous one, or is not a number.
     bool is_out_of_order_ = false;
-    /// The event that begins after these exceeds the size limit. It was
-    /// discarded.
+    /// The event that begins after these, or what came since the last one that
+    /// has an identifier, exceeds the size limit. It was discarded.
     bool is_too_large_ = false;
 };
 
@@ -41,9 +42,17 @@
     /// Returns whether the bytes so far end within an event.
     bool is_inside_event() const { return !partial_event_.empty(); }
 
+    /// Returns the memory that the incomplete event takes while it is joined
+    /// with what follows it.
+    std::size_t partial_bytes() const { return 2 * partial_event_.size(); }
+
     /// Discards the incomplete event, so that the stream can continue from
     /// another source.
-    void discard_partial_event() { partial_event_.clear(); }
+    void discard_partial_event()
+    {
+        partial_event_.clear();
+        text_bytes_ = 0;
+    }
 
     std::optional<std::uint64_t> last_id() const { return last_id_; }
     void set_last_id(std::uint64_t id) { last_id_ = id; }
@@ -55,6 +64,8 @@
     std::string partial_event_;
     /// Buffer of the last batch if it began in an earlier input.
     std::string joined_input_;
+    /// Bytes since the last event that has an identifier.
+    std::size_t text_bytes_ = 0;
     std::optional<std::uint64_t> last_id_;
 };
 
--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -4,12 +4,14 @@
 #define AUBURNLB_ROUTER_CALLER_CONNECTION_HPP
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "auburnlb/coordination/memory_budgets.hpp"
 #include "auburnlb/router/caller_events.hpp"
 #include "auburnlb/router/http_message.hpp"
 #include "auburnlb/router/tcp_channel.hpp"
@@ -50,6 +52,12 @@
     virtual time_point now() const = 0;
     virtual void on_connection_closed(caller_connection& connection) = 0;
     virtual void on_caller_event(caller_event, std::string const& /*peer*/) {}
+    /// The budgets that the service's connections share. By default, each has
+    /// its own.
+    virtual std::shared_ptr<memory_budgets> memory()
+    {
+        return std::make_shared<memory_budgets>();
+    }
 };
 
 /// One connection of a caller. It handles one request at a time; bytes of later
@@ -93,6 +101,8 @@
     /// Closes the connection without ending the response, so that the caller
     /// sees that it is incomplete.
     void abort_response();
+    /// Closes the connection at once, without what the caller has not taken.
+    void drop();
 
     /// Sends raw bytes, as needed by fakes that violate the protocol.
     void send_raw(std::string_view bytes) { channel_->write(bytes); }
@@ -108,6 +118,8 @@
     }
     /// Bytes that are not yet written to the socket.
     std::size_t unsent_bytes() const { return channel_->unsent_bytes(); }
+    /// Bytes that were written to the socket since the connection began.
+    std::uint64_t sent_bytes() const { return channel_->sent_bytes(); }
     /// Whether bytes are still being written, also after the connection was
     /// closed.
     bool is_writing() const
@@ -137,6 +149,7 @@
     void append_connection_fields(std::string& out) const;
 
     request_service& service_;
+    std::shared_ptr<memory_budgets> memory_;
     std::shared_ptr<tcp_channel> channel_;
     http_reader reader_;
     disconnect_handler* disconnect_handler_ = nullptr;
--- a/include/auburnlb/router/connection_pool.hpp
+++ b/include/auburnlb/router/connection_pool.hpp
@@ -76,6 +76,12 @@
 
     std::string const& address() const { return address_; }
 
+    /// Reads nothing more of the response until it is resumed.
+    void pause_reading() { channel_->pause_reading(); }
+    void resume_reading() { channel_->resume_reading(); }
+    /// Bounds what the kernel holds of a response while it is paused.
+    void bound_receive_buffer() { channel_->bound_receive_buffer(); }
+
     /// Whether the connection has carried other requests.
     bool is_reused() const { return idle_since_ != time_point{}; }
 
--- a/include/auburnlb/router/endpoint_attempt.hpp
+++ b/include/auburnlb/router/endpoint_attempt.hpp
@@ -4,12 +4,14 @@
 #define AUBURNLB_ROUTER_ENDPOINT_ATTEMPT_HPP
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "auburnlb/coordination/byte_budget.hpp"
 #include "auburnlb/coordination/crash_causes.hpp"
 #include "auburnlb/coordination/endpoint_directory.hpp"
+#include "auburnlb/coordination/memory_budgets.hpp"
 #include "auburnlb/coordination/path_choice.hpp"
 #include "auburnlb/router/connection_pool.hpp"
 #include "auburnlb/router/http_message.hpp"
@@ -28,8 +30,9 @@
 
 struct endpoint_attempt
 {
-    explicit endpoint_attempt(byte_budget& buffered_responses)
-        : buffered_bytes_(buffered_responses)
+    explicit endpoint_attempt(memory_budgets& memory)
+        : buffered_bytes_(memory.responses_)
+        , partial_event_bytes_(memory.events_)
     {
     }
 
@@ -44,7 +47,11 @@
     std::string response_body_;
     /// The bytes of response_body_.
     budgeted_bytes buffered_bytes_;
+    /// The bytes of the stream's incomplete event.
+    budgeted_bytes partial_event_bytes_;
     bool is_streaming_ = false;
+    /// Set while nothing is read because the caller takes too little.
+    std::optional<time_point> paused_since_;
     /// The connection has carried other requests, whose responses may come.
     bool is_connection_reused_ = false;
     time_point sent_at_{};
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -14,6 +14,7 @@
 #include "auburnlb/coordination/planned_stop.hpp"
 #include "auburnlb/coordination/response_check.hpp"
 #include "auburnlb/coordination/stall_decision.hpp"
+#include "auburnlb/coordination/stream_backlog.hpp"
 #include "auburnlb/protocol/event_splitter.hpp"
 #include "auburnlb/router/caller_connection.hpp"
 #include "auburnlb/router/connection_pool.hpp"
@@ -124,6 +125,19 @@
     /// stalled engine may go on sending them.
     void record_progress(std::uint32_t events);
     void on_first_event(time_point now);
+    /// Counts the incomplete event of the attempt. Returns false if there is no
+    /// room for it.
+    bool hold_partial_event(endpoint_attempt& attempt,
+                            event_splitter const& events);
+    /// Reads on or not, depending on what the caller has not taken.
+    void check_backlog(time_point now);
+    /// Whether the attempt is read no more or the request has ended, because
+    /// the caller takes too little.
+    bool is_held_back(time_point now);
+    stream_backlog current_backlog(time_point now);
+    void pause_attempt(time_point now);
+    void resume_attempt(time_point now);
+    void drop_caller(char const* reason);
     void finish_stream();
     void finish_response();
     response_facts facts_of_response() const;
@@ -250,6 +264,9 @@
     event_splitter events_;
     std::uint32_t event_count_ = 0;
     std::optional<time_point> first_event_at_;
+    /// What the caller of a paused attempt has taken, and when it changed.
+    std::uint64_t taken_bytes_ = 0;
+    time_point taken_at_{};
     nanoseconds longest_event_gap_{0};
 };
 
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -51,6 +51,7 @@
     bool is_closing() const override { return core_.is_stopping_; }
     time_point now() const override { return core_.clock_.now(); }
     void on_connection_closed(caller_connection& connection) override;
+    std::shared_ptr<memory_budgets> memory() override { return core_.memory_; }
     void on_caller_event(caller_event event, std::string const& peer) override
     {
         record_caller_event(core_.metrics_, event, peer);
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -13,11 +13,11 @@
 
 #include <asio/io_context.hpp>
 
-#include "auburnlb/coordination/byte_budget.hpp"
 #include "auburnlb/coordination/crash_causes.hpp"
 #include "auburnlb/coordination/endpoint_directory.hpp"
 #include "auburnlb/coordination/interrupted_runs.hpp"
 #include "auburnlb/coordination/link_budget.hpp"
+#include "auburnlb/coordination/memory_budgets.hpp"
 #include "auburnlb/coordination/planned_stop.hpp"
 #include "auburnlb/coordination/retry_borrowing.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
@@ -47,12 +47,6 @@
     link_budget links_;
 };
 
-/// Limit for the responses of plain services that are buffered at the same
-/// time. A faulty service may send bodies without end; a router has 160 MB or
-/// more.
-inline constexpr std::size_t max_buffered_response_bytes =
-    std::size_t{48} * 1024 * 1024;
-
 struct router_core
 {
     router_core(asio::io_context& io, clock_source const& clock,
@@ -76,7 +70,8 @@
     platform_protocol const& protocol_;
     router_options options_;
     /// Outlives the requests.
-    byte_budget buffered_responses_{max_buffered_response_bytes, 0};
+    std::shared_ptr<memory_budgets> memory_ =
+        std::make_shared<memory_budgets>();
     /// Null until a configuration is known. Invariant: its version never
     /// decreases.
     std::shared_ptr<route_index const> routes_;
--- a/include/auburnlb/router/tcp_channel.hpp
+++ b/include/auburnlb/router/tcp_channel.hpp
@@ -3,6 +3,7 @@
 #define AUBURNLB_ROUTER_TCP_CHANNEL_HPP
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include "auburnlb/coordination/byte_budget.hpp"
 #include "auburnlb/state/clock.hpp"
 #include "auburnlb/state/error.hpp"
 
@@ -60,6 +62,16 @@
     /// Starts to read and to notify the receiver.
     void start(channel_receiver& receiver);
 
+    /// Leaves what arrives to the kernel, which stops the peer when its buffer
+    /// is full. The end of the connection is not noticed meanwhile.
+    void pause_reading() { is_reading_paused_ = true; }
+    void resume_reading();
+    /// Keeps the kernel's buffer of received bytes small.
+    void bound_receive_buffer();
+
+    /// Counts the unsent bytes in a budget from now on.
+    void charge_to(std::shared_ptr<byte_budget> budget);
+
     /// Sends the bytes; buffers those that the socket does not accept yet.
     void write(std::string_view bytes);
 
@@ -82,7 +94,9 @@
     bool has_unread_bytes() const;
     /// Whether no bytes are buffered.
     bool is_drained() const { return unsent_.empty(); }
-    bool has_sent_anything() const { return has_sent_; }
+    bool has_sent_anything() const { return sent_bytes_ > 0; }
+    /// Number of bytes that the socket has accepted.
+    std::uint64_t sent_bytes() const { return sent_bytes_; }
     /// Whether the connection ended because the peer acknowledged nothing.
     bool has_timed_out() const { return has_timed_out_; }
     std::string const& peer() const { return peer_; }
@@ -94,18 +108,24 @@
     void read_available();
     void wait_writable();
     void write_unsent();
+    void drop_sent(std::size_t count);
     void close_sending_half();
     void report_end(channel_end end);
 
     asio::ip::tcp::socket socket_;
     channel_receiver* receiver_ = nullptr;
     std::string unsent_;
+    /// Null if the unsent bytes are not counted.
+    std::shared_ptr<byte_budget> budget_;
+    budgeted_bytes charge_;
     std::string peer_;
     bool is_connected_ = true;
     bool is_waiting_writable_ = false;
     bool is_closing_gracefully_ = false;
-    bool has_sent_ = false;
+    bool is_reading_paused_ = false;
+    bool is_waiting_readable_ = false;
     bool has_timed_out_ = false;
+    std::uint64_t sent_bytes_ = 0;
     /// Null once called.
     std::function<void()> on_dropped_;
     /// Time for which the closed channel continues to be read.
--- a/src/protocol/event_splitter.cpp
+++ b/src/protocol/event_splitter.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-/// Upper limit for an incomplete event. A faulty engine may send bytes without
-/// ever ending an event.
+/// Upper limit for an incomplete event, and for text without an event that has
+/// an identifier. A faulty engine may send either without end.
 constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
 /// Returns the end of the event that begins at `from`, or npos if the event is
@@ -63,35 +63,14 @@
     return {};
 }
 
-/// Returns whether the event consists of comments, which servers send to keep a
-/// connection open.
-bool is_comment(std::string_view event)
-{
-    std::size_t line = 0;
-    while (line < event.size())
-    {
-        if (event[line] != ':' && event[line] != '\r' && event[line] != '\n')
-        {
-            return false;
-        }
-        std::size_t const end = event.find('\n', line);
-        line = end == std::string_view::npos ? event.size() : end + 1;
-    }
-    return true;
-}
-
 } // namespace
 
 void event_splitter::record_event(std::string_view event, event_batch& batch)
 {
-    if (is_comment(event))
-    {
-        return;
-    }
     std::string_view const text = find_id(event);
     if (text.empty())
     {
-        ++batch.events_;
+        text_bytes_ += event.size();
         return;
     }
     std::uint64_t id = 0;
@@ -104,6 +83,7 @@
         return;
     }
     ++batch.events_;
+    text_bytes_ = 0;
     last_id_ = id;
     batch.last_id_ = id;
 }
@@ -117,9 +97,14 @@
         partial_event_.clear();
         bytes = joined_input_;
     }
+    else
+    {
+        joined_input_ = {};
+    }
     event_batch batch;
     std::size_t consumed = 0;
-    while (consumed < bytes.size() && !batch.is_out_of_order_)
+    while (consumed < bytes.size() && !batch.is_out_of_order_ &&
+           text_bytes_ <= max_event_bytes)
     {
         std::size_t const end = find_event_end(bytes, consumed);
         if (end == std::string_view::npos)
@@ -133,7 +118,8 @@
         }
     }
     batch.bytes_ = bytes.substr(0, consumed);
-    batch.is_too_large_ = bytes.size() - consumed > max_event_bytes;
+    batch.is_too_large_ = bytes.size() - consumed > max_event_bytes ||
+                          text_bytes_ > max_event_bytes;
     if (!batch.is_out_of_order_ && !batch.is_too_large_)
     {
         partial_event_.assign(bytes.substr(consumed));
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -20,9 +20,6 @@
 /// Maximum number of buffered bytes of later requests.
 constexpr std::size_t max_pending_bytes = std::size_t{256} * 1024;
 
-/// Maximum number of response bytes buffered for a slow caller.
-constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
-
 /// Appends the size line of a chunk.
 void append_chunk_size(std::string& out, std::size_t size)
 {
@@ -73,6 +70,7 @@
 caller_connection::caller_connection(request_service& service,
                                      std::shared_ptr<tcp_channel> channel)
     : service_(service)
+    , memory_(service.memory())
     , channel_(std::move(channel))
     , reader_(http_reader::message_kind::request, *this,
               service.limits().max_header_bytes_)
@@ -237,6 +235,7 @@
     append_connection_fields(out);
     append_field(out, "Transfer-Encoding", "chunked");
     out += "\r\n";
+    channel_->charge_to({memory_, &memory_->events_});
     channel_->write(out);
 }
 
@@ -253,10 +252,6 @@
     chunk += piece;
     chunk += "\r\n";
     channel_->write(chunk);
-    if (channel_->unsent_bytes() > max_unsent_bytes)
-    {
-        on_end(channel_end::broken);
-    }
 }
 
 void caller_connection::end_response()
@@ -271,6 +266,12 @@
     close(!has_begun_response_);
 }
 
+void caller_connection::drop()
+{
+    disconnect_handler_ = nullptr;
+    close(true);
+}
+
 void caller_connection::finish_request()
 {
     disconnect_handler_ = nullptr;
--- a/src/router/connection_pool.cpp
+++ b/src/router/connection_pool.cpp
@@ -220,6 +220,8 @@
     }
     else
     {
+        // The end of a response that was paused came with its last bytes.
+        channel_->resume_reading();
         pool_.add_idle(shared_from_this());
     }
     if (receiver != nullptr)
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -79,7 +79,7 @@
     , received_(received)
     , routes_(core.routes_)
     , ticket_(++core.last_ticket_)
-    , attempt_(std::make_unique<endpoint_attempt>(core.buffered_responses_))
+    , attempt_(std::make_unique<endpoint_attempt>(*core.memory_))
 {
 }
 
@@ -351,7 +351,7 @@
         {
             check_awaited_retry(now);
         }
-        else if (attempt_->connection_ != nullptr)
+        else if (attempt_->connection_ != nullptr && !is_held_back(now))
         {
             check_stall(now);
         }
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -38,6 +38,10 @@
     attempt_->is_streaming_ = is_stream() && is_success(head.status_) &&
                               attempt_->response_.is_signed_;
     // The superseded attempt may still be the one that is passed on.
+    if (attempt_->is_streaming_)
+    {
+        attempt_->connection_->bound_receive_buffer();
+    }
     if (attempt_->is_streaming_ && superseded_ == nullptr)
     {
         begin_stream_response();
@@ -111,6 +115,8 @@
 
 void forwarded_request::on_events(event_batch const& batch)
 {
+    // A caller that is dropped ends the request.
+    auto const keep_alive = shared_from_this();
     if (batch.events_ > 0)
     {
         record_progress(batch.events_);
@@ -120,6 +126,7 @@
     {
         begin_stream_response();
         caller_->send_body(batch.bytes_);
+        check_backlog(core_.clock_.now());
     }
     bool const is_valid = !batch.is_out_of_order_ && !batch.is_too_large_;
     if (!is_valid && !has_ended_)
@@ -127,6 +134,11 @@
         end_attempt(attempt_outcome::broken, batch.is_too_large_
                                                  ? "an event is too large"
                                                  : "an event is out of order");
+        return;
+    }
+    if (!has_ended_ && !hold_partial_event(*attempt_, events_))
+    {
+        end_attempt(attempt_outcome::broken, "no room for incomplete events");
     }
 }
 
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -115,7 +115,7 @@
 void forwarded_request::begin_attempt(path_choice path)
 {
     time_point const last_progress_at = attempt_->last_progress_at_;
-    attempt_ = std::make_unique<endpoint_attempt>(core_.buffered_responses_);
+    attempt_ = std::make_unique<endpoint_attempt>(*core_.memory_);
     attempt_->last_progress_at_ = last_progress_at;
     attempt_->path_ = std::move(path);
 }
--- a/src/router/request_supersession.cpp
+++ b/src/router/request_supersession.cpp
@@ -43,7 +43,7 @@
     superseded_ = std::make_unique<superseded_attempt>(
         *this, std::move(attempt_), events_);
     endpoint_attempt const& silent = *superseded_->attempt_;
-    attempt_ = std::make_unique<endpoint_attempt>(core_.buffered_responses_);
+    attempt_ = std::make_unique<endpoint_attempt>(*core_.memory_);
     attempt_->last_progress_at_ = silent.last_progress_at_;
     retry(silent, attempt_outcome::silent, reason, now);
 }
@@ -156,6 +156,11 @@
         fail_superseded(attempt_outcome::broken);
         return;
     }
+    if (!hold_partial_event(*superseded_->attempt_, events))
+    {
+        fail_superseded(attempt_outcome::broken);
+        return;
+    }
     superseded_->events_ = events;
     // A stalled engine may go on sending comments.
     if (batch.events_ > 0)
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -23,6 +23,13 @@
 /// state some middlebox has dropped does not hang.
 constexpr int unacknowledged_limit_ms = 2'000;
 
+/// The kernel's buffer of a stream's connection; the kernel takes it twice. A
+/// sound stream brings some kilobytes a second.
+constexpr int bounded_receive_bytes = 64 * 1024;
+
+/// A larger buffer is given back once its bytes are sent.
+constexpr std::size_t max_kept_capacity = std::size_t{16} * 1024;
+
 std::array<char, read_buffer_bytes>& read_buffer()
 {
     static std::array<char, read_buffer_bytes> buffer;
@@ -141,16 +148,43 @@
 
 void tcp_channel::wait_readable()
 {
+    if (std::exchange(is_waiting_readable_, true))
+    {
+        return;
+    }
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this()](asio::error_code const& wait)
                        {
-                           if (!wait && self->is_open())
+                           self->is_waiting_readable_ = false;
+                           bool const is_ready = !wait && self->is_open();
+                           if (is_ready && !self->is_reading_paused_)
                            {
                                self->read_available();
                            }
                        });
 }
 
+void tcp_channel::resume_reading()
+{
+    if (std::exchange(is_reading_paused_, false) && is_open() && is_connected_)
+    {
+        wait_readable();
+    }
+}
+
+void tcp_channel::bound_receive_buffer()
+{
+    asio::error_code ignored;
+    socket_.set_option(
+        asio::socket_base::receive_buffer_size(bounded_receive_bytes), ignored);
+}
+
+void tcp_channel::charge_to(std::shared_ptr<byte_budget> budget)
+{
+    charge_.move_to(*budget);
+    budget_ = std::move(budget);
+}
+
 bool tcp_channel::has_unread_bytes() const
 {
     asio::error_code failure;
@@ -200,17 +234,19 @@
     if (!is_connected_ || !unsent_.empty())
     {
         unsent_.append(bytes);
+        charge_.set(unsent_.size());
         return;
     }
     asio::error_code failure;
     std::size_t const sent =
         socket_.write_some(asio::buffer(bytes.data(), bytes.size()), failure);
     // A write error is ignored: the pending read fails as well and reports it.
-    has_sent_ = has_sent_ || sent > 0;
+    sent_bytes_ += sent;
     if (sent < bytes.size() &&
         (!failure || failure == asio::error::would_block))
     {
         unsent_.append(bytes.substr(sent));
+        charge_.set(unsent_.size());
         wait_writable();
     }
 }
@@ -240,13 +276,13 @@
     }
     asio::error_code failure;
     std::size_t const sent = socket_.write_some(asio::buffer(unsent_), failure);
-    has_sent_ = has_sent_ || sent > 0;
     if (failure && failure != asio::error::would_block)
     {
-        unsent_.clear();
+        drop_sent(unsent_.size());
         return;
     }
-    unsent_.erase(0, sent);
+    sent_bytes_ += sent;
+    drop_sent(sent);
     if (!unsent_.empty())
     {
         wait_writable();
@@ -258,8 +294,19 @@
     }
 }
 
+void tcp_channel::drop_sent(std::size_t count)
+{
+    unsent_.erase(0, count);
+    if (unsent_.empty() && unsent_.capacity() > max_kept_capacity)
+    {
+        unsent_ = {};
+    }
+    charge_.set(unsent_.size());
+}
+
 void tcp_channel::close()
 {
+    drop_sent(unsent_.size());
     receiver_ = nullptr;
     on_dropped_ = nullptr;
     asio::error_code ignored;
@@ -274,6 +321,7 @@
         return;
     }
     is_closing_gracefully_ = true;
+    resume_reading();
     on_dropped_ = std::move(on_dropped);
     linger_ = linger;
     receiver_ = nullptr;
--- /dev/null
+++ b/test/process/endless_bytes_test.py
@@ -0,0 +1,150 @@
+"""Engines that send bytes without end, and callers that take few: the router
+stays within the memory of the smallest one. What the kernel holds is bounded
+apart, by the sizes of its buffers."""
+
+import socket
+import time
+import unittest
+
+from cluster import request, wait_until
+from platform_cluster import EVENTS, HOST, KEY, calm, in_background
+
+# The smallest router of the users' pages.
+ROUTER_MB = 160
+CALLERS = 40
+STREAM_DEADLINE_MS = 8000
+
+
+def peak_mb(process):
+    with open(f"/proc/{process.child.pid}/status", encoding="utf-8") as status:
+        for line in status:
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def metric(router, name):
+    total = 0.0
+    for line in request(router.control, "GET", "/metrics")[2].splitlines():
+        if line.startswith(name):
+            total += float(line.split()[-1])
+    return total
+
+
+def open_caller(router):
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+    caller.settimeout(10)
+    caller.connect(("127.0.0.1", router.callers))
+    return caller
+
+
+def head(method, path, request_id, length, more=""):
+    return (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+            f"Auburnlb-Request-Id: {request_id}\r\n"
+            f"Auburnlb-Deadline-Ms: {STREAM_DEADLINE_MS}\r\nAuburnlb-Model: m\r\n"
+            f"Auburnlb-Token-Counts: 100,{EVENTS}\r\nContent-Length: {length}\r\n"
+            f"{more}\r\n").encode()
+
+
+def open_stream(router, request_id):
+    caller = open_caller(router)
+    caller.sendall(head("POST", "/stream/x", request_id, 2) + b"{}")
+    return caller
+
+
+def read_slowly(caller, seconds, bytes_s):
+    """Reads at a rate until the connection ends or the time is over."""
+    end = time.monotonic() + seconds
+    try:
+        while time.monotonic() < end and (piece := caller.recv(bytes_s // 20)):
+            time.sleep(len(piece) / bytes_s)
+    except OSError:
+        pass
+    caller.close()
+
+
+def read_all(caller):
+    received = b""
+    while piece := caller.recv(65536):
+        received += piece
+        if received.endswith(b"\r\n0\r\n\r\n"):
+            break
+    return received
+
+
+class EndlessBytesTest(unittest.TestCase):
+
+    def check_streams(self, fault, bytes_s):
+        with calm() as system:
+            router = system.routers[0]
+            for name in system.engines:
+                if name.startswith("engine"):
+                    system.fault(name, fault)
+            streams = [open_stream(router, f"stream-{number}") for number in range(CALLERS)]
+            readers = [in_background(read_slowly, each, 6, bytes_s) for each in streams]
+            end = time.monotonic() + 5
+            books = []
+            while time.monotonic() < end:
+                books.append(system.book(router, f"book-{len(books)}").status)
+            for task in readers:
+                task.join()
+            print(f"{fault}: peak {peak_mb(router):.0f} MB, {len(books)} bookings")
+            self.assertLess(peak_mb(router), ROUTER_MB)
+            self.assertEqual(set(books), {200})
+
+    def test_text_without_end_in_streams_does_not_fill_the_memory(self):
+        self.check_streams("spill", 1_000_000)
+
+    def test_events_without_end_do_not_fill_the_memory(self):
+        self.check_streams("flood", 1_000_000)
+
+    def test_events_without_end_for_callers_that_hardly_read_do_not_fill_the_memory(self):
+        self.check_streams("flood", 2_000)
+
+    def test_stream_that_waits_for_its_caller_is_not_taken_for_silent(self):
+        with calm() as system:
+            router = system.routers[0]
+            for name in system.engines:
+                if name.startswith("engine"):
+                    system.fault(name, "bulk")
+            caller = open_stream(router, "behind")
+            wait_until(lambda: metric(router, "auburnlb_router_paused_streams_total") > 0,
+                       "the stream waits for its caller")
+            time.sleep(1.5)
+            received = read_all(caller)
+            caller.close()
+            ids = [int(line[4:]) for line in received.split(b"\n") if line.startswith(b"id: ")]
+            self.assertEqual(ids, list(range(1, EVENTS + 1)))
+            self.assertTrue(received.endswith(b"\r\n0\r\n\r\n"))
+            self.assertEqual(system.runs()["runs"]["behind"], 1)
+
+    def test_caller_that_reads_nothing_does_not_hold_its_engine(self):
+        with calm() as system:
+            router = system.routers[0]
+            for name in system.engines:
+                if name.startswith("engine"):
+                    system.fault(name, "flood")
+            caller = open_stream(router, "stuck")
+            began = time.monotonic()
+            wait_until(lambda: system.runs()["cancelled"].get("stuck", 0) > 0,
+                       "the stream is cancelled")
+            self.assertLess(time.monotonic() - began, STREAM_DEADLINE_MS / 1000)
+            caller.close()
+
+    def test_paused_stream_of_a_caller_that_leaves_is_cancelled(self):
+        with calm() as system:
+            router = system.routers[0]
+            for name in system.engines:
+                if name.startswith("engine"):
+                    system.fault(name, "flood")
+            caller = open_stream(router, "gone")
+            wait_until(lambda: metric(router, "auburnlb_router_paused_streams_total") > 0,
+                       "the stream waits for its caller")
+            caller.close()
+            wait_until(lambda: system.runs()["cancelled"].get("gone", 0) > 0,
+                       "the stream is cancelled", limit_s=1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/protocol/event_splitter_test.cpp
+++ b/test/protocol/event_splitter_test.cpp
@@ -90,6 +90,33 @@
     EXPECT_EQ(splitter.feed(mixed).events_, 1U);
 }
 
+TEST(event_splitter, text_without_identifiers_is_no_progress_and_has_an_end)
+{
+    event_splitter splitter;
+    std::string const text = "dump of queue state\n\n";
+    splitter.feed(event(1, "first"));
+    EXPECT_EQ(splitter.feed(text).bytes_, text);
+    event_batch batch;
+    for (int count = 0; count < 100'000 && !batch.is_too_large_; ++count)
+    {
+        batch = splitter.feed(text);
+        EXPECT_EQ(batch.events_, 0U);
+    }
+    EXPECT_TRUE(batch.is_too_large_);
+    EXPECT_EQ(splitter.last_id(), 1U);
+}
+
+TEST(event_splitter, comments_between_events_never_end_a_stream)
+{
+    event_splitter splitter;
+    std::string const comment = ": " + std::string(50'000, 'x') + "\n\n";
+    for (std::uint64_t id = 1; id <= 100; ++id)
+    {
+        EXPECT_FALSE(splitter.feed(comment).is_too_large_);
+        EXPECT_EQ(splitter.feed(event(id, "text")).events_, 1U);
+    }
+}
+
 TEST(event_splitter, a_large_event_that_ends_is_passed_on)
 {
     event_splitter splitter;
