Count answers against their limit until callers have taken them

Responses of plain services were bounded while they were received (48 MB in all) and no more once they were handed to the connection: callers that read slowly let them pile up there, one after the other.

Cause: the bytes left the budget with the request, while the connection held a copy, joined with the head in another one.

Now the connection counts what it has not sent in the same budget, so a ready answer always fits, and what is refused is the next one that arrives. A large body is no longer copied to be sent with its head.

The test failed first: 40 answers of 12 MB for callers that read their first bytes, all of them accepted, made a peak of 377 MB. Now 68 MB, with 23 of them whole and the others failed, and the next booking is served.

--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -20,6 +20,9 @@
 /// Maximum number of buffered bytes of later requests.
 constexpr std::size_t max_pending_bytes = std::size_t{256} * 1024;
 
+/// A body of this size or more is not copied to be sent with its head.
+constexpr std::size_t large_body_bytes = std::size_t{16} * 1024;
+
 /// Appends the size line of a chunk.
 void append_chunk_size(std::string& out, std::size_t size)
 {
@@ -218,8 +221,14 @@
     append_connection_fields(out);
     append_field(out, "Content-Length", std::to_string(body.size()));
     out += "\r\n";
-    out += body;
+    channel_->charge_to({memory_, &memory_->responses_});
+    if (body.size() < large_body_bytes)
+    {
+        out += body;
+        body = {};
+    }
     channel_->write(out);
+    channel_->write(body);
     finish_request();
 }
 
--- a/test/process/endless_bytes_test.py
+++ b/test/process/endless_bytes_test.py
@@ -13,6 +13,8 @@
 ROUTER_MB = 160
 CALLERS = 40
 STREAM_DEADLINE_MS = 8000
+# What "large" answers with.
+LARGE_BYTES = 12 * 1024 * 1024
 
 
 def peak_mb(process):
@@ -145,6 +147,34 @@
             wait_until(lambda: system.runs()["cancelled"].get("gone", 0) > 0,
                        "the stream is cancelled", limit_s=1)
 
+    def test_answers_that_are_taken_slowly_do_not_fill_the_memory(self):
+        with calm() as system:
+            router = system.routers[0]
+            system.fault("desk-0", "large")
+            system.fault("desk-1", "large")
+            callers = [open_caller(router) for _ in range(CALLERS)]
+            begins = []
+            for number, caller in enumerate(callers):
+                caller.sendall(head("GET", "/look/x", f"look-{number}", 0))
+                begins.append(caller.recv(12))
+            for caller in callers:
+                caller.close()
+            print(f"peak {peak_mb(router):.0f} MB, {begins.count(b'HTTP/1.1 200')} whole")
+            self.assertLess(peak_mb(router), ROUTER_MB)
+            self.assertIn(b"HTTP/1.1 200", begins)
+            self.assertEqual(system.book(router, "after").status, 200)
+
+    def test_whole_answer_reaches_a_caller_that_takes_it_late(self):
+        with calm() as system:
+            for name in ("desk-0", "desk-1"):
+                system.fault(name, "large")
+            caller = open_caller(system.routers[0])
+            caller.sendall(head("GET", "/look/x", "late", 0, "Connection: close\r\n"))
+            time.sleep(1)
+            received = read_all(caller)
+            caller.close()
+            self.assertEqual(len(received.split(b"\r\n\r\n", 1)[1]), LARGE_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
