Bound the replies to the router's own calls together

Each reply to a call to the store, to another router or to an engine could have 16 MB, and nothing bounded their sum.

Now each kind has a limit for one reply and one for all: reports 128 KiB and 4 MB, messages 2 and 8 MB, pages of the store 8 and 16 MB. They are apart, so that a faulty engine cannot make calls to the store fail. Calls that fail for it are counted.

--- a/include/auburnlb/coordination/memory_budgets.hpp
+++ b/include/auburnlb/coordination/memory_budgets.hpp
@@ -20,15 +20,64 @@
 /// Stream events that callers have not taken, and events that are incomplete.
 inline constexpr std::size_t max_event_backlog_bytes = 16 * bytes_per_mb;
 
+/// What a reply to a call of the router is. Each kind has its own budget, so
+/// that a faulty server of one cannot make calls to another fail.
+enum class reply_kind
+{
+    /// An endpoint's report of its state.
+    report,
+    /// Another router's or an endpoint's reply.
+    message,
+    /// A page of the store, which is about 1 MB.
+    page,
+};
+
+/// Replies of reports, of several hundred probes at once.
+inline constexpr std::size_t max_reports_bytes = 4 * bytes_per_mb;
+inline constexpr std::size_t max_messages_bytes = 8 * bytes_per_mb;
+inline constexpr std::size_t max_pages_bytes = 16 * bytes_per_mb;
+
+/// Returns the limit of one reply.
+constexpr std::size_t max_reply_bytes(reply_kind kind)
+{
+    switch (kind)
+    {
+    case reply_kind::report:
+        return bytes_per_mb / 8;
+    case reply_kind::message:
+        return 2 * bytes_per_mb;
+    case reply_kind::page:
+        return 8 * bytes_per_mb;
+    }
+    return 0;
+}
+
 /// One for each use, so that none can take the memory of another.
 struct memory_budgets
 {
     byte_budget responses_{max_response_bytes, 0};
     byte_budget events_{max_event_backlog_bytes, 0};
+    byte_budget reports_{max_reports_bytes, 0};
+    byte_budget messages_{max_messages_bytes, 0};
+    byte_budget pages_{max_pages_bytes, 0};
 
     bool operator==(memory_budgets const&) const = default;
 };
 
+inline byte_budget& budget_of(memory_budgets& memory, reply_kind kind)
+{
+    switch (kind)
+    {
+    case reply_kind::report:
+        return memory.reports_;
+    case reply_kind::message:
+        return memory.messages_;
+    case reply_kind::page:
+        break;
+    }
+    return memory.pages_;
+}
+
 } // namespace auburnlb
 
 #endif
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "auburnlb/coordination/memory_budgets.hpp"
 #include "auburnlb/coordination/stream_path.hpp"
 #include "auburnlb/router/http_message.hpp"
 #include "auburnlb/state/clock.hpp"
@@ -116,6 +117,7 @@
     std::string method_;
     std::string target_;
     std::string body_;
+    reply_kind reply_ = reply_kind::message;
 
     bool operator==(http_call const&) const = default;
 };
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -56,7 +56,7 @@
         , protocol_(protocol)
         , options_(std::move(options))
         , pool_(io, clock)
-        , http_client_(io, clock)
+        , http_client_(io, clock, memory_)
         , prober_(http_client_, protocol, clock, metrics_)
         , started_at_(clock.now())
     {
--- a/src/router/internal_http_client.cpp
+++ b/src/router/internal_http_client.cpp
@@ -14,10 +14,6 @@
 /// that were idle for longer are reopened.
 constexpr milliseconds max_call_idle{3'000};
 
-/// Maximum size of a response body. A page of the store has at most one
-/// megabyte.
-constexpr std::size_t max_reply_bytes = std::size_t{16} * 1024 * 1024;
-
 std::string render_call(std::string const& address, http_call const& call)
 {
     std::string out = call.method_ + " " + call.target_ + " HTTP/1.1\r\n";
@@ -54,12 +50,14 @@
       public response_receiver
 {
 public:
-    pending_call(internal_http_client& client, std::string step,
+    pending_call(internal_http_client& client, http_call const& call,
                  time_point deadline, handler handler)
         : client_(client)
-        , step_(std::move(step))
+        , step_(call.method_ + " " + call.target_)
         , deadline_(deadline)
         , handler_(std::move(handler))
+        , max_reply_bytes_(max_reply_bytes(call.reply_))
+        , reply_bytes_(budget_of(*client.memory_, call.reply_))
     {
     }
 
@@ -90,11 +88,13 @@
 
     void on_response_body(std::string_view piece) override
     {
-        if (reply_.body_.size() + piece.size() <= max_reply_bytes)
+        if (reply_.body_.size() + piece.size() <= max_reply_bytes_ &&
+            reply_bytes_.try_add(piece.size()))
         {
             reply_.body_.append(piece);
             return;
         }
+        ++client_.oversized_replies_;
         connection_->cancel();
         complete(error{error_code::response_lost, step_, connection_->address(),
                        "the response exceeds the size limit"});
@@ -128,11 +128,17 @@
     handler handler_;
     std::shared_ptr<pooled_connection> connection_;
     http_reply reply_;
+    std::size_t max_reply_bytes_;
+    /// The bytes of the reply's body.
+    budgeted_bytes reply_bytes_;
 };
 
-internal_http_client::internal_http_client(asio::io_context& io,
-                                           clock_source const& clock)
+internal_http_client::internal_http_client(
+    asio::io_context& io, clock_source const& clock,
+    std::shared_ptr<memory_budgets> memory)
     : clock_(clock)
+    , memory_(memory != nullptr ? std::move(memory)
+                                : std::make_shared<memory_budgets>())
     , pool_(io, clock)
 {
 }
@@ -150,8 +156,7 @@
                                 handler handler)
 {
     auto const pending = std::make_shared<pending_call>(
-        *this, call.method_ + " " + call.target_, clock_.now() + timeout,
-        std::move(handler));
+        *this, call, clock_.now() + timeout, std::move(handler));
     pending_.insert(pending);
     pending->begin(pool_.acquire(address, max_call_idle),
                    render_call(address, call));
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -296,6 +296,9 @@
                              static_cast<double>(core_.active_.size()));
     core_.metrics_.set_gauge("auburnlb_router_routers", "",
                              core_.router_count_);
+    core_.metrics_.set_gauge(
+        "auburnlb_router_oversized_replies", "",
+        static_cast<double>(core_.http_client_.oversized_replies()));
     for (auto const& [name, service] : core_.services_)
     {
         core_.metrics_.set_gauge(
--- a/test/process/endless_bytes_test.py
+++ b/test/process/endless_bytes_test.py
@@ -7,24 +7,20 @@
 import unittest
 
 from cluster import request, wait_until
-from platform_cluster import EVENTS, HOST, KEY, calm, in_background
+from endless_server import EndlessServer
+from memory import peak_mb
+from platform_cluster import DESK, EVENTS, HOST, KEY, PlatformCluster, calm, in_background
 
 # The smallest router of the users' pages.
 ROUTER_MB = 160
+# What all calls of a router may take of it: a quarter.
+CALLS_MB = 40
 CALLERS = 40
 STREAM_DEADLINE_MS = 8000
 # What "large" answers with.
 LARGE_BYTES = 12 * 1024 * 1024
 
 
-def peak_mb(process):
-    with open(f"/proc/{process.child.pid}/status", encoding="utf-8") as status:
-        for line in status:
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) / 1024
-    return 0.0
-
-
 def metric(router, name):
     total = 0.0
     for line in request(router.control, "GET", "/metrics")[2].splitlines():
@@ -175,6 +171,22 @@
             caller.close()
             self.assertEqual(len(received.split(b"\r\n\r\n", 1)[1]), LARGE_BYTES)
 
+    def test_other_routers_that_answer_without_end_do_not_fill_the_memory(self):
+        servers = [EndlessServer() for _ in range(CALLERS)]
+        with PlatformCluster() as system:
+            system.seeds = [f"127.0.0.1:{each.port}" for each in servers]
+            system.add_engine("desk-0", service=DESK)
+            router = system.add_router()
+            before = peak_mb(router)
+            wait_until(lambda: system.book(router, "first").status == 200, "a call is served")
+            wait_until(lambda: sum(each.answers for each in servers) > 3 * CALLERS,
+                       "the servers are asked")
+            print(f"peak {peak_mb(router):.0f} MB, {before:.0f} MB before")
+            self.assertLess(peak_mb(router) - before, CALLS_MB)
+            self.assertEqual(system.book(router, "after").status, 200)
+        for each in servers:
+            each.close()
+
 
 if __name__ == "__main__":
     unittest.main()
