Refuse requests whose bodies do not fit together

Now bodies, bytes read ahead and what endpoints have not taken of them have 24 MB together, of which 4 MB are for bodies of up to 16 KiB. What does not fit is read, dropped and refused with 503 and Retry-After at its end; it was not run, and the connection goes on. The ready and control servers have 8 MB each for bodies and for responses.

--- a/include/auburnlb/coordination/memory_budgets.hpp
+++ b/include/auburnlb/coordination/memory_budgets.hpp
@@ -20,6 +20,15 @@
 /// Stream events that callers have not taken, and events that are incomplete.
 inline constexpr std::size_t max_event_backlog_bytes = 16 * bytes_per_mb;
 
+/// Bodies of callers' requests, until their endpoints have taken them, and what
+/// is read ahead. A body of the largest size is 4 MB.
+inline constexpr std::size_t max_request_bytes = 24 * bytes_per_mb;
+
+/// Part of these that larger bodies leave to small ones.
+inline constexpr std::size_t small_body_reserve = 4 * bytes_per_mb;
+
+inline constexpr std::size_t small_body_bytes = std::size_t{16} * 1024;
+
 /// What a reply to a call of the router is. Each kind has its own budget, so
 /// that a faulty server of one cannot make calls to another fail.
 enum class reply_kind
@@ -56,6 +65,7 @@
 struct memory_budgets
 {
     byte_budget responses_{max_response_bytes, 0};
+    byte_budget requests_{max_request_bytes, 0};
     byte_budget events_{max_event_backlog_bytes, 0};
     byte_budget reports_{max_reports_bytes, 0};
     byte_budget messages_{max_messages_bytes, 0};
@@ -64,6 +74,16 @@
     bool operator==(memory_budgets const&) const = default;
 };
 
+/// Whether a body of this size has room, counting only the bytes that it does
+/// not have yet.
+inline bool has_room_for_body(byte_budget const& requests, std::size_t size,
+                              std::size_t more)
+{
+    std::size_t const reserve =
+        size <= small_body_bytes ? 0 : small_body_reserve;
+    return requests.used_ + more + reserve <= requests.limit_;
+}
+
 inline byte_budget& budget_of(memory_budgets& memory, reply_kind kind)
 {
     switch (kind)
--- a/include/auburnlb/router/caller_connection.hpp
+++ b/include/auburnlb/router/caller_connection.hpp
@@ -140,6 +140,10 @@
     void read_pending();
     void serve();
     void reject(unsigned status);
+    /// Refuses the request whose body has no room. The connection goes on.
+    void refuse_body();
+    /// Keeps bytes of later requests.
+    void keep_pending(std::string_view bytes);
     /// Closes the connection and removes it from its service.
     void close(bool is_abrupt);
     void close_if_idle(time_point now);
@@ -155,8 +159,13 @@
     disconnect_handler* disconnect_handler_ = nullptr;
     http_head head_;
     std::string body_;
+    /// The bytes of the body, until its request has ended.
+    budgeted_bytes body_bytes_;
+    /// Size of the body that is being read.
+    std::size_t body_size_ = 0;
     /// Bytes received while a request was in progress.
     std::string pending_;
+    budgeted_bytes pending_bytes_;
     /// Those in force when the message being read began.
     caller_limits message_limits_;
     /// When the message being read, or the idle time, began.
@@ -170,6 +179,8 @@
     /// The connection closes after the request in progress.
     bool is_last_request_ = false;
     bool is_body_too_large_ = false;
+    /// The body is read and dropped.
+    bool is_body_refused_ = false;
     bool is_closed_ = false;
 };
 
--- a/include/auburnlb/router/caller_events.hpp
+++ b/include/auburnlb/router/caller_events.hpp
@@ -25,6 +25,8 @@
     /// Bytes sent to the caller were not acknowledged while its request was in
     /// progress.
     left_timed_out,
+    /// A request was refused, as there was no room for its body.
+    body_refused,
 };
 
 /// Counts the event, and logs those in which a request may have been dropped.
--- a/include/auburnlb/router/connection_pool.hpp
+++ b/include/auburnlb/router/connection_pool.hpp
@@ -133,6 +133,12 @@
     std::shared_ptr<pooled_connection> acquire(std::string const& address,
                                                milliseconds max_idle);
 
+    /// Counts the bytes that servers have not taken in a budget.
+    void charge_to(std::shared_ptr<byte_budget> budget)
+    {
+        budget_ = std::move(budget);
+    }
+
     /// Number of connections to the address, idle or not.
     std::size_t count(std::string const& address) const;
 
@@ -153,6 +159,8 @@
 
     asio::io_context& io_;
     clock_source const& clock_;
+    /// Null if these bytes are not counted.
+    std::shared_ptr<byte_budget> budget_;
     /// By address, the most recently used one last.
     std::map<std::string, std::vector<connection_ptr>> idle_;
     std::map<std::string, std::size_t> counts_;
--- a/include/auburnlb/router/local_server.hpp
+++ b/include/auburnlb/router/local_server.hpp
@@ -69,10 +69,12 @@
     bool is_closing() const override { return false; }
     time_point now() const override { return clock_.now(); }
     void on_connection_closed(caller_connection& connection) override;
+    std::shared_ptr<memory_budgets> memory() override { return memory_; }
 
 private:
     clock_source const& clock_;
     handler handler_;
+    std::shared_ptr<memory_budgets> memory_;
     listener listener_;
     std::set<std::shared_ptr<caller_connection>> connections_;
 };
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -60,6 +60,7 @@
         , prober_(http_client_, protocol, clock, metrics_)
         , started_at_(clock.now())
     {
+        pool_.charge_to({memory_, &memory_->requests_});
     }
 
     /// The planned stop, once it has begun.
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -58,6 +58,19 @@
     return service.is_closing() && read_ahead.empty();
 }
 
+/// A refused body comes again after this time: sound bodies of the largest size
+/// are forwarded within it.
+constexpr char const* body_retry_after_s = "0.200";
+
+http_head body_refusal()
+{
+    http_head head;
+    head.status_ = status_unavailable;
+    head.fields_ = {{"Content-Type", "application/json"},
+                    {"Retry-After", body_retry_after_s}};
+    return head;
+}
+
 caller_event how_caller_left(channel_end end, bool has_timed_out)
 {
     if (end == channel_end::closed)
@@ -77,6 +90,8 @@
     , channel_(std::move(channel))
     , reader_(http_reader::message_kind::request, *this,
               service.limits().max_header_bytes_)
+    , body_bytes_(memory_->requests_)
+    , pending_bytes_(memory_->requests_)
     , phase_began_at_(service.now())
     , announced_idle_timeout_(service.limits().idle_timeout_)
 {
@@ -92,17 +107,25 @@
     auto const keep_alive = shared_from_this();
     if (is_serving_)
     {
-        pending_.append(bytes);
-        if (pending_.size() > max_pending_bytes)
-        {
-            on_end(channel_end::broken);
-        }
+        keep_pending(bytes);
         return;
     }
     read(bytes);
     read_pending();
 }
 
+void caller_connection::keep_pending(std::string_view bytes)
+{
+    pending_.append(bytes);
+    bool const has_room =
+        has_room_for_body(memory_->requests_, pending_.size(), bytes.size());
+    pending_bytes_.set(pending_.size());
+    if (!has_room || pending_.size() > max_pending_bytes)
+    {
+        on_end(channel_end::broken);
+    }
+}
+
 void caller_connection::read(std::string_view bytes)
 {
     if (!reader_.is_inside_message())
@@ -128,6 +151,12 @@
     {
         // The response must find what was read behind the request.
         pending_ = bytes.substr(std::min(read.consumed_, bytes.size()));
+        pending_bytes_.set(pending_.size());
+        if (is_body_refused_)
+        {
+            refuse_body();
+            return;
+        }
         serve();
     }
 }
@@ -143,6 +172,7 @@
     while (!pending_.empty() && !is_serving_ && !is_closed_)
     {
         std::string const bytes = std::exchange(pending_, {});
+        pending_bytes_.release();
         read(bytes);
     }
     is_reading_pending_ = false;
@@ -152,6 +182,8 @@
 {
     head_ = std::move(head);
     body_.clear();
+    body_size_ = 0;
+    is_body_refused_ = false;
     std::string const* const expectation = head_.find("expect");
     if (expectation != nullptr &&
         equals_ignoring_case(*expectation, "100-continue"))
@@ -162,12 +194,22 @@
 
 void caller_connection::on_body(std::string_view piece)
 {
-    if (body_.size() + piece.size() > message_limits_.max_body_bytes_)
+    body_size_ += piece.size();
+    if (body_size_ > message_limits_.max_body_bytes_)
     {
         is_body_too_large_ = true;
         return;
     }
+    if (is_body_refused_ ||
+        !has_room_for_body(memory_->requests_, body_size_, piece.size()))
+    {
+        is_body_refused_ = true;
+        body_ = {};
+        body_bytes_.release();
+        return;
+    }
     body_.append(piece);
+    body_bytes_.set(body_size_);
 }
 
 void caller_connection::serve()
@@ -285,6 +327,7 @@
 {
     disconnect_handler_ = nullptr;
     is_serving_ = false;
+    body_bytes_.release();
     phase_began_at_ = service_.now();
     if (is_last_request_)
     {
@@ -307,6 +350,15 @@
     send_response(head, "");
 }
 
+void caller_connection::refuse_body()
+{
+    is_serving_ = true;
+    has_begun_response_ = false;
+    is_last_request_ = !head_.is_keep_alive_;
+    report(caller_event::body_refused);
+    send_response(body_refusal(), R"({"error":"overloaded","code":1103})");
+}
+
 void caller_connection::close(bool is_abrupt)
 {
     if (std::exchange(is_closed_, true))
@@ -314,6 +366,9 @@
         return;
     }
     auto const keep_alive = shared_from_this();
+    body_bytes_.release();
+    pending_ = {};
+    pending_bytes_.release();
     if (is_abrupt)
     {
         channel_->close();
--- a/src/router/caller_events.cpp
+++ b/src/router/caller_events.cpp
@@ -50,6 +50,10 @@
     case caller_event::left_timed_out:
         count_caller_left(metrics, "timed_out");
         return;
+    case caller_event::body_refused:
+        metrics.count_refusal(refusal_reason::overloaded);
+        metrics.add("auburnlb_router_refused_bodies_total");
+        return;
     }
 }
 
--- a/src/router/connection_pool.cpp
+++ b/src/router/connection_pool.cpp
@@ -75,6 +75,10 @@
     auto const peer = parse_endpoint(address_);
     channel_ = tcp_channel::connect(
         pool_.io_, peer ? peer.value() : asio::ip::tcp::endpoint(), *this);
+    if (pool_.budget_ != nullptr)
+    {
+        channel_->charge_to(pool_.budget_);
+    }
 }
 
 void pooled_connection::begin(std::string_view request,
--- a/src/router/local_server.cpp
+++ b/src/router/local_server.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/log.hpp"
 
 namespace auburnlb
@@ -18,6 +19,9 @@
 /// Length of the queue of connections to accept.
 constexpr int accept_backlog = 1'024;
 
+/// What the connections of one server buffer of requests, and of responses.
+constexpr std::size_t max_local_bytes = 8 * bytes_per_mb;
+
 } // namespace
 
 listener::listener(asio::io_context& io, handler handler)
@@ -94,6 +98,7 @@
                            handler handler)
     : clock_(clock)
     , handler_(std::move(handler))
+    , memory_(std::make_shared<memory_budgets>())
     , listener_(io,
                 [this](asio::ip::tcp::socket socket)
                 {
@@ -103,6 +108,8 @@
                     connection->start();
                 })
 {
+    memory_->requests_.limit_ = max_local_bytes;
+    memory_->responses_.limit_ = max_local_bytes;
 }
 
 result<void> local_server::open(std::string const& address)
@@ -122,7 +129,10 @@
 void local_server::serve(std::shared_ptr<caller_connection> caller,
                          http_head head, std::string body, time_point)
 {
-    local_response const response = handler_(head, body);
+    local_response const response =
+        is_exceeded(memory_->responses_)
+            ? local_response{status_unavailable, "text/plain", ""}
+            : handler_(head, body);
     http_head response_head;
     response_head.status_ = response.status_;
     response_head.fields_.push_back({"Content-Type", response.content_type_});
--- a/test/process/endless_bytes_test.py
+++ b/test/process/endless_bytes_test.py
@@ -2,6 +2,7 @@
 stays within the memory of the smallest one. What the kernel holds is bounded
 apart, by the sizes of its buffers."""
 
+import http.client
 import socket
 import time
 import unittest
@@ -9,7 +10,7 @@
 from cluster import request, wait_until
 from endless_server import EndlessServer
 from memory import peak_mb
-from platform_cluster import DESK, EVENTS, HOST, KEY, PlatformCluster, calm, in_background
+from platform_cluster import DESK, EVENTS, HOST, KEY, Caller, PlatformCluster, calm, in_background
 
 # The smallest router of the users' pages.
 ROUTER_MB = 160
@@ -19,6 +20,8 @@
 STREAM_DEADLINE_MS = 8000
 # What "large" answers with.
 LARGE_BYTES = 12 * 1024 * 1024
+# The users' max-body-bytes.
+BODY_BYTES = 4 * 1024 * 1024
 
 
 def metric(router, name):
@@ -71,6 +74,28 @@
     return received
 
 
+def allow_large_bodies(system):
+    system.configure(limits={"max-body-bytes": BODY_BYTES, "header-timeout-ms": 5000})
+    beyond_default = "x" * 70_000
+    wait_until(lambda: Caller(system.routers[0], "POST", "/book/x", "limits",
+                              body=beyond_default).status == 200, "the limits hold")
+
+
+def post_twice(router, request_id, body):
+    """Two requests on one connection; gives (status, Retry-After) of each."""
+    connection = http.client.HTTPConnection("127.0.0.1", router.callers, timeout=10)
+    answers = []
+    for name, content in ((request_id, body), (request_id + "-again", b"{}")):
+        connection.request("POST", "/book/x", content, {
+            "Host": HOST, "Authorization": f"Token {KEY}", "Auburnlb-Request-Id": name,
+            "Auburnlb-Deadline-Ms": str(STREAM_DEADLINE_MS)})
+        answer = connection.getresponse()
+        answer.read()
+        answers.append((answer.status, answer.getheader("Retry-After")))
+    connection.close()
+    return answers
+
+
 class EndlessBytesTest(unittest.TestCase):
 
     def check_streams(self, fault, bytes_s):
@@ -187,6 +212,43 @@
         for each in servers:
             each.close()
 
+    def test_large_bodies_that_come_at_once_do_not_fill_the_memory(self):
+        body = b"x" * BODY_BYTES
+        with calm() as system:
+            router = system.routers[0]
+            allow_large_bodies(system)
+            for name in ("desk-0", "desk-1"):
+                system.fault(name, "after 300")
+            answers = [in_background(post_twice, router, f"large-{number}", body)
+                       for number in range(CALLERS)]
+            statuses = [task.result() for task in answers]
+            runs = system.runs()["runs"]
+            print(f"peak {peak_mb(router):.0f} MB, {statuses}")
+            self.assertLess(peak_mb(router), ROUTER_MB)
+            refused = [index for index, pair in enumerate(statuses) if pair[0][0] == 503]
+            self.assertTrue(refused, "what does not fit is refused")
+            for index, ((status, retry_after), (second, _)) in enumerate(statuses):
+                self.assertIn(status, (200, 503))
+                self.assertIn(second, (200, 503), "the connection goes on")
+                if status == 503:
+                    self.assertEqual(runs.get(f"large-{index}", 0), 0)
+                    self.assertGreater(float(retry_after), 0)
+            self.assertGreater(metric(router, "auburnlb_router_refused_bodies_total"), 0)
+
+    def test_small_bodies_are_served_beside_large_ones(self):
+        body = b"x" * BODY_BYTES
+        with calm() as system:
+            router = system.routers[0]
+            allow_large_bodies(system)
+            held = [open_caller(router) for _ in range(CALLERS)]
+            for number, caller in enumerate(held):
+                caller.sendall(head("POST", "/book/x", f"held-{number}", BODY_BYTES))
+                caller.sendall(body[:-1])
+            for number in range(20):
+                self.assertEqual(system.book(router, f"small-{number}").status, 200)
+            for caller in held:
+                caller.close()
+
 
 if __name__ == "__main__":
     unittest.main()
