Bound what companions and entries keep of responses

An engine or a platform that answers without end filled the memory of the companion or entry that had asked it: libcurl's client kept every body whole, without a limit.

Now a body has 8 MB, all bodies of a client have 32 MB, and the heads of one response have 64 KiB, also those of interim responses. The transfer ends as a lost response.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -11,6 +11,8 @@
 
 #include <curl/curl.h>
 
+#include "auburnlb/coordination/byte_budget.hpp"
+
 #include "response_end.hpp"
 
 namespace auburnlb
@@ -26,6 +28,13 @@
 /// Upper limit of one poll; curl_multi_wakeup() ends it earlier.
 constexpr int poll_timeout_ms = 1'000;
 
+/// Limits of what peers may send. A faulty one may send bytes without end; a
+/// node's control has 128 MB.
+constexpr std::size_t max_head_bytes = std::size_t{64} * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
+/// The same for all bodies that a client receives at one time.
+constexpr std::size_t max_all_body_bytes = std::size_t{32} * 1024 * 1024;
+
 /// One request in progress. Owned by the client's thread once it has started.
 struct transfer
 {
@@ -36,6 +45,10 @@
     bool is_head_complete_ = false;
     /// Bytes of the body passed to libcurl. Never decreases.
     std::size_t body_sent_ = 0;
+    /// Bytes of all heads, also of interim responses.
+    std::size_t head_bytes_ = 0;
+    /// The bytes of the response's body.
+    budgeted_bytes body_bytes_;
     curl_slist* header_list_ = nullptr;
 
     transfer() = default;
@@ -50,11 +63,22 @@
     std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
 }
 
+/// Makes libcurl end the transfer with CURLE_WRITE_ERROR.
+constexpr std::size_t failed_write = 0;
+
 std::size_t on_body(char* data, std::size_t size, std::size_t count,
                     void* context)
 {
-    static_cast<transfer*>(context)->response_.body_.append(data, size * count);
-    return size * count;
+    auto& running = *static_cast<transfer*>(context);
+    std::string& body = running.response_.body_;
+    std::size_t const bytes = size * count;
+    if (body.size() + bytes > max_body_bytes ||
+        !running.body_bytes_.try_add(bytes))
+    {
+        return failed_write;
+    }
+    body.append(data, bytes);
+    return bytes;
 }
 
 std::string trim(std::string const& text)
@@ -73,6 +97,11 @@
 {
     auto& running = *static_cast<transfer*>(context);
     auto& response = running.response_;
+    running.head_bytes_ += size * count;
+    if (running.head_bytes_ > max_head_bytes)
+    {
+        return failed_write;
+    }
     std::string const line(data, size * count);
     if (line.rfind("HTTP/", 0) == 0)
     {
@@ -265,6 +294,7 @@
     std::vector<std::unique_ptr<transfer>> waiting_;
     std::atomic<bool> is_stopping_{false};
     /// The members below are used only by the thread.
+    byte_budget bodies_{max_all_body_bytes, 0};
     std::unordered_map<CURL*, std::unique_ptr<transfer>> running_;
     std::vector<CURL*> pool_;
     /// Peers to which a request timed out, with the time until which their
@@ -364,6 +394,7 @@
 void http_client::impl::start(std::unique_ptr<transfer> next)
 {
     CURL* easy = acquire_handle();
+    next->body_bytes_.move_to(bodies_);
     set_options(easy, *next);
     if (is_reuse_suspended(peer_of(next->request_.url_)))
     {
