--- a/include/auburnlb/router/connection_pool.hpp
+++ b/include/auburnlb/router/connection_pool.hpp
@@ -79,6 +79,11 @@
     /// Once the response has ended: the first bytes that followed it. The
     /// response may be shorter than its length, so that these complete it.
     std::string const& following_bytes() const { return following_bytes_; }
+    /// Reads nothing more of the response until it is resumed.
+    void pause_reading() { channel_->pause_reading(); }
+    void resume_reading() { channel_->resume_reading(); }
+    /// Bounds what the kernel holds of a response while it is paused.
+    void bound_receive_buffer() { channel_->bound_receive_buffer(); }
 
     /// Whether the connection has carried other requests.
     bool is_reused() const { return idle_since_ != time_point{}; }
@@ -133,6 +138,12 @@
     std::shared_ptr<pooled_connection> acquire(std::string const& address,
                                                milliseconds max_idle);
 
+    /// Counts the bytes that servers have not taken in a budget.
+    void charge_to(std::shared_ptr<byte_budget> budget)
+    {
+        budget_ = std::move(budget);
+    }
+
     /// Number of connections to the address, idle or not.
     std::size_t count(std::string const& address) const;
 
@@ -153,6 +164,8 @@
 
     asio::io_context& io_;
     clock_source const& clock_;
+    /// Null if these bytes are not counted.
+    std::shared_ptr<byte_budget> budget_;
     /// By address, the most recently used one last.
     std::map<std::string, std::vector<connection_ptr>> idle_;
     std::map<std::string, std::size_t> counts_;
--- a/include/auburnlb/router/platform_protocol.hpp
+++ b/include/auburnlb/router/platform_protocol.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "auburnlb/coordination/memory_budgets.hpp"
 #include "auburnlb/coordination/stream_path.hpp"
 #include "auburnlb/router/http_message.hpp"
 #include "auburnlb/state/clock.hpp"
@@ -119,6 +120,7 @@
     std::string method_;
     std::string target_;
     std::string body_;
+    reply_kind reply_ = reply_kind::message;
     /// Further header fields.
     std::vector<http_field> fields_ = {};
 
--- a/src/protocol/event_splitter.cpp
+++ b/src/protocol/event_splitter.cpp
@@ -13,8 +13,8 @@
 namespace
 {
 
-/// Upper limit for an incomplete event. A faulty engine may send bytes without
-/// ever ending an event.
+/// Upper limit for an incomplete event, and for text without an event that has
+/// an identifier. A faulty engine may send either without end.
 constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
 /// How the lines of an event begin, besides empty ones.
@@ -101,31 +101,10 @@
     return {};
 }
 
-/// Returns whether the event consists of comments, which servers send to keep a
-/// connection open.
-bool is_comment(std::string_view event)
-{
-    std::size_t line = 0;
-    while (line < event.size())
-    {
-        if (event[line] != ':' && event[line] != '\r' && event[line] != '\n')
-        {
-            return false;
-        }
-        std::size_t const end = event.find('\n', line);
-        line = end == std::string_view::npos ? event.size() : end + 1;
-    }
-    return true;
-}
-
 } // namespace
 
 void event_splitter::record_event(std::string_view event, event_batch& batch)
 {
-    if (is_comment(event))
-    {
-        return;
-    }
     if (contains_response_head(event))
     {
         batch.has_response_head_ = true;
@@ -134,7 +113,7 @@
     std::string_view const text = find_id(event);
     if (text.empty())
     {
-        ++batch.events_;
+        text_bytes_ += event.size();
         return;
     }
     std::uint64_t id = 0;
@@ -147,6 +126,7 @@
         return;
     }
     ++batch.events_;
+    text_bytes_ = 0;
     last_id_ = id;
     batch.last_id_ = id;
 }
@@ -160,9 +140,14 @@
         partial_event_.clear();
         bytes = joined_input_;
     }
+    else
+    {
+        joined_input_ = {};
+    }
     event_batch batch;
     std::size_t consumed = 0;
-    while (consumed < bytes.size() && batch.is_valid())
+    while (consumed < bytes.size() && batch.is_valid() &&
+           text_bytes_ <= max_event_bytes)
     {
         std::size_t const end = find_event_end(bytes, consumed);
         if (end == std::string_view::npos)
@@ -176,7 +161,8 @@
         }
     }
     batch.bytes_ = bytes.substr(0, consumed);
-    batch.is_too_large_ = bytes.size() - consumed > max_event_bytes;
+    batch.is_too_large_ = bytes.size() - consumed > max_event_bytes ||
+                          text_bytes_ > max_event_bytes;
     if (batch.is_valid())
     {
         partial_event_.assign(bytes.substr(consumed));
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -20,8 +20,8 @@
 /// Maximum number of buffered bytes of later requests.
 constexpr std::size_t max_pending_bytes = std::size_t{256} * 1024;
 
-/// Maximum number of response bytes buffered for a slow caller.
-constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
+/// A body of this size or more is not copied to be sent with its head.
+constexpr std::size_t large_body_bytes = std::size_t{16} * 1024;
 
 /// Appends the size line of a chunk.
 void append_chunk_size(std::string& out, std::size_t size)
@@ -58,6 +58,19 @@
     return service.is_closing() && read_ahead.empty();
 }
 
+/// A refused body comes again after this time: sound bodies of the largest size
+/// are forwarded within it.
+constexpr char const* body_retry_after_s = "0.200";
+
+http_head body_refusal()
+{
+    http_head head;
+    head.status_ = status_unavailable;
+    head.fields_ = {{"Content-Type", "application/json"},
+                    {"Retry-After", body_retry_after_s}};
+    return head;
+}
+
 caller_event how_caller_left(channel_end end, bool has_timed_out)
 {
     if (end == channel_end::closed)
@@ -73,9 +86,12 @@
 caller_connection::caller_connection(request_service& service,
                                      std::shared_ptr<tcp_channel> channel)
     : service_(service)
+    , memory_(service.memory())
     , channel_(std::move(channel))
     , reader_(http_reader::message_kind::request, *this,
               service.limits().max_header_bytes_)
+    , body_bytes_(memory_->requests_)
+    , pending_bytes_(memory_->requests_)
     , phase_began_at_(service.now())
     , announced_idle_timeout_(service.limits().idle_timeout_)
 {
@@ -91,17 +107,25 @@
     auto const keep_alive = shared_from_this();
     if (is_serving_)
     {
-        pending_.append(bytes);
-        if (pending_.size() > max_pending_bytes)
-        {
-            on_end(channel_end::broken);
-        }
+        keep_pending(bytes);
         return;
     }
     read(bytes);
     read_pending();
 }
 
+void caller_connection::keep_pending(std::string_view bytes)
+{
+    pending_.append(bytes);
+    bool const has_room =
+        has_room_for_body(memory_->requests_, pending_.size(), bytes.size());
+    pending_bytes_.set(pending_.size());
+    if (!has_room || pending_.size() > max_pending_bytes)
+    {
+        on_end(channel_end::broken);
+    }
+}
+
 void caller_connection::read(std::string_view bytes)
 {
     if (!reader_.is_inside_message())
@@ -127,6 +151,12 @@
     {
         // The response must find what was read behind the request.
         pending_ = bytes.substr(std::min(read.consumed_, bytes.size()));
+        pending_bytes_.set(pending_.size());
+        if (is_body_refused_)
+        {
+            refuse_body();
+            return;
+        }
         serve();
     }
 }
@@ -142,6 +172,7 @@
     while (!pending_.empty() && !is_serving_ && !is_closed_)
     {
         std::string const bytes = std::exchange(pending_, {});
+        pending_bytes_.release();
         read(bytes);
     }
     is_reading_pending_ = false;
@@ -151,6 +182,8 @@
 {
     head_ = std::move(head);
     body_.clear();
+    body_size_ = 0;
+    is_body_refused_ = false;
     std::string const* const expectation = head_.find("expect");
     if (expectation != nullptr &&
         equals_ignoring_case(*expectation, "100-continue"))
@@ -161,12 +194,22 @@
 
 void caller_connection::on_body(std::string_view piece)
 {
-    if (body_.size() + piece.size() > message_limits_.max_body_bytes_)
+    body_size_ += piece.size();
+    if (body_size_ > message_limits_.max_body_bytes_)
     {
         is_body_too_large_ = true;
         return;
     }
+    if (is_body_refused_ ||
+        !has_room_for_body(memory_->requests_, body_size_, piece.size()))
+    {
+        is_body_refused_ = true;
+        body_ = {};
+        body_bytes_.release();
+        return;
+    }
     body_.append(piece);
+    body_bytes_.set(body_size_);
 }
 
 void caller_connection::serve()
@@ -220,8 +263,14 @@
     append_connection_fields(out);
     append_field(out, "Content-Length", std::to_string(body.size()));
     out += "\r\n";
-    out += body;
+    channel_->charge_to({memory_, &memory_->responses_});
+    if (body.size() < large_body_bytes)
+    {
+        out += body;
+        body = {};
+    }
     channel_->write(out);
+    channel_->write(body);
     finish_request();
 }
 
@@ -237,6 +286,7 @@
     append_connection_fields(out);
     append_field(out, "Transfer-Encoding", "chunked");
     out += "\r\n";
+    channel_->charge_to({memory_, &memory_->events_});
     channel_->write(out);
 }
 
@@ -253,10 +303,6 @@
     chunk += piece;
     chunk += "\r\n";
     channel_->write(chunk);
-    if (channel_->unsent_bytes() > max_unsent_bytes)
-    {
-        on_end(channel_end::broken);
-    }
 }
 
 void caller_connection::end_response()
@@ -272,10 +318,17 @@
     close(!has_begun_response_);
 }
 
+void caller_connection::drop()
+{
+    disconnect_handler_ = nullptr;
+    close(true);
+}
+
 void caller_connection::finish_request()
 {
     disconnect_handler_ = nullptr;
     is_serving_ = false;
+    body_bytes_.release();
     phase_began_at_ = service_.now();
     if (is_last_request_)
     {
@@ -303,6 +356,15 @@
     send_response(head, "");
 }
 
+void caller_connection::refuse_body()
+{
+    is_serving_ = true;
+    has_begun_response_ = false;
+    is_last_request_ = !head_.is_keep_alive_;
+    report(caller_event::body_refused);
+    send_response(body_refusal(), R"({"error":"overloaded","code":1103})");
+}
+
 void caller_connection::close(bool is_abrupt)
 {
     if (std::exchange(is_closed_, true))
@@ -310,6 +372,9 @@
         return;
     }
     auto const keep_alive = shared_from_this();
+    body_bytes_.release();
+    pending_ = {};
+    pending_bytes_.release();
     if (is_abrupt)
     {
         channel_->close();
--- a/src/router/connection_pool.cpp
+++ b/src/router/connection_pool.cpp
@@ -78,6 +78,10 @@
     auto const peer = parse_endpoint(address_);
     channel_ = tcp_channel::connect(
         pool_.io_, peer ? peer.value() : asio::ip::tcp::endpoint(), *this);
+    if (pool_.budget_ != nullptr)
+    {
+        channel_->charge_to(pool_.budget_);
+    }
 }
 
 void pooled_connection::begin(std::string_view request,
@@ -224,6 +228,8 @@
     }
     else
     {
+        // The end of a response that was paused came with its last bytes.
+        channel_->resume_reading();
         pool_.add_idle(shared_from_this());
     }
     if (receiver != nullptr)
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -80,6 +80,10 @@
     attempt_->is_streaming_ = is_stream() && is_success(head.status_) &&
                               attempt_->response_.is_signed_;
     // The superseded attempt may still be the one that is passed on.
+    if (attempt_->is_streaming_)
+    {
+        attempt_->connection_->bound_receive_buffer();
+    }
     if (attempt_->is_streaming_ && superseded_ == nullptr)
     {
         begin_stream_response();
@@ -153,6 +157,8 @@
 
 void forwarded_request::on_events(event_batch const& batch)
 {
+    // A caller that is dropped ends the request.
+    auto const keep_alive = shared_from_this();
     if (batch.events_ > 0)
     {
         record_progress(batch.events_);
@@ -162,10 +168,16 @@
     {
         begin_stream_response();
         caller_->send_body(batch.bytes_);
+        check_backlog(core_.clock_.now());
     }
     if (!batch.is_valid() && !has_ended_)
     {
         end_attempt(attempt_outcome::broken, why_invalid(batch));
+        return;
+    }
+    if (!has_ended_ && !hold_partial_event(*attempt_, events_))
+    {
+        end_attempt(attempt_outcome::broken, "no room for incomplete events");
     }
 }
 
