Let no 502 or 504 pass in planned stops under load

In the five cases of stops under load each request can be answered or refused as not run; the check now asks for that.

--- a/test/process/planned_stop_test.py
+++ b/test/process/planned_stop_test.py
@@ -238,7 +238,9 @@
     def check_answers(self, system, callers):
         """Every request got an answer that is true, or came when the process had ended."""
         records = [record for caller in callers for record in caller.records]
-        trace = Trace(system.recorded_runs(), system.lives(), refusals=(503,))
+        # Nothing is broken here, so that every request can be answered or refused.
+        trace = Trace(system.recorded_runs(), system.lives(), refusals=(503,),
+                      failure_times=[])
         self.assertEqual(find_broken(records, trace), [])
         return records
 
