Let the reset of a refused client show while it connects

relay_test.test_client_that_the_target_refuses_is_reset_and_listed failed once in a run of the process tests beside load: the relay had reset the client before its connect call returned, which then raised the very error that the test waits for, outside of its assertion.

--- a/test/process/relay_test.py
+++ b/test/process/relay_test.py
@@ -102,10 +102,14 @@
 
     def test_client_that_the_target_refuses_is_reset_and_listed(self):
         self.server.close()
-        near = socket.create_connection(("127.0.0.1", self.relay.port), PATIENCE_S)
+        near = socket.socket()
         self.addCleanup(near.close)
+        near.settimeout(PATIENCE_S)
+        near.bind(("127.0.0.1", 0))
         port = near.getsockname()[1]
         with self.assertRaises(ConnectionResetError):
+            # A reset may come before the call that connects has returned.
+            near.connect(("127.0.0.1", self.relay.port))
             near.recv(100)
         [(refused_port, at)] = self.relay.refused()
         self.assertEqual(refused_port, port)
