Use one name for a failed write, and return early where idle time is judged

Read once more as a newcomer: libcurl's failed write had two names in one file, a parameter of finish_exchange was named like the member beside it, a const_cast was needed only because the method was const, and the memory that the budgets leave is over a quarter, not a third.

--- a/fakes/fake_relay.hpp
+++ b/fakes/fake_relay.hpp
@@ -26,7 +26,7 @@
 struct refused_client
 {
     std::uint16_t port_ = 0;
-    /// By the machine's monotonic clock.
+    /// By the monotonic clock.
     time_point at_;
 };
 
--- a/include/auburnlb/coordination/memory_budgets.hpp
+++ b/include/auburnlb/coordination/memory_budgets.hpp
@@ -11,8 +11,8 @@
 
 inline constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 
-// A router has 160 MB or more. The limits leave a third of them to everything
-// else.
+// A router has 160 MB or more. The limits leave over a quarter of them to
+// everything else.
 
 /// Responses of plain services, until their callers have taken them.
 inline constexpr std::size_t max_response_bytes = 48 * bytes_per_mb;
--- a/include/auburnlb/router/connection_pool.hpp
+++ b/include/auburnlb/router/connection_pool.hpp
@@ -100,8 +100,8 @@
     void on_message_end() override;
     void fail(exchange_failure failure);
     /// Ends the exchange after a complete response.
-    /// @param may_reuse the connection may carry another request
-    void finish_exchange(bool may_reuse);
+    /// @param is_clean nothing followed the response on its open connection
+    void finish_exchange(bool is_clean);
 
     connection_pool& pool_;
     std::string address_;
--- a/include/auburnlb/router/tcp_channel.hpp
+++ b/include/auburnlb/router/tcp_channel.hpp
@@ -93,7 +93,7 @@
     /// Whether bytes have arrived that the receiver has not been given.
     bool has_unread_bytes() const;
     /// Whether the peer has not acknowledged all that was sent.
-    bool has_unacknowledged_bytes() const;
+    bool has_unacknowledged_bytes();
     /// Whether no bytes are buffered.
     bool is_drained() const { return unsent_.empty(); }
     bool has_sent_anything() const { return sent_bytes_ > 0; }
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -411,18 +411,19 @@
         phase_began_at_ = now;
         return;
     }
-    if (is_idle_time_over(now) && is_idle())
+    if (!is_idle_time_over(now) || !is_idle())
     {
-        if (channel_->has_unacknowledged_bytes())
-        {
-            phase_began_at_ = now;
-            return;
-        }
-        report(caller_event::idle_close);
-        // A request that crosses the close stays unread: what was not accepted
-        // cannot be lost.
-        close(true);
+        return;
     }
+    if (channel_->has_unacknowledged_bytes())
+    {
+        phase_began_at_ = now;
+        return;
+    }
+    report(caller_event::idle_close);
+    // A request that crosses the close stays unread: what was not accepted
+    // cannot be lost.
+    close(true);
 }
 
 void caller_connection::on_tick(time_point now)
--- a/src/router/connection_pool.cpp
+++ b/src/router/connection_pool.cpp
@@ -216,10 +216,10 @@
     has_response_ended_ = !is_skipping_;
 }
 
-void pooled_connection::finish_exchange(bool may_reuse)
+void pooled_connection::finish_exchange(bool is_clean)
 {
     response_receiver* const receiver = std::exchange(receiver_, nullptr);
-    if (!may_reuse || !may_reuse_ || !channel_->is_drained())
+    if (!is_clean || !may_reuse_ || !channel_->is_drained())
     {
         // A request that is still being sent is sent completely, because the
         // endpoint could attribute a reset to the caller.
--- a/src/router/tcp_channel.cpp
+++ b/src/router/tcp_channel.cpp
@@ -193,13 +193,10 @@
     return socket_.available(failure) > 0 && !failure;
 }
 
-bool tcp_channel::has_unacknowledged_bytes() const
+bool tcp_channel::has_unacknowledged_bytes()
 {
     int bytes = 0;
-    // Native handles are not const in this library.
-    int const handle =
-        const_cast<asio::ip::tcp::socket&>(socket_).native_handle();
-    return ::ioctl(handle, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 void tcp_channel::read_available()
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -120,8 +120,7 @@
     std::string const line(data, size * count);
     if (begins_another_response(running, line))
     {
-        constexpr std::size_t fail_transfer = 0;
-        return fail_transfer;
+        return failed_write;
     }
     if (line.rfind("HTTP/", 0) == 0)
     {
