Call a connection broken that is closed within its announced time

A caller now notes a close before the time that the last answer announced; only the end of the process excuses it.

--- a/test/process/caller_view_test.py
+++ b/test/process/caller_view_test.py
@@ -56,6 +56,14 @@
         self.assert_kept(answered())
         self.assert_kept(refused())
 
+    def test_connection_that_is_closed_within_its_promised_time(self):
+        early = answered(early_close_at=SENT + 3)
+        self.assert_broken("closed early", early)
+        self.assert_broken("closed early", early, life(None))
+        self.assert_broken("closed early", early, life(SENT + 4))
+        self.assert_kept(early, life(SENT + 2))
+        self.assert_kept(early, life(SENT + 2, was_killed=True))
+
     def test_request_that_was_not_sent_whole(self):
         self.assert_kept(lost(sent_at=None))
 
