--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -22,10 +22,6 @@
 /// platform or from another router.
 constexpr milliseconds unconfigured_retry_delay{500};
 
-/// Retry-After while another copy of a request may be crashing its endpoint:
-/// the end of an endpoint usually shows sooner.
-constexpr milliseconds copy_retry_delay{1'000};
-
 std::string ms_text(nanoseconds value)
 {
     return std::to_string(
@@ -122,34 +118,6 @@
     return true;
 }
 
-bool forwarded_request::must_follow_copy() const
-{
-    request_record const record = record_of(core_.crash_causes_, fingerprint_);
-    if (send_count_ > 0 || record == request_record::sound)
-    {
-        return false;
-    }
-    return is_unresolved(core_.interrupted_runs_, fingerprint_) ||
-           (record == request_record::unproven && is_copy_in_progress());
-}
-
-bool forwarded_request::is_copy_in_progress() const
-{
-    return std::any_of(core_.active_.begin(), core_.active_.end(),
-                       [this](std::shared_ptr<forwarded_request> const& each)
-                       {
-                           return each.get() != this &&
-                                  (each->superseded_ != nullptr ||
-                                   each->attempt_->connection_ != nullptr) &&
-                                  each->fingerprint_ == fingerprint_;
-                       });
-}
-
-bool forwarded_request::is_known_to_crash() const
-{
-    return is_refused(core_.crash_causes_, traits_);
-}
-
 bool forwarded_request::find_route()
 {
     std::string const* const host = head_.find("host");
@@ -207,28 +175,6 @@
     return true;
 }
 
-void forwarded_request::refuse_crashing()
-{
-    is_waiting_ = false;
-    if (resume_superseded("suspected_crash"))
-    {
-        return;
-    }
-    if (!end_if_begun())
-    {
-        send_error(status_unavailable, refusal_reason::suspected_crash,
-                   std::nullopt);
-    }
-}
-
-void forwarded_request::refuse_copy()
-{
-    is_waiting_ = false;
-    core_.metrics_.add("auburnlb_router_refused_copies_total");
-    send_error(status_unavailable, refusal_reason::suspected_crash,
-               copy_retry_delay);
-}
-
 bool forwarded_request::end_if_begun()
 {
     if (caller_->has_begun_response())
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -237,35 +237,6 @@
     }
 }
 
-void forwarded_request::record_interrupted_run(endpoint_attempt const& attempt,
-                                               time_point now)
-{
-    core_.metrics_.add("auburnlb_router_interrupted_runs_total");
-    endpoint_record const& record =
-        attempt.reservations_.front().endpoint_->record_;
-    auto const progress =
-        attempt.is_streaming_ ? std::optional(attempt.progress_) : std::nullopt;
-    interrupted_runs::run const run{
-        run_id_of(record), record.address_,
-        possible_causes(fingerprint_, prompt_traits_, progress, now), now};
-    if (auto const crash =
-            auburnlb::record_interrupted_run(core_.interrupted_runs_, run))
-    {
-        core_.on_crash_(run.endpoint_run_, *crash);
-    }
-}
-
-void forwarded_request::probe_interrupted_run(endpoint_attempt const& attempt)
-{
-    endpoint_ptr const& endpoint = attempt.reservations_.front().endpoint_;
-    if (awaits_confirmation(core_.interrupted_runs_,
-                            run_id_of(endpoint->record_),
-                            endpoint->probe_sent_))
-    {
-        core_.prober_.probe(endpoint);
-    }
-}
-
 void forwarded_request::record_refusal(endpoint_attempt const& attempt,
                                        time_point now)
 {
