--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -4,6 +4,7 @@
 #ifndef AUBURNLB_COORDINATION_CRASH_CAUSES_HPP
 #define AUBURNLB_COORDINATION_CRASH_CAUSES_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -129,9 +130,10 @@
 /// Returns whether an unfinished response shows that its prompt is sound.
 bool is_success(response_progress const& progress, time_point now);
 
-/// Records a success of requests with these traits.
-void record_success(crash_causes& state, request_traits const& traits,
-                    time_point now);
+/// Records a success of requests with these traits. Returns those that crashes
+/// since their last success had named.
+request_traits record_success(crash_causes& state, request_traits const& traits,
+                              time_point now);
 
 /// Returns whether a request with these traits must not reach an endpoint.
 bool is_refused(crash_causes const& state, request_traits const& traits);
@@ -168,8 +170,9 @@
 bool is_same_evidence(crash_causes_update const& left,
                       crash_causes_update const& right);
 
-void merge_update(crash_causes& state, crash_causes_update const& update,
-                  time_point now);
+/// Returns the number of crashes that were not known before.
+std::size_t merge_update(crash_causes& state, crash_causes_update const& update,
+                         time_point now);
 
 /// Forgets old crashes and successes.
 void expire_crash_causes(crash_causes& state, time_point now);
--- a/include/auburnlb/coordination/interrupted_runs.hpp
+++ b/include/auburnlb/coordination/interrupted_runs.hpp
@@ -3,6 +3,7 @@
 #ifndef AUBURNLB_COORDINATION_INTERRUPTED_RUNS_HPP
 #define AUBURNLB_COORDINATION_INTERRUPTED_RUNS_HPP
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -56,9 +57,10 @@
                                             time_point now);
 
 /// Handles a sign of life that the endpoint's run gave at some time after
-/// asked_at. What was cut before that was not cut by a crash.
-void dismiss_runs(interrupted_runs& interrupted,
-                  std::string const& endpoint_run, time_point asked_at);
+/// asked_at. What was cut before that was not cut by a crash. Returns the
+/// number of such runs.
+std::size_t dismiss_runs(interrupted_runs& interrupted,
+                         std::string const& endpoint_run, time_point asked_at);
 
 /// Handles an answer that does not tell which run of the endpoint gave it.
 void record_answer(interrupted_runs& interrupted,
@@ -74,8 +76,10 @@
 bool awaits_confirmation(interrupted_runs const& interrupted,
                          std::string const& endpoint_run, time_point since);
 
-/// Forgets runs whose endpoint was not found to have ended.
-void expire_interrupted_runs(interrupted_runs& interrupted, time_point now);
+/// Forgets runs whose endpoint was not found to have ended. Returns their
+/// number.
+std::size_t expire_interrupted_runs(interrupted_runs& interrupted,
+                                    time_point now);
 
 } // namespace auburnlb
 
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -213,6 +213,10 @@
     void record_refusal(endpoint_attempt const& attempt, time_point now);
     void record_interrupted_run(endpoint_attempt const& attempt,
                                 time_point now);
+    void log_interrupted_run(endpoint_attempt const& attempt,
+                             std::string const& endpoint_id,
+                             time_point now) const;
+    void record_success_of(request_traits const& traits);
     /// Probes the attempt's endpoint if it may have crashed.
     void probe_interrupted_run(endpoint_attempt const& attempt);
     /// Refuses a request that is known to crash endpoints.
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -102,6 +102,8 @@
     void on_record(endpoint_record const& record, record_age age);
     /// Called when a run of an endpoint is known to have ended.
     void on_run_ended(std::string const& endpoint_run);
+    /// Counts interrupted runs of which it is known whether a crash cut them.
+    void count_resolved_runs(char const* how, std::size_t runs);
     /// Probes the endpoints that cut requests off after their last probe.
     void probe_interrupted_runs();
     /// Counts a crash and tells the other routers at once, before what caused
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -141,6 +141,10 @@
                                         model_profile const& model,
                                         time_point now);
 
+/// Counts crashes that this router did not confirm itself.
+void count_learned_crashes(router_core& core, char const* source,
+                           std::size_t crashes);
+
 } // namespace auburnlb
 
 #endif
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -63,6 +63,8 @@
     superseded_attempt_resumed = 407,
     caller_bytes_dropped = 408,
     caller_evicted = 409,
+    run_interrupted = 410,
+    crash_cleared = 411,
     engine_lost = 500,
     engine_back = 501,
     claim_home_taken = 600,
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -208,20 +208,23 @@
     return true;
 }
 
-void record_success(crash_causes& state, request_traits const& traits,
-                    time_point now)
+request_traits record_success(crash_causes& state, request_traits const& traits,
+                              time_point now)
 {
     std::uint64_t const revision = state.revision_ + 1;
-    bool is_clearing = false;
+    request_traits cleared;
     for (std::string const& trait : traits)
     {
-        is_clearing =
-            insert_success(state, trait, now, revision) || is_clearing;
+        if (insert_success(state, trait, now, revision))
+        {
+            cleared.insert(trait);
+        }
     }
-    if (is_clearing)
+    if (!cleared.empty())
     {
         on_changed(state);
     }
+    return cleared;
 }
 
 bool is_refused(crash_causes const& state, request_traits const& traits)
@@ -323,15 +326,17 @@
     return update;
 }
 
-void merge_update(crash_causes& state, crash_causes_update const& update,
-                  time_point now)
+std::size_t merge_update(crash_causes& state, crash_causes_update const& update,
+                         time_point now)
 {
     std::uint64_t const revision = state.revision_ + 1;
+    std::size_t new_crashes = 0;
     bool is_changed = false;
     for (auto const& [run, crash] : update.crashes_)
     {
         if (now - crash.at_ <= retention)
         {
+            new_crashes += state.crashes_.contains(run) ? 0 : 1;
             is_changed =
                 insert_crash(state, run, crash, revision) || is_changed;
         }
@@ -344,6 +349,7 @@
     {
         on_changed(state);
     }
+    return new_crashes;
 }
 
 void expire_crash_causes(crash_causes& state, time_point now)
--- a/src/coordination/interrupted_runs.cpp
+++ b/src/coordination/interrupted_runs.cpp
@@ -71,10 +71,10 @@
     return crash.requests_.empty() ? std::nullopt : std::optional(crash);
 }
 
-void dismiss_runs(interrupted_runs& interrupted,
-                  std::string const& endpoint_run, time_point asked_at)
+std::size_t dismiss_runs(interrupted_runs& interrupted,
+                         std::string const& endpoint_run, time_point asked_at)
 {
-    std::erase_if(
+    return std::erase_if(
         interrupted.runs_, [&](interrupted_runs::run const& run)
         { return run.endpoint_run_ == endpoint_run && run.at_ <= asked_at; });
 }
@@ -112,12 +112,14 @@
                        });
 }
 
-void expire_interrupted_runs(interrupted_runs& interrupted, time_point now)
+std::size_t expire_interrupted_runs(interrupted_runs& interrupted,
+                                    time_point now)
 {
-    std::erase_if(interrupted.runs_, [now](interrupted_runs::run const& run)
-                  { return now - run.at_ > confirmation_time; });
     std::erase_if(interrupted.ended_at_, [now](auto const& entry)
                   { return now - entry.second > confirmation_time; });
+    return std::erase_if(interrupted.runs_,
+                         [now](interrupted_runs::run const& run)
+                         { return now - run.at_ > confirmation_time; });
 }
 
 } // namespace auburnlb
--- a/src/router/crash_store.cpp
+++ b/src/router/crash_store.cpp
@@ -105,8 +105,10 @@
         std::max(milliseconds(0),
                  read_short_time(static_cast<double>(unix_ms()) - written));
     time_point const now = core_.clock_.now();
-    merge_update(core_.crash_causes_,
-                 read_crash_causes(value.at("causes"), now - age), now);
+    count_learned_crashes(
+        core_, "store",
+        merge_update(core_.crash_causes_,
+                     read_crash_causes(value.at("causes"), now - age), now));
 }
 catch (json::exception const& failure)
 {
--- a/src/router/peer_messages.cpp
+++ b/src/router/peer_messages.cpp
@@ -282,7 +282,9 @@
         return;
     }
     time_point const now = core_.clock_.now();
-    merge_update(core_.crash_causes_, read_crash_causes(*causes, now), now);
+    count_learned_crashes(core_, "router",
+                          merge_update(core_.crash_causes_,
+                                       read_crash_causes(*causes, now), now));
 }
 
 void peer_exchange::sum_senders(time_point now)
--- a/src/router/request_crashes.cpp
+++ b/src/router/request_crashes.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "auburnlb/router/http_status.hpp"
+#include "auburnlb/state/log.hpp"
 
 namespace auburnlb
 {
@@ -16,6 +17,12 @@
 /// the end of an endpoint usually shows sooner.
 constexpr milliseconds copy_retry_delay{1'000};
 
+std::string count_ms(nanoseconds time)
+{
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(time).count());
+}
+
 } // namespace
 
 bool forwarded_request::must_follow_copy() const
@@ -68,12 +75,45 @@
                copy_retry_delay);
 }
 
+void forwarded_request::log_interrupted_run(endpoint_attempt const& attempt,
+                                            std::string const& endpoint_id,
+                                            time_point now) const
+{
+    bool const has_begun = attempt.is_streaming_;
+    core_.metrics_.add("auburnlb_router_interrupted_runs_total",
+                       std::string("began=\"") +
+                           (has_begun ? "true" : "false") + "\"");
+    log(log_level::info, log_event::run_interrupted,
+        {{"request", caller_request_.id_},
+         {"peer", endpoint_id},
+         {"fingerprint", to_hex(fingerprint_)},
+         {"parts", to_string(prompt_traits_)},
+         {"began", has_begun ? "true" : "false"},
+         {"events", std::to_string(attempt.progress_.events_)},
+         {"began_ms",
+          has_begun ? count_ms(now - attempt.progress_.began_at_) : ""},
+         {"sent_ms", count_ms(now - attempt.sent_at_)}},
+        "an endpoint cut a request off");
+}
+
+void forwarded_request::record_success_of(request_traits const& traits)
+{
+    request_traits const cleared =
+        record_success(core_.crash_causes_, traits, core_.clock_.now());
+    if (!cleared.empty())
+    {
+        log(log_level::info, log_event::crash_cleared,
+            {{"request", caller_request_.id_}, {"traits", to_string(cleared)}},
+            "a request with traits that crashes name has succeeded");
+    }
+}
+
 void forwarded_request::record_interrupted_run(endpoint_attempt const& attempt,
                                                time_point now)
 {
-    core_.metrics_.add("auburnlb_router_interrupted_runs_total");
     endpoint_record const& record =
         attempt.reservations_.front().endpoint_->record_;
+    log_interrupted_run(attempt, record.id_, now);
     auto const progress =
         attempt.is_streaming_ ? std::optional(attempt.progress_) : std::nullopt;
     interrupted_runs::run const run{
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -205,7 +205,7 @@
         is_success(attempt_->progress_, now))
     {
         attempt_->is_prompt_success_recorded_ = true;
-        record_success(core_.crash_causes_, prompt_traits_, now);
+        record_success_of(prompt_traits_);
     }
     for (endpoint_reservation const& each : attempt_->reservations_)
     {
@@ -254,7 +254,7 @@
                     "the stream ended before its first event");
         return;
     }
-    record_success(core_.crash_causes_, traits_, core_.clock_.now());
+    record_success_of(traits_);
     begin_stream_response();
     caller_->end_response();
     end_request("complete", attempt_->response_head_.status_);
@@ -296,7 +296,7 @@
         record_health_signal(each.endpoint_->health_, health_signal::success,
                              now);
     }
-    record_success(core_.crash_causes_, traits_, now);
+    record_success_of(traits_);
     caller_->send_response(attempt_->response_head_, attempt_->response_body_);
     end_request("complete", attempt_->response_head_.status_);
 }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -85,7 +85,11 @@
     core_.prober_.set_handlers(
         {[this](std::string const& run) { on_run_ended(run); },
          [this](std::string const& run, time_point asked_at)
-         { dismiss_runs(core_.interrupted_runs_, run, asked_at); },
+         {
+             count_resolved_runs(
+                 "answered",
+                 dismiss_runs(core_.interrupted_runs_, run, asked_at));
+         },
          [this](std::string const& run, time_point asked_at)
          {
              record_answer(core_.interrupted_runs_, run, asked_at);
@@ -274,7 +278,8 @@
     }
     close_idle_connections(now);
     probe_interrupted_runs();
-    expire_interrupted_runs(core_.interrupted_runs_, now);
+    count_resolved_runs("expired",
+                        expire_interrupted_runs(core_.interrupted_runs_, now));
     expire_crash_causes(core_.crash_causes_, now);
     crash_store_.on_tick(now);
     apply_refused_traits();
--- a/src/router/router_core.cpp
+++ b/src/router/router_core.cpp
@@ -54,4 +54,15 @@
     return runtime.capacity_;
 }
 
+void count_learned_crashes(router_core& core, char const* source,
+                           std::size_t crashes)
+{
+    if (crashes > 0)
+    {
+        core.metrics_.add("auburnlb_router_crashes_learned_total",
+                          std::string("source=\"") + source + "\"",
+                          static_cast<double>(crashes));
+    }
+}
+
 } // namespace auburnlb
--- a/src/router/router_crashes.cpp
+++ b/src/router/router_crashes.cpp
@@ -32,6 +32,16 @@
 
 } // namespace
 
+void router::count_resolved_runs(char const* how, std::size_t runs)
+{
+    if (runs > 0)
+    {
+        core_.metrics_.add("auburnlb_router_resolved_runs_total",
+                           std::string("how=\"") + how + "\"",
+                           static_cast<double>(runs));
+    }
+}
+
 void router::on_run_ended(std::string const& endpoint_run)
 {
     if (auto const crash = confirm_crash(core_.interrupted_runs_, endpoint_run,
@@ -61,6 +71,7 @@
 void router::on_crash(std::string const& endpoint_run,
                       endpoint_crash const& crash)
 {
+    count_resolved_runs("crash", crash.requests_.size());
     if (!add_crash(core_.crash_causes_, endpoint_run, crash))
     {
         return;
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -69,6 +69,8 @@
     {log_event::superseded_attempt_resumed, "superseded_attempt_resumed"},
     {log_event::caller_bytes_dropped, "caller_bytes_dropped"},
     {log_event::caller_evicted, "caller_evicted"},
+    {log_event::run_interrupted, "run_interrupted"},
+    {log_event::crash_cleared, "crash_cleared"},
     {log_event::engine_lost, "engine_lost"},
     {log_event::engine_back, "engine_back"},
     {log_event::claim_home_taken, "claim_home_taken"},
