--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -29,6 +29,8 @@
 #include <string>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -86,6 +88,19 @@
     return std::find(parts.begin(), parts.end(), id) != parts.end();
 }
 
+/// Makes each socket of the process end with a reset, which discards what was
+/// not sent.
+void reset_connections()
+{
+    constexpr int max_descriptor = 1'024;
+    linger const discard{1, 0};
+    for (int descriptor = 0; descriptor < max_descriptor; ++descriptor)
+    {
+        ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discard,
+                     sizeof(discard));
+    }
+}
+
 class engine
 {
 public:
@@ -371,10 +386,21 @@
                                 {
                                     crash();
                                 }},
-            caller, *id, next, other_parts(head), is_crashing)
+            caller, *id, fakes::event_range{next, last_event(head)},
+            other_parts(head), is_crashing)
             ->begin();
     }
 
+    /// Returns the number of events in a whole answer to the request.
+    std::uint64_t last_event(http_head const& head) const
+    {
+        auto const request = platform::read_request(head);
+        std::uint64_t const asked =
+            request ? request.value().max_output_tokens_ : 0;
+        return asked == 0 ? options_.events_
+                          : std::min<std::uint64_t>(asked, options_.events_);
+    }
+
     /// Refuses the first request of a connection. Writes that refusal once more
     /// when the next one comes, which runs. Returns whether it has refused.
     bool repeats_refusal(caller_connection& caller, std::string const& id)
@@ -421,6 +447,10 @@
     /// address that knows nothing of before.
     void crash()
     {
+        if (options_.resets_connections_)
+        {
+            reset_connections();
+        }
         if (!options_.restarts_at_once_)
         {
             std::_Exit(crashed_exit_code);
--- a/fakes/users_engine_options.hpp
+++ b/fakes/users_engine_options.hpp
@@ -10,6 +10,16 @@
 namespace auburnlb::fakes
 {
 
+/// How far an engine has come with a request when it crashes on it.
+enum class crash_point
+{
+    /// The request is read; no byte of the response is written.
+    before_head,
+    after_head,
+    /// After users_engine_options::crash_events_ events.
+    after_events,
+};
+
 struct users_engine_options
 {
     std::string id_;
@@ -30,6 +40,14 @@
     /// The process ends when it begins to answer a request with this body;
     /// empty for none.
     std::string crash_body_;
+    /// Where in its response to such a request the process ends.
+    crash_point crash_point_ = crash_point::after_head;
+    std::uint32_t crash_events_ = 0;
+    /// Connections are reset when the process ends by a crash, and what was not
+    /// sent yet is discarded.
+    bool resets_connections_ = false;
+    /// Time from a request to the head of a stream.
+    milliseconds head_delay_{0};
     /// A crash begins a new run instead of ending the process.
     bool restarts_at_once_ = false;
     /// Port to listen on; 0 for a free one.
--- a/fakes/users_engine_stream.cpp
+++ b/fakes/users_engine_stream.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr milliseconds event_interval{20};
+constexpr milliseconds crash_delay{5};
 constexpr milliseconds call_timeout{300};
 constexpr std::size_t large_event_bytes = std::size_t{100} * 1024;
 /// An endless stream stays so far ahead of its reader.
@@ -69,6 +70,44 @@
 {
     caller_->set_disconnect_handler(this);
     ++owner_.state_.streams_;
+    if (is_crashing_ &&
+        owner_.options_.crash_point_ == crash_point::before_head)
+    {
+        crash_after(crash_delay);
+        return;
+    }
+    if (owner_.options_.head_delay_ == milliseconds(0))
+    {
+        write_head();
+        return;
+    }
+    timer_.expires_after(owner_.options_.head_delay_);
+    timer_.async_wait(
+        [self = shared_from_this()](asio::error_code const&)
+        {
+            if (self->caller_ != nullptr)
+            {
+                self->write_head();
+            }
+        });
+}
+
+bool running_stream::is_at_crash_point() const
+{
+    users_engine_options const& options = owner_.options_;
+    return is_crashing_ && (options.crash_point_ != crash_point::after_events ||
+                            next_ > options.crash_events_);
+}
+
+void running_stream::crash_after(milliseconds delay)
+{
+    timer_.expires_after(delay);
+    timer_.async_wait([self = shared_from_this()](asio::error_code const&)
+                      { self->owner_.crash_(); });
+}
+
+void running_stream::write_head()
+{
     http_head head = completion_metadata(200, id_, owner_.state_);
     head.fields_.push_back({"Content-Type", "text/event-stream"});
     std::string const& fault = owner_.state_.fault_;
@@ -86,13 +125,6 @@
     {
         caller_->begin_response(head);
     }
-    if (is_crashing_)
-    {
-        timer_.expires_after(event_interval);
-        timer_.async_wait([self = shared_from_this()](asio::error_code const&)
-                          { self->owner_.crash_(); });
-        return;
-    }
     step();
 }
 
@@ -122,6 +154,11 @@
     {
         return;
     }
+    if (is_at_crash_point())
+    {
+        crash_after(event_interval);
+        return;
+    }
     if (owner_.state_.fault_ == "held")
     {
         wait(event_interval);
@@ -200,7 +237,7 @@
         fault == "bulk" ? large_event_text(next_) : event_text(next_);
     bool const breaks_off = fault == "half" || fault == "torn" ||
                             (fault == "stumble" && !is_resumed_);
-    bool const is_half = breaks_off && next_ == owner_.options_.events_ / 2;
+    bool const is_half = breaks_off && next_ == last_ / 2;
     if (is_half)
     {
         write(text.substr(0, text.size() / 2));
@@ -208,7 +245,7 @@
         return;
     }
     write(text);
-    if (next_++ >= owner_.options_.events_)
+    if (next_++ >= last_)
     {
         finish();
         return;
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -68,6 +68,13 @@
     std::function<void()> crash_;
 };
 
+/// Identifiers of the events that a stream writes, both ends included.
+struct event_range
+{
+    std::uint64_t first_ = 1;
+    std::uint64_t last_ = 1;
+};
+
 /// One stream that this engine writes.
 class running_stream final
     : public std::enable_shared_from_this<running_stream>,
@@ -76,13 +83,14 @@
 public:
     running_stream(asio::io_context& io, stream_owner const& owner,
                    std::shared_ptr<caller_connection> caller, std::string id,
-                   std::uint64_t next, std::vector<std::string> parts,
+                   event_range events, std::vector<std::string> parts,
                    bool is_crashing)
         : owner_(owner)
         , caller_(std::move(caller))
         , id_(std::move(id))
-        , next_(next)
-        , is_resumed_(next > 1)
+        , next_(events.first_)
+        , last_(events.last_)
+        , is_resumed_(events.first_ > 1)
         , parts_(std::move(parts))
         , is_crashing_(is_crashing)
         , timer_(io)
@@ -93,6 +101,10 @@
     void on_caller_left() override;
 
 private:
+    void write_head();
+    /// Whether the engine crashes before it writes the next event.
+    bool is_at_crash_point() const;
+    void crash_after(milliseconds delay);
     void step();
     void check_part(std::size_t index);
     void write_event();
@@ -108,9 +120,10 @@
     std::shared_ptr<caller_connection> caller_;
     std::string id_;
     std::uint64_t next_;
+    std::uint64_t last_;
     bool is_resumed_;
     std::vector<std::string> parts_;
-    /// The engine crashes instead of writing an event.
+    /// The engine crashes at the point that its options name.
     bool is_crashing_;
     asio::steady_timer timer_;
     milliseconds stalled_{0};
