--- a/fakes/users_engine_options.hpp
+++ b/fakes/users_engine_options.hpp
@@ -16,7 +16,7 @@
     /// The request is read; no byte of the response is written.
     before_head,
     after_head,
-    /// After users_engine_options::crash_events_ events.
+    /// After users_engine_options::crash_events_ events of an attempt.
     after_events,
 };
 
--- a/fakes/users_engine_stream.cpp
+++ b/fakes/users_engine_stream.cpp
@@ -96,7 +96,7 @@
 {
     users_engine_options const& options = owner_.options_;
     return is_crashing_ && (options.crash_point_ != crash_point::after_events ||
-                            next_ > options.crash_events_);
+                            next_ - first_ >= options.crash_events_);
 }
 
 void running_stream::crash_after(milliseconds delay)
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -88,6 +88,7 @@
         : owner_(owner)
         , caller_(std::move(caller))
         , id_(std::move(id))
+        , first_(events.first_)
         , next_(events.first_)
         , last_(events.last_)
         , is_resumed_(events.first_ > 1)
@@ -119,6 +120,7 @@
     stream_owner owner_;
     std::shared_ptr<caller_connection> caller_;
     std::string id_;
+    std::uint64_t first_;
     std::uint64_t next_;
     std::uint64_t last_;
     bool is_resumed_;
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -265,8 +265,9 @@
                                std::optional<response_progress> const& progress,
                                time_point now)
 {
-    // A part of the prompt crashes an endpoint when it begins to answer.
-    request_traits causes = progress && may_have_crashed(*progress, now)
+    // An endpoint that crashes while it reads the prompt sends no response, or
+    // its reset discards what it has sent.
+    request_traits causes = !progress || may_have_crashed(*progress, now)
                                 ? prompt
                                 : request_traits{};
     causes.insert(request_trait(fingerprint));
