--- a/include/auburnlb/coordination/crash_causes.hpp
+++ b/include/auburnlb/coordination/crash_causes.hpp
@@ -35,6 +35,11 @@
 request_traits prompt_traits(std::string const& service,
                              std::vector<std::string> const& part_ids);
 
+/// Returns the traits that parts of a prompt have in a response that has gone
+/// on for some time. A part whose endpoints crash later in the response is
+/// blamed by this one, since responses that only go on do not clear it.
+request_traits continued_traits(request_traits const& prompt);
+
 /// Returns the traits separated by commas.
 std::string to_string(request_traits const& traits);
 
@@ -81,7 +86,7 @@
 
     std::map<std::string, known_crash> crashes_;
     /// The latest success of each trait: a complete response to a request with
-    /// it, or for the part of a prompt one that continued for some time.
+    /// it, or for prompt_traits() one that has continued.
     std::map<std::string, success> successes_;
     /// When the latest crash was that names each trait. Invariant: follows from
     /// crashes_.
@@ -117,8 +122,9 @@
     bool operator==(response_progress const&) const = default;
 };
 
-/// Returns whether a part of the prompt may be why the endpoint crashed now.
-bool may_have_crashed(response_progress const& progress, time_point now);
+/// Returns whether the response has gone on for so long that its prompt does
+/// not crash the endpoint at once.
+bool has_continued(response_progress const& progress, time_point now);
 
 /// Returns those traits of a request that may be why its endpoint crashed now.
 /// @param progress of the response; unset if it has not begun
@@ -127,8 +133,10 @@
                                std::optional<response_progress> const& progress,
                                time_point now);
 
-/// Returns whether an unfinished response shows that its prompt is sound.
-bool is_success(response_progress const& progress, time_point now);
+/// Returns all traits of a request by which it may be refused, and which its
+/// complete response clears.
+request_traits all_traits(request_fingerprint fingerprint,
+                          request_traits const& prompt);
 
 /// Records a success of requests with these traits. Returns those that crashes
 /// since their last success had named.
--- a/src/coordination/crash_causes.cpp
+++ b/src/coordination/crash_causes.cpp
@@ -18,12 +18,11 @@
 
 /// How long a crash or a success is kept.
 constexpr seconds retention{600};
-/// An endpoint that crashes on a prompt does so before this many events, or
-/// before this time.
-constexpr std::uint32_t max_events_before_crash = 2;
-constexpr milliseconds max_time_before_crash{300};
-/// A response that has continued for this long is a success.
-constexpr milliseconds min_success_time{1'000};
+/// A response with more events than this, and that has gone on for this long,
+/// has continued.
+constexpr std::uint32_t max_first_events = 2;
+constexpr milliseconds min_continued_time{1'000};
+constexpr char continued_suffix[] = "/continued";
 constexpr std::size_t max_crashes_kept = 128;
 constexpr std::size_t max_successes_kept = 4'096;
 constexpr std::size_t max_part_id_length = 64;
@@ -187,6 +186,16 @@
     return traits;
 }
 
+request_traits continued_traits(request_traits const& prompt)
+{
+    request_traits traits;
+    for (std::string const& part : prompt)
+    {
+        traits.insert(part + continued_suffix);
+    }
+    return traits;
+}
+
 std::string to_string(request_traits const& traits)
 {
     std::string text;
@@ -254,10 +263,10 @@
                                              : request_record::clean;
 }
 
-bool may_have_crashed(response_progress const& progress, time_point now)
+bool has_continued(response_progress const& progress, time_point now)
 {
-    return progress.events_ <= max_events_before_crash ||
-           now - progress.began_at_ <= max_time_before_crash;
+    return progress.events_ > max_first_events &&
+           now - progress.began_at_ >= min_continued_time;
 }
 
 request_traits possible_causes(request_fingerprint fingerprint,
@@ -267,17 +276,20 @@
 {
     // An endpoint that crashes while it reads the prompt sends no response, or
     // its reset discards what it has sent.
-    request_traits causes = !progress || may_have_crashed(*progress, now)
-                                ? prompt
-                                : request_traits{};
+    request_traits causes = progress && has_continued(*progress, now)
+                                ? continued_traits(prompt)
+                                : prompt;
     causes.insert(request_trait(fingerprint));
     return causes;
 }
 
-bool is_success(response_progress const& progress, time_point now)
+request_traits all_traits(request_fingerprint fingerprint,
+                          request_traits const& prompt)
 {
-    return !may_have_crashed(progress, now) &&
-           now - progress.began_at_ >= min_success_time;
+    request_traits traits = continued_traits(prompt);
+    traits.insert(prompt.begin(), prompt.end());
+    traits.insert(request_trait(fingerprint));
+    return traits;
 }
 
 crash_causes_update lasting_update(crash_causes const& state)
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -103,8 +103,7 @@
                        head_.method_ + head_.target_, body_);
     prompt_traits_ =
         prompt_traits(service_name_, caller_request_.shared_prompt_parts_);
-    traits_ = prompt_traits_;
-    traits_.insert(request_trait(fingerprint_));
+    traits_ = all_traits(fingerprint_, prompt_traits_);
     if (is_known_to_crash())
     {
         refuse_crashing();
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -202,7 +202,7 @@
     event_count_ += events;
     attempt_->progress_.events_ += events;
     if (!attempt_->is_prompt_success_recorded_ &&
-        is_success(attempt_->progress_, now))
+        has_continued(attempt_->progress_, now))
     {
         attempt_->is_prompt_success_recorded_ = true;
         record_success_of(prompt_traits_);
--- a/test/coordination/crash_causes_test.cpp
+++ b/test/coordination/crash_causes_test.cpp
@@ -205,16 +205,13 @@
     EXPECT_FALSE(is_suspected(router.causes_, {"m/a_first"}));
 }
 
-TEST(crash_causes, only_a_response_that_has_just_begun_may_have_crashed)
+TEST(crash_causes, a_response_has_continued_after_some_events_and_a_second)
 {
-    response_progress const begun{start, 1};
-    EXPECT_TRUE(may_have_crashed(begun, start + seconds(5)));
-    EXPECT_FALSE(is_success(begun, start + seconds(5)));
+    response_progress const slow{start, 2};
+    EXPECT_FALSE(has_continued(slow, start + seconds(5)));
     response_progress const fast{start, 50};
-    EXPECT_TRUE(may_have_crashed(fast, start + milliseconds(100)));
-    EXPECT_FALSE(may_have_crashed(fast, start + milliseconds(500)));
-    EXPECT_FALSE(is_success(fast, start + milliseconds(500)));
-    EXPECT_TRUE(is_success(fast, start + seconds(1)));
+    EXPECT_FALSE(has_continued(fast, start + milliseconds(999)));
+    EXPECT_TRUE(has_continued(fast, start + seconds(1)));
 }
 
 TEST(crash_causes, an_evaluation_of_all_kept_crashes_stays_within_the_budget)
@@ -455,7 +452,7 @@
     EXPECT_TRUE(router.refuses(crashing_request));
 }
 
-TEST(crash_causes, parts_are_causes_until_the_response_has_gone_on)
+TEST(crash_causes, parts_are_causes_however_far_the_response_had_come)
 {
     request_traits const prompt{"m/first"};
     request_traits const all{"m/first", request_trait(7)};
@@ -463,8 +460,29 @@
     EXPECT_EQ(possible_causes(7, prompt, response_progress{start, 1}, start),
               all);
     response_progress const continued{start, 50};
+    EXPECT_EQ(possible_causes(7, prompt, continued, start + milliseconds(999)),
+              all);
     EXPECT_EQ(possible_causes(7, prompt, continued, start + seconds(1)),
-              crashing_request);
+              (request_traits{"m/first/continued", request_trait(7)}));
+}
+
+TEST(crash_causes, responses_that_only_go_on_do_not_clear_a_later_crash)
+{
+    observer router;
+    response_progress const continued{start, 50};
+    for (std::uint64_t number = 0; number < 3; ++number)
+    {
+        time_point const at = start + seconds(number + 2);
+        router.success({"m/bad"}, at - milliseconds(500));
+        router.crash("run" + std::to_string(number),
+                     possible_causes(number, {"m/bad"}, continued, at), at);
+    }
+    request_traits const next = all_traits(9, {"m/bad"});
+    EXPECT_TRUE(router.refuses(next));
+    router.success({"m/bad"}, start + seconds(6));
+    EXPECT_TRUE(router.refuses(next));
+    router.success(next, start + seconds(6));
+    EXPECT_FALSE(router.refuses(next));
 }
 
 TEST(crash_causes, a_part_that_crashes_endpoints_before_they_answer_is_found)
--- a/test/process/crashing_part_test.py
+++ b/test/process/crashing_part_test.py
@@ -19,6 +19,8 @@
 REQUEST_INTERVAL_S = 0.25
 SHORT_EVENTS = 10
 LONG_EVENTS = 150
+# More than all attempts together can write before they crash their engines.
+CRASHING_EVENTS = 1000
 # A sound request waits so long at its engine before its answer begins.
 HEAD_DELAY_MS = 100
 # Share of the sound requests that must be whole once crashes have settled.
@@ -52,7 +54,7 @@
         first = [SHARED_PART] if shared_part else []
         for number in range(int(WATCHED_S / REQUEST_INTERVAL_S)):
             self.samples.append((time.monotonic(), self.fleet.runs("crashing-")))
-            self._send("crashing", [*first, CRASHING_PART], LONG_EVENTS)
+            self._send("crashing", [*first, CRASHING_PART], CRASHING_EVENTS)
             self._send_sound([*first, OTHER_PARTS[number % len(OTHER_PARTS)]], SHORT_EVENTS)
             self._send_sound([OTHER_PARTS[number * 3 % len(OTHER_PARTS)]], LONG_EVENTS)
             time.sleep(REQUEST_INTERVAL_S)
@@ -82,7 +84,7 @@
 class CrashingPartTest(unittest.TestCase):
 
     def check(self, crash_options, shared_part=True, **fleet_options):
-        options = ["--crash-part", CRASHING_PART, "--events", str(LONG_EVENTS),
+        options = ["--crash-part", CRASHING_PART, "--events", str(CRASHING_EVENTS),
                    "--head-delay", str(HEAD_DELAY_MS), *crash_options]
         with PlatformCluster() as system, \
                 CrashingFleet(system, ("dc1", "dc2"), 4, options, **fleet_options) as fleet:
@@ -118,6 +120,9 @@
     def test_part_that_crashes_engines_after_half_a_second_of_events_stops_reaching_them(self):
         self.check(["--crash-point", "25"])
 
+    def test_part_that_crashes_engines_well_into_their_answers_stops_reaching_them(self):
+        self.check(["--crash-point", "75"])
+
     def test_part_that_crashes_engines_that_start_again_at_once_stops_reaching_them(self):
         self.check(["--crash-point", "request", "--restart-at-once"])
 
