--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -217,6 +217,10 @@
         {
             state_.fault_ = body;
         }
+        if (head.target_ == "/fake/crash")
+        {
+            crash();
+        }
         if (head.target_ == "/fake/limit")
         {
             state_.rate_limit_ = body;
--- a/fakes/users_engine_options.cpp
+++ b/fakes/users_engine_options.cpp
@@ -17,7 +17,7 @@
     "usage: fake-users_engine --id ID --store IP:PORT [--service NAME] "
     "[--zone NAME] [--kind ACCELERATOR] [--events N] "
     "[--advertise IP:PORT] [--port N] [--record FILE] [--crash-part ID] "
-    "[--crash-body TEXT] [--crash-point request|head|EVENTS] "
+    "[--crash-body TEXT] [--crash-point request|head|later-engine|EVENTS] "
     "[--reset-connections] [--head-delay MS] [--restart-at-once]\n";
 
 void read_crash_point(users_engine_options& options, std::string_view text)
@@ -33,6 +33,11 @@
         options.crash_point_ = crash_point::after_head;
         return;
     }
+    if (text == "later-engine")
+    {
+        options.crash_point_ = crash_point::later_engine;
+        return;
+    }
     options.crash_point_ = crash_point::after_events;
     options.crash_events_ = static_cast<std::uint32_t>(
         parse_number("--crash-point", text.data(), max_crash_events));
--- a/fakes/users_engine_options.hpp
+++ b/fakes/users_engine_options.hpp
@@ -18,6 +18,8 @@
     after_head,
     /// After users_engine_options::crash_events_ events of an attempt.
     after_events,
+    /// The last engine of the request's path crashes, after the head.
+    later_engine,
 };
 
 struct users_engine_options
--- a/fakes/users_engine_stream.cpp
+++ b/fakes/users_engine_stream.cpp
@@ -99,6 +99,20 @@
                             next_ - first_ >= options.crash_events_);
 }
 
+bool running_stream::crash_later_engine()
+{
+    bool const is_meant =
+        owner_.options_.crash_point_ == crash_point::later_engine &&
+        !parts_.empty();
+    if (is_meant)
+    {
+        is_crashing_ = false;
+        owner_.calls_.call(parts_.back(), {"POST", "/fake/crash", ""},
+                           call_timeout, [](result<http_reply> const&) {});
+    }
+    return is_meant;
+}
+
 void running_stream::crash_after(milliseconds delay)
 {
     timer_.expires_after(delay);
@@ -154,7 +168,7 @@
     {
         return;
     }
-    if (is_at_crash_point())
+    if (is_at_crash_point() && !crash_later_engine())
     {
         crash_after(event_interval);
         return;
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -106,6 +106,9 @@
     /// Whether the engine crashes before it writes the next event.
     bool is_at_crash_point() const;
     void crash_after(milliseconds delay);
+    /// Makes the last engine of the path crash, if the options say so. Returns
+    /// whether they do.
+    bool crash_later_engine();
     void step();
     void check_part(std::size_t index);
     void write_event();
--- a/include/auburnlb/coordination/interrupted_runs.hpp
+++ b/include/auburnlb/coordination/interrupted_runs.hpp
@@ -45,6 +45,10 @@
 record_interrupted_run(interrupted_runs& interrupted,
                        interrupted_runs::run const& run);
 
+/// Returns whether the endpoint's run is known to have ended lately.
+bool has_ended(interrupted_runs const& interrupted,
+               std::string const& endpoint_run);
+
 /// Returns the endpoints' runs that cut off requests at this address, and that
 /// another run has taken the place of. The list may have forgotten them before.
 std::vector<std::string> runs_replaced_by(interrupted_runs const& interrupted,
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -61,6 +61,9 @@
     bool is_known_to_crash() const;
 
     void on_tick(time_point now);
+    /// Records that the endpoint's run has ended while it was one of the
+    /// engines that run the request.
+    void record_ended_engine(std::string const& endpoint_run, time_point now);
 
     /// Ends the request if a planned stop leaves it no time. Returns how it has
     /// ended.
@@ -211,8 +214,14 @@
     /// time.
     void probe_unresponsive(time_point since);
     void record_refusal(endpoint_attempt const& attempt, time_point now);
+    /// Records that the endpoint to which the attempt was sent cut it off.
     void record_interrupted_run(endpoint_attempt const& attempt,
                                 time_point now);
+    void record_ended_engine(endpoint_attempt const& attempt,
+                             std::string const& endpoint_run, time_point now);
+    interrupted_runs::run describe_run(endpoint_attempt const& attempt,
+                                       endpoint_record const& record,
+                                       time_point now) const;
     void log_interrupted_run(endpoint_attempt const& attempt,
                              std::string const& endpoint_id,
                              time_point now) const;
--- a/src/coordination/interrupted_runs.cpp
+++ b/src/coordination/interrupted_runs.cpp
@@ -33,6 +33,12 @@
                     : std::nullopt;
 }
 
+bool has_ended(interrupted_runs const& interrupted,
+               std::string const& endpoint_run)
+{
+    return interrupted.ended_at_.contains(endpoint_run);
+}
+
 std::vector<std::string> runs_replaced_by(interrupted_runs const& interrupted,
                                           endpoint_record const& record)
 {
--- a/src/router/request_crashes.cpp
+++ b/src/router/request_crashes.cpp
@@ -108,17 +108,24 @@
     }
 }
 
+interrupted_runs::run
+forwarded_request::describe_run(endpoint_attempt const& attempt,
+                                endpoint_record const& record,
+                                time_point now) const
+{
+    auto const progress =
+        attempt.is_streaming_ ? std::optional(attempt.progress_) : std::nullopt;
+    return {run_id_of(record), record.address_,
+            possible_causes(fingerprint_, prompt_traits_, progress, now), now};
+}
+
 void forwarded_request::record_interrupted_run(endpoint_attempt const& attempt,
                                                time_point now)
 {
     endpoint_record const& record =
         attempt.reservations_.front().endpoint_->record_;
     log_interrupted_run(attempt, record.id_, now);
-    auto const progress =
-        attempt.is_streaming_ ? std::optional(attempt.progress_) : std::nullopt;
-    interrupted_runs::run const run{
-        run_id_of(record), record.address_,
-        possible_causes(fingerprint_, prompt_traits_, progress, now), now};
+    interrupted_runs::run const run = describe_run(attempt, record, now);
     if (auto const crash =
             auburnlb::record_interrupted_run(core_.interrupted_runs_, run))
     {
@@ -126,6 +133,32 @@
     }
 }
 
+void forwarded_request::record_ended_engine(std::string const& endpoint_run,
+                                            time_point now)
+{
+    record_ended_engine(*attempt_, endpoint_run, now);
+    if (superseded_ != nullptr)
+    {
+        record_ended_engine(*superseded_->attempt_, endpoint_run, now);
+    }
+}
+
+void forwarded_request::record_ended_engine(endpoint_attempt const& attempt,
+                                            std::string const& endpoint_run,
+                                            time_point now)
+{
+    for (endpoint_reservation const& each : attempt.reservations_)
+    {
+        endpoint_record const& record = each.endpoint_->record_;
+        if (attempt.connection_ != nullptr && run_id_of(record) == endpoint_run)
+        {
+            log_interrupted_run(attempt, record.id_, now);
+            core_.interrupted_runs_.runs_.push_back(
+                describe_run(attempt, record, now));
+        }
+    }
+}
+
 void forwarded_request::probe_interrupted_run(endpoint_attempt const& attempt)
 {
     endpoint_ptr const& endpoint = attempt.reservations_.front().endpoint_;
--- a/src/router/router_crashes.cpp
+++ b/src/router/router_crashes.cpp
@@ -44,8 +44,16 @@
 
 void router::on_run_ended(std::string const& endpoint_run)
 {
-    if (auto const crash = confirm_crash(core_.interrupted_runs_, endpoint_run,
-                                         core_.clock_.now()))
+    time_point const now = core_.clock_.now();
+    if (!has_ended(core_.interrupted_runs_, endpoint_run))
+    {
+        for (auto const& each : core_.active_)
+        {
+            each->record_ended_engine(endpoint_run, now);
+        }
+    }
+    if (auto const crash =
+            confirm_crash(core_.interrupted_runs_, endpoint_run, now))
     {
         on_crash(endpoint_run, *crash);
     }
--- a/test/coordination/interrupted_runs_test.cpp
+++ b/test/coordination/interrupted_runs_test.cpp
@@ -42,6 +42,17 @@
     EXPECT_TRUE(record_interrupted_run(interrupted, cut));
 }
 
+TEST(interrupted_runs, an_end_is_known_until_it_is_forgotten)
+{
+    interrupted_runs interrupted;
+    EXPECT_FALSE(has_ended(interrupted, "a@1"));
+    confirm_crash(interrupted, "a@1", start);
+    EXPECT_TRUE(has_ended(interrupted, "a@1"));
+    EXPECT_FALSE(has_ended(interrupted, "b@1"));
+    expire_interrupted_runs(interrupted, start + seconds(11));
+    EXPECT_FALSE(has_ended(interrupted, "a@1"));
+}
+
 TEST(interrupted_runs, a_cut_long_before_the_end_of_the_endpoint_does_not_count)
 {
     interrupted_runs interrupted;
--- a/test/process/crashing_part_test.py
+++ b/test/process/crashing_part_test.py
@@ -123,6 +123,9 @@
     def test_part_that_crashes_engines_well_into_their_answers_stops_reaching_them(self):
         self.check(["--crash-point", "75"])
 
+    def test_part_that_crashes_later_engines_of_its_path_stops_reaching_them(self):
+        self.check(["--crash-point", "later-engine"])
+
     def test_part_that_crashes_engines_that_start_again_at_once_stops_reaching_them(self):
         self.check(["--crash-point", "request", "--restart-at-once"])
 
