--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -14,12 +14,12 @@
 // its connection, "anonymous" the same without ids; "held" begins a stream
 // without events; "spill" sends text without end in a stream, "flood" large
 // events without end, "bulk" large events; "after MS" answers a call later;
-// "large" answers it with 12 MB. A post to /fake/limit sets the rate limit that
-// responses name, an empty one ends it. A post to /fake/backoff sets the
-// backoff in seconds that "shed" asks for. A post to /fake/leave makes all
-// responses say that the engine leaves, one to /fake/register writes its entry
-// again. GET /fake/runs gives the runs by id, the orders that it accepted and
-// those for other engines.
+// "large" answers it with 12 MB; "status TEXT" answers with that status. A post
+// to /fake/limit sets the rate limit that responses name, an empty one ends it.
+// A post to /fake/backoff sets the backoff in seconds that "shed" asks for. A
+// post to /fake/leave makes all responses say that the engine leaves, one to
+// /fake/register writes its entry again. GET /fake/runs gives the runs by id,
+// the orders that it accepted and those for other engines.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -351,7 +351,7 @@
         bool const is_crashing =
             has_shared_part(head, options_.crash_part_) ||
             (!options_.crash_body_.empty() && body == options_.crash_body_);
-        if (breaks_head_off(*caller, *id))
+        if (breaks_head_off(*caller, *id) || writes_odd_status(*caller, *id))
         {
             return;
         }
@@ -447,6 +447,21 @@
         return true;
     }
 
+    /// Writes a response with the status that the test has set.
+    bool writes_odd_status(caller_connection& caller, std::string const& id)
+    {
+        constexpr std::string_view prefix = "status ";
+        if (!state_.fault_.starts_with(prefix))
+        {
+            return false;
+        }
+        caller.send_raw("HTTP/1.1 " + state_.fault_.substr(prefix.size()) +
+                        "\r\nAuburnlb-Request-Id: " + id +
+                        "\r\nAuburnlb-Response-Stamp: s\r\n"
+                        "Content-Length: 4\r\n\r\nodd\n");
+        return true;
+    }
+
     /// Ends the process, or begins a new run under the same identifier and
     /// address that knows nothing of before.
     void crash()
--- a/src/protocol/status_line.cpp
+++ b/src/protocol/status_line.cpp
@@ -1,4 +1,4 @@
-// Search for status lines.
+// Valid statuses, and the search for status lines.
 #include "auburnlb/protocol/status_line.hpp"
 
 #include <algorithm>
@@ -20,6 +20,13 @@
 
 } // namespace
 
+bool is_valid_status(long status)
+{
+    constexpr long first_status = 100;
+    constexpr long last_status = 599;
+    return status >= first_status && status <= last_status;
+}
+
 bool contains_status_line(std::string_view text)
 {
     return std::search(text.begin(), text.end(), status_line_form.begin(),
--- a/src/router/http_message.cpp
+++ b/src/router/http_message.cpp
@@ -250,7 +250,8 @@
             return false;
         }
     }
-    if (parser_.type == HTTP_RESPONSE && is_of_two_responses())
+    if (parser_.type == HTTP_RESPONSE &&
+        (!is_valid_status(parser_.status_code) || is_of_two_responses()))
     {
         return false;
     }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -481,6 +481,12 @@
                                   curl_easy_strerror(code)));
         return;
     }
+    if (!is_valid_status(status))
+    {
+        done->handler_(make_error(error_code::response_lost, *done,
+                                  "the response has an invalid status"));
+        return;
+    }
     done->response_.status_ = static_cast<int>(status);
     if (char const* const reason = incompleteness(
             done->request_, done->response_, done->is_head_complete_))
--- a/test/protocol/status_line_test.cpp
+++ b/test/protocol/status_line_test.cpp
@@ -29,3 +29,15 @@
     EXPECT_TRUE(begins_status_line("H", line.substr(1)));
     EXPECT_FALSE(begins_status_line("", line));
 }
+
+TEST(status_line, only_the_five_classes_are_valid)
+{
+    for (long const status : {100L, 200L, 421L, 503L, 599L})
+    {
+        EXPECT_TRUE(is_valid_status(status)) << status;
+    }
+    for (long const status : {-1L, 0L, 42L, 99L, 600L, 999L})
+    {
+        EXPECT_FALSE(is_valid_status(status)) << status;
+    }
+}
--- a/test/router/http_message_test.cpp
+++ b/test/router/http_message_test.cpp
@@ -99,6 +99,21 @@
     EXPECT_TRUE(whole.heads_.empty());
 }
 
+TEST(http_reader, a_response_with_an_invalid_status_is_malformed)
+{
+    for (std::string const status :
+         {"000 OK", "000", "0 OK", "42 Odd", "099 Odd", "600 Odd", "999 Odd"})
+    {
+        SCOPED_TRACE(status);
+        recorder sink;
+        EXPECT_EQ(
+            read_all(sink, response,
+                     "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"),
+            http_read_status::malformed);
+        EXPECT_TRUE(sink.heads_.empty());
+    }
+}
+
 TEST(http_reader, a_response_without_length_ends_with_its_connection)
 {
     recorder sink;
--- a/test/transport/http_client_test.cpp
+++ b/test/transport/http_client_test.cpp
@@ -224,6 +224,19 @@
     }
 }
 
+TEST(http_client, a_response_with_an_invalid_status_is_lost)
+{
+    for (std::string const status :
+         {"000 OK", "000", "0 OK", "42 Odd", "099 Odd", "600 Odd", "999 Odd"})
+    {
+        SCOPED_TRACE(status);
+        auto const response =
+            receive("HTTP/1.1 " + status + "\r\nContent-Length: 3\r\n\r\npan");
+        ASSERT_FALSE(response) << response.value().status_;
+        EXPECT_EQ(response.error().code_, error_code::response_lost);
+    }
+}
+
 TEST(http_client, a_head_that_breaks_off_does_not_merge_with_the_next)
 {
     std::string const copy = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
