--- a/src/coordination/crash_evaluation.cpp
+++ b/src/coordination/crash_evaluation.cpp
@@ -187,6 +187,59 @@
     return worst;
 }
 
+/// Returns whether the trait alone would be refused, and has never succeeded.
+bool is_unproven_suspect(crash_causes const& state, crash_index const& index,
+                         std::string const& trait)
+{
+    auto const found = index.find(trait);
+    return found != index.end() && !state.successes_.contains(trait) &&
+           found->second.size() >= refused_after_crashes &&
+           count_moments(state, *found) >= refused_after_crashes;
+}
+
+/// Returns whether a request had both traits.
+bool occur_together(trait_crashes const& of_trait, std::string const& other)
+{
+    return std::any_of(of_trait.second.begin(), of_trait.second.end(),
+                       [&](endpoint_crash const* crash)
+                       {
+                           return std::any_of(
+                               crash->requests_.begin(), crash->requests_.end(),
+                               [&](request_traits const& request) {
+                                   return request.contains(of_trait.first) &&
+                                          request.contains(other);
+                               });
+                       });
+}
+
+/// Returns what the traits have in common with those of another suspect that no
+/// request shares with them: one cause is likelier than two. Returns the traits
+/// themselves if there is no such suspect.
+request_traits widen(crash_causes const& state, crash_index const& index,
+                     trait_crashes const& worst)
+{
+    request_traits const common = common_traits(worst);
+    for (auto const& each : index)
+    {
+        if (!is_unproven_suspect(state, index, each.first) ||
+            occur_together(worst, each.first))
+        {
+            continue;
+        }
+        request_traits const others = common_traits(each);
+        request_traits both;
+        std::set_intersection(common.begin(), common.end(), others.begin(),
+                              others.end(), std::inserter(both, both.end()));
+        if (std::any_of(both.begin(), both.end(),
+                        [&](std::string const& trait)
+                        { return is_unproven_suspect(state, index, trait); }))
+        {
+            return both;
+        }
+    }
+    return common;
+}
+
 bool is_explained_by(endpoint_crash const& crash, request_traits const& traits)
 {
     return std::any_of(crash.requests_.begin(), crash.requests_.end(),
@@ -232,7 +285,7 @@
     for (auto worst = most_suspect(state, index); worst;
          worst = most_suspect(state, index))
     {
-        request_traits const common = common_traits(*worst);
+        request_traits const common = widen(state, index, *worst);
         std::erase_if(crashes, [&common](endpoint_crash const* each)
                       { return is_explained_by(*each, common); });
         state.refused_.push_back(common);
--- a/test/coordination/crash_causes_test.cpp
+++ b/test/coordination/crash_causes_test.cpp
@@ -504,6 +504,27 @@
     EXPECT_FALSE(router.refuses({"m/first", request_trait(9)}));
 }
 
+TEST(crash_causes, a_part_that_comes_with_several_others_is_refused_alone)
+{
+    observer router;
+    router.crash_each_second(3, {{"m/bad", "m/first", request_trait(1)},
+                                 {"m/bad", "m/second", request_trait(2)},
+                                 {"m/bad", "m/second", request_trait(3)}});
+    EXPECT_TRUE(router.refuses({"m/bad", "m/third"}));
+    EXPECT_FALSE(router.refuses({"m/first", "m/third"}));
+    EXPECT_FALSE(router.refuses({"m/second", "m/third"}));
+}
+
+TEST(crash_causes, two_crashing_parts_do_not_blame_the_beginning_they_share)
+{
+    observer router;
+    router.success({"m/first"}, start - seconds(1));
+    router.crash_each_second(3, {{"m/first", "m/bad1"}, {"m/first", "m/bad2"}});
+    router.success({"m/first"}, start + milliseconds(2'500));
+    EXPECT_FALSE(router.refuses({"m/first", "m/other"}));
+    EXPECT_TRUE(router.refuses({"m/first", "m/bad1"}));
+}
+
 TEST(crash_causes, parts_of_different_services_differ)
 {
     EXPECT_NE(prompt_traits("a", {"1"}), prompt_traits("b", {"1"}));
