--- a/fakes/users_engine_stream.cpp
+++ b/fakes/users_engine_stream.cpp
@@ -104,15 +104,30 @@
     bool const is_meant =
         owner_.options_.crash_point_ == crash_point::later_engine &&
         !parts_.empty();
-    if (is_meant)
+    if (is_meant && !std::exchange(is_crash_sent_, true))
     {
-        is_crashing_ = false;
-        owner_.calls_.call(parts_.back(), {"POST", "/fake/crash", ""},
-                           call_timeout, [](result<http_reply> const&) {});
+        owner_.calls_.call(
+            parts_.back(), {"POST", "/fake/crash", ""}, call_timeout,
+            [self = shared_from_this()](result<http_reply> const& reply)
+            {
+                self->is_crash_sent_ =
+                    reply || reply.error().code_ != error_code::timeout;
+            });
     }
     return is_meant;
 }
 
+void running_stream::stall()
+{
+    stalled_ += event_interval;
+    if (stalled_ >= stall_limit && caller_ != nullptr)
+    {
+        release_caller()->abort_response();
+        return;
+    }
+    wait(event_interval);
+}
+
 void running_stream::crash_after(milliseconds delay)
 {
     timer_.expires_after(delay);
@@ -168,9 +183,10 @@
     {
         return;
     }
-    if (is_at_crash_point() && !crash_later_engine())
+    if (is_at_crash_point())
     {
-        crash_after(event_interval);
+        // What depends on a lost engine stalls.
+        crash_later_engine() ? stall() : crash_after(event_interval);
         return;
     }
     if (owner_.state_.fault_ == "held")
@@ -203,13 +219,7 @@
                 self->check_part(index + 1);
                 return;
             }
-            self->stalled_ += event_interval;
-            if (self->stalled_ >= stall_limit && self->caller_ != nullptr)
-            {
-                self->release_caller()->abort_response();
-                return;
-            }
-            self->wait(event_interval);
+            self->stall();
         });
 }
 
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -109,6 +109,8 @@
     /// Makes the last engine of the path crash, if the options say so. Returns
     /// whether they do.
     bool crash_later_engine();
+    /// Waits for an engine of the path that does not answer, to a limit.
+    void stall();
     void step();
     void check_part(std::size_t index);
     void write_event();
@@ -130,6 +132,7 @@
     std::vector<std::string> parts_;
     /// The engine crashes at the point that its options name.
     bool is_crashing_;
+    bool is_crash_sent_ = false;
     asio::steady_timer timer_;
     milliseconds stalled_{0};
     /// The response ends with its connection.
--- a/test/process/soak_test.py
+++ b/test/process/soak_test.py
@@ -12,8 +12,8 @@
 
 class SoakTest(unittest.TestCase):
 
-    def play(self, seed, seconds=SECONDS):
-        promises = play_seed(seed, seconds)
+    def play(self, seed, seconds=SECONDS, **options):
+        promises = play_seed(seed, seconds, **options)
         self.assertEqual(promises.broken, [])
 
     def test_soak_of_faults_of_all_kinds(self):
@@ -22,6 +22,9 @@
     def test_soak_of_planned_work(self):
         self.play(20261204)
 
+    def test_soak_of_a_part_of_prompts_that_crashes_engines(self):
+        self.play(47, 12, has_crashing_part=True)
+
     def test_soak_of_a_crashing_request_and_a_loss_of_all_routers(self):
         # Crashes that are not confirmed, or fewer than two, are lost with the routers.
         self.play(9221, 12)
--- a/test/soak/crashing_request.py
+++ b/test/soak/crashing_request.py
@@ -1,15 +1,20 @@
-"""A request that crashes each engine that begins to answer it, sent again and again, and
-which of its runs come late."""
+"""Requests that crash each engine that runs them, and which of their runs come late: one
+that is sent again and again, or different ones with a part of the prompt in common."""
 
+import random
 import threading
 import time
 
 from platform_cluster import Caller
 
 BODY = "crashing"
+PART = "bad0"
+# Parts that sound requests do not share, one of which comes with the crashing part.
+BEGINNINGS = ("5a", "6b", "7c")
 PREFIX = "crash-"
 # The users' bound: after this many runs and this time, only so many may follow.
 TOLERATED_RUNS = 3
+TOLERATED_RUNS_OF_PART = 5
 SETTLE_S = 3.0
 LATE_RUNS = 3
 INTERVAL_S = 0.1
@@ -25,11 +30,21 @@
         self.is_in_touch = is_in_touch
 
 
+def draw_crash_options(seed):
+    """Where in its answer an engine ends when a prompt has the part."""
+    rng = random.Random(f"crash-point-{seed}")
+    options = ["--crash-part", PART, "--crash-point",
+               rng.choice(("request", "head", "later-engine", "4", "30"))]
+    return options + (["--reset-connections"] if rng.random() < 0.5 else [])
+
+
 class CrashingRequest:
-    """Sends the request at routers in turn until it is stopped."""
+    """Sends the requests at routers in turn until it is stopped."""
 
-    def __init__(self, world):
+    def __init__(self, world, has_part=False):
         self.world = world
+        self.has_part = has_part
+        self.tolerated_runs = TOLERATED_RUNS_OF_PART if has_part else TOLERATED_RUNS
         self.is_over = threading.Event()
         self.routers = {}
         self.runs = []
@@ -52,8 +67,13 @@
             router = ready[number % len(ready)]
             request_id = f"{PREFIX}{number}"
             self.routers[request_id] = router
+            headers, body = {}, BODY
+            if self.has_part:
+                first = BEGINNINGS[number % len(BEGINNINGS)]
+                headers = {"Auburnlb-Prefix-Hash": f"{first}:40,{PART}:40,{number:x}:20"}
+                body = request_id
             threading.Thread(target=Caller, daemon=True, args=(
-                router, "POST", "/stream/x", request_id, {}, BODY)).start()
+                router, "POST", "/stream/x", request_id, headers, body)).start()
             number += 1
 
     def watch(self):
@@ -73,9 +93,9 @@
         self.runs += [Run(request_id, now, is_in_touch) for _ in range(count)]
 
     def check(self, promises):
-        if len(self.runs) <= TOLERATED_RUNS:
+        if len(self.runs) <= self.tolerated_runs:
             return
-        settled = self.runs[TOLERATED_RUNS - 1].at_s + SETTLE_S
+        settled = self.runs[self.tolerated_runs - 1].at_s + SETTLE_S
         late = [run.request_id for run in self.runs
                 if run.at_s > settled and run.is_in_touch]
         if len(late) > LATE_RUNS:
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -12,7 +12,7 @@
 from callers import CallerThread  # noqa: E402
 from caller_view import Link, Span  # noqa: E402
 from cluster import request, wait_until  # noqa: E402
-from crashing_request import CrashingRequest  # noqa: E402
+from crashing_request import CrashingRequest, draw_crash_options  # noqa: E402
 from platform_cluster import Caller, expected_events  # noqa: E402
 from promises import Promises  # noqa: E402
 from world import World  # noqa: E402
@@ -39,17 +39,18 @@
 class Soak:
     """One seed in one deployment."""
 
-    def __init__(self, seed, seconds):
-        self.is_planned = seed % 4 == 0
-        self.has_crashing_request = seed % 4 == 1
+    def __init__(self, seed, seconds, has_crashing_part=False):
+        self.is_planned = seed % 4 == 0 and not has_crashing_part
+        self.has_crashing_request = seed % 4 == 1 or has_crashing_part
         self.seed = seed
         self.schedule = faults.draw_schedule(seed, seconds, self.is_planned)
-        self.world = World(LINK if self.is_planned else None)
+        self.world = World(crash_options=draw_crash_options(seed)) if has_crashing_part \
+            else World(LINK if self.is_planned else None)
         self.promises = Promises(self.world, self.is_planned)
         self.undo = []
         self.probes = 0
         self.is_over = threading.Event()
-        self.crashing = CrashingRequest(self.world)
+        self.crashing = CrashingRequest(self.world, has_crashing_part)
         self.restart_times = random.Random(f"restart-{seed}")
 
     def members(self):
@@ -200,9 +201,9 @@
         return self.promises
 
 
-def play_seed(seed, seconds, keep=None):
+def play_seed(seed, seconds, keep=None, has_crashing_part=False):
     """Plays a seed; gives the promises. Logs of a failed seed are kept in a folder."""
-    soak = Soak(seed, seconds)
+    soak = Soak(seed, seconds, has_crashing_part)
     try:
         promises = soak.play()
         if promises.broken and keep:
@@ -225,8 +226,10 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--keep", help="folder for the logs of a failed seed")
+    parser.add_argument("--crashing-part", action="store_true",
+                        help="beside the faults, prompts with a part that crashes engines")
     options = parser.parse_args()
-    promises = play_seed(options.seed, options.seconds, options.keep)
+    promises = play_seed(options.seed, options.seconds, options.keep, options.crashing_part)
     for line in promises.broken[:20]:
         print(f"BROKEN {line}")
     print(f"seed {options.seed}: {promises.summary()}, {len(promises.broken)} broken")
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -91,12 +91,13 @@
 class World(PlatformCluster):
     """All members by name, and what the operators wrote."""
 
-    def __init__(self, link=None):
+    def __init__(self, link=None, crash_options=("--crash-body", crashing_request.BODY)):
         super().__init__()
         # The way between callers and routers; without one they are next to each other.
         self.link = link or Link()
         self.has_ways = link is not None
         self.limits = {}
+        self.crash_options = crash_options
         # Times in which an engine may break off, and in which one is silent but sound.
         self.engine_troubles = []
         self.silences = []
@@ -133,7 +134,7 @@
             engine = self.add_engine(name, service, zone,
                                      ["--advertise", f"127.0.0.1:{relay.port}",
                                       "--record", self.record,
-                                      "--crash-body", crashing_request.BODY])
+                                      *self.crash_options])
             relay.command(f"to 127.0.0.1:{engine.port}")
             return engine
         member = Member(name, relay, start)
