--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -219,6 +219,7 @@
                                 time_point now);
     void record_ended_engine(endpoint_attempt const& attempt,
                              std::string const& endpoint_run, time_point now);
+    /// Returns what is kept of a run that was cut off at this endpoint.
     interrupted_runs::run describe_run(endpoint_attempt const& attempt,
                                        endpoint_record const& record,
                                        time_point now) const;
--- a/include/auburnlb/state/log.hpp
+++ b/include/auburnlb/state/log.hpp
@@ -87,6 +87,9 @@
     standard_error,
 };
 
+/// Returns a time as the fields that end in _ms have it.
+std::string ms_text(nanoseconds value);
+
 /// Sets the level, format and target of all events. Must be called before other
 /// threads log. Writing never blocks: if the target is blocked, closed or slow,
 /// lines are dropped, and a log_lines_dropped event reports their number. The
--- a/src/coordination/crash_evaluation.cpp
+++ b/src/coordination/crash_evaluation.cpp
@@ -218,7 +218,7 @@
 request_traits widen(crash_causes const& state, crash_index const& index,
                      trait_crashes const& worst)
 {
-    request_traits const common = common_traits(worst);
+    request_traits common = common_traits(worst);
     for (auto const& each : index)
     {
         if (!is_unproven_suspect(state, index, each.first) ||
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -22,12 +22,6 @@
 /// platform or from another router.
 constexpr milliseconds unconfigured_retry_delay{500};
 
-std::string ms_text(nanoseconds value)
-{
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(value).count());
-}
-
 } // namespace
 
 void forwarded_request::begin(router_core& core,
--- a/src/router/request_crashes.cpp
+++ b/src/router/request_crashes.cpp
@@ -17,12 +17,6 @@
 /// the end of an endpoint usually shows sooner.
 constexpr milliseconds copy_retry_delay{1'000};
 
-std::string count_ms(nanoseconds time)
-{
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 } // namespace
 
 bool forwarded_request::must_follow_copy() const
@@ -91,8 +85,8 @@
          {"began", has_begun ? "true" : "false"},
          {"events", std::to_string(attempt.progress_.events_)},
          {"began_ms",
-          has_begun ? count_ms(now - attempt.progress_.began_at_) : ""},
-         {"sent_ms", count_ms(now - attempt.sent_at_)}},
+          has_begun ? ms_text(now - attempt.progress_.began_at_) : ""},
+         {"sent_ms", ms_text(now - attempt.sent_at_)}},
         "an endpoint cut a request off");
 }
 
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -361,6 +361,12 @@
     sink()->locked_backend()->drain();
 }
 
+std::string ms_text(nanoseconds value)
+{
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(value).count());
+}
+
 void log(log_level level, log_event event,
          std::initializer_list<log_field> fields, std::string_view message)
 {
