--- a/test/process/router_test.py
+++ b/test/process/router_test.py
@@ -436,8 +436,11 @@
             system.stream(system.routers[0], "stream-1")
             lines = self.explain(system, "stream-1")
             # Each engine of the data centre that is tried breaks off.
-            *resumed, ended = lines
+            *attempts, ended = lines
+            interrupted, resumed = attempts[::2], attempts[1::2]
             self.assertTrue(resumed)
+            self.assertEqual([line["name"] for line in interrupted],
+                             ["run_interrupted"] * len(resumed))
             self.assertEqual({(line["name"], line["reason"]) for line in resumed},
                              {("stream_resumed", "broken")})
             self.assertEqual((ended["name"], ended["outcome"]),
