Begin no late stream in a stop that busier engines make too long

What callers would see: a stream that a router takes more than 3 s after its SIGTERM is begun, and cut 0.25 s before the kill, because its engines got busier meanwhile. Nobody was in trouble: other routers' requests had filled the engines' batches.

Cause: the time of a late stream was estimated from the event gap of its path as it is when it is sent, times 1.5. By the deployment's own profile the gap of an engine alone and of one with a full batch that prefills prompts in each step differ by more than that.

Change: the path choice also gives the event gap of its engines with full batches and with a full chunk of prompt tokens in each step (`chunk` of the service, read for this). What is begun more than 3 s after the signal has to end in time at that gap, and still outlast a silence of 1.2 s; what does not is refused at once as not run. Streams of the first 3 s keep the estimate, as most of them end in time and few callers come later.

--- a/fakes/users_engine/main.cpp
+++ b/fakes/users_engine/main.cpp
@@ -13,13 +13,14 @@
 // "repeat" refuses, and writes each refusal once more before the next answer on
 // its connection, "anonymous" the same without ids; "held" begins a stream
 // without events; "spill" sends text without end in a stream, "flood" large
-// events without end, "bulk" large events; "after MS" answers a call later;
-// "large" answers it with 12 MB; "status TEXT" answers with that status. A post
-// to /fake/limit sets the rate limit that responses name, an empty one ends it.
-// A post to /fake/backoff sets the backoff in seconds that "shed" asks for. A
-// post to /fake/leave makes all responses say that the engine leaves, one to
-// /fake/register writes its entry again. GET /fake/runs gives the runs by id,
-// the orders that it accepted and those for other engines.
+// events without end, "bulk" large events; "slow FACTOR" writes events more
+// slowly; "after MS" answers a call later; "large" answers it with 12 MB;
+// "status TEXT" answers with that status. A post to /fake/limit sets the rate
+// limit that responses name, an empty one ends it. A post to /fake/backoff sets
+// the backoff in seconds that "shed" asks for. A post to /fake/leave makes all
+// responses say that the engine leaves, one to /fake/register writes its entry
+// again. GET /fake/runs gives the runs by id, the orders that it accepted and
+// those for other engines.
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
--- a/fakes/users_engine_stream.cpp
+++ b/fakes/users_engine_stream.cpp
@@ -66,6 +66,14 @@
                             : 0);
 }
 
+std::int64_t slowness(engine_state const& state)
+{
+    constexpr std::string_view prefix = "slow ";
+    return state.fault_.starts_with(prefix)
+               ? std::stoll(state.fault_.substr(prefix.size()))
+               : 1;
+}
+
 void running_stream::begin()
 {
     caller_->set_disconnect_handler(this);
@@ -274,7 +282,7 @@
         finish();
         return;
     }
-    wait(event_interval);
+    wait(event_interval * slowness(owner_.state_));
 }
 
 } // namespace auburnlb::fakes
--- a/fakes/users_engine_stream.hpp
+++ b/fakes/users_engine_stream.hpp
@@ -58,6 +58,9 @@
 /// Returns how much later than at once a call is answered.
 milliseconds answer_delay(engine_state const& state);
 
+/// Returns the factor by which the events of a stream come later.
+std::int64_t slowness(engine_state const& state);
+
 /// What a stream uses of its engine, which outlives it.
 struct stream_owner
 {
--- a/include/auburnlb/coordination/path_choice.hpp
+++ b/include/auburnlb/coordination/path_choice.hpp
@@ -85,6 +85,9 @@
     double first_event_ms_ = 0;
     /// Time between two events, in ms.
     double event_gap_ms_ = 0;
+    /// The same once the batches of all engines are full and prompts are
+    /// prefilled in each step, in ms.
+    double busy_event_gap_ms_ = 0;
     /// Number of times that the path crosses between data centres.
     std::uint32_t crossings_ = 0;
 
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -99,9 +99,15 @@
     bool is_too_late_to_begin() const;
     /// Whether the request may be sent during the planned stop.
     bool can_finish_before_stop(time_point now) const;
-    /// Returns how long the response takes, with a margin; for a model, over
-    /// the chosen path.
-    milliseconds response_time(double tokens) const;
+    /// Returns how long the response is expected to take, with a margin; for a
+    /// model, over the chosen path.
+    milliseconds expected_time() const;
+    /// Returns how long the response takes at sound endpoints at most.
+    milliseconds longest_time(time_point now) const;
+    /// Returns how long a call takes at most.
+    milliseconds call_time() const;
+    /// Returns how long a stream of a model takes over the chosen path.
+    milliseconds stream_time(double tokens, double event_gap_ms) const;
     /// Whether the length of the longest response is known well enough to be
     /// begun late in a planned stop.
     bool may_estimate_longest_time() const;
--- a/include/auburnlb/state/model_profile.hpp
+++ b/include/auburnlb/state/model_profile.hpp
@@ -43,6 +43,9 @@
     /// Additional time of a step for each 1,000 tokens of context, in ms.
     double step_ms_per_1k_context_ = 0;
     double prefill_tokens_per_s_ = 1;
+    /// Maximum number of prompt tokens that are prefilled in a decoding step;
+    /// 0 if it is not known.
+    double prefill_tokens_per_step_ = 0;
     /// Decoding steps for each event of a stream.
     std::uint32_t steps_per_event_ = 1;
     /// Time to load all layers, in seconds.
--- a/src/coordination/path_choice.cpp
+++ b/src/coordination/path_choice.cpp
@@ -49,6 +49,8 @@
 {
     double prefill_ms_per_layer_ = 0;
     double token_ms_per_layer_ = 0;
+    /// The same if the engine's batch is full and each step prefills prompts.
+    double busy_token_ms_per_layer_ = 0;
     /// Time that an event waits until the engine's previous pass is over.
     double wait_ms_ = 0;
     /// Weighted cost of one layer over the whole stream, in ms.
@@ -79,13 +81,47 @@
     return demand.prompt_tokens_ + demand.answer_tokens_;
 }
 
+double held_layers(path_engine const& engine)
+{
+    return std::max(
+        1.0, static_cast<double>(engine.layers_.end_ - engine.layers_.first_));
+}
+
+/// Returns the time of a decoding step over all layers with this many streams
+/// of mean length, in ms, on an accelerator with factor 1.
+double decoding_step_ms(model_profile const& model, double streams)
+{
+    double const context_k =
+        streams * (model.mean_prompt_tokens_ + model.mean_output_tokens_) /
+        ms_per_s;
+    return model.step_ms_ + model.step_ms_per_request_ * streams +
+           model.step_ms_per_1k_context_ * context_k;
+}
+
+/// Returns how much longer a decoding step over all layers takes at most if it
+/// prefills prompts as well, in ms, on an accelerator with factor 1.
+double prefill_step_ms(model_profile const& model)
+{
+    return ms_per_s / model.prefill_tokens_per_s_ *
+           model.prefill_tokens_per_step_;
+}
+
+/// Returns the time that an engine adds to each event, in ms.
+/// @param layers the layers that it runs for the stream
+double event_ms(path_engine const& engine, model_profile const& model,
+                double token_ms_per_layer, double layers)
+{
+    return token_ms_per_layer *
+           (layers + held_layers(engine) * busy_wait_share) *
+           static_cast<double>(model.steps_per_event_) * engine.cost_factor_;
+}
+
 engine_cost cost_of(path_engine const& engine, model_profile const& model,
                     path_demand const& demand)
 {
     engine_cost cost;
     double const layers = std::max(1.0, static_cast<double>(model.layers_));
-    double const held = std::max(
-        1.0, static_cast<double>(engine.layers_.end_ - engine.layers_.first_));
+    double const held = held_layers(engine);
     double const prefill_ms_per_token = ms_per_s / model.prefill_tokens_per_s_ *
                                         engine.accelerator_.prefill_factor_ /
                                         layers;
@@ -93,17 +129,16 @@
     cost.prefill_ms_per_layer_ =
         prefill_ms_per_token * (demand.prompt_tokens_ + waiting_tokens);
     double const streams = static_cast<double>(engine.streams_) + 1;
-    double const context_k =
-        streams * (model.mean_prompt_tokens_ + model.mean_output_tokens_) /
-        ms_per_s;
-    double const step_ms = model.step_ms_ +
-                           model.step_ms_per_request_ * streams +
-                           model.step_ms_per_1k_context_ * context_k;
+    double const full_batch =
+        std::max(streams, static_cast<double>(model.batch_slots_));
+    accelerator_profile const& accelerator = engine.accelerator_;
     cost.token_ms_per_layer_ =
-        step_ms * engine.accelerator_.step_factor_ / layers;
-    cost.wait_ms_ = cost.token_ms_per_layer_ * held *
-                    static_cast<double>(model.steps_per_event_) *
-                    busy_wait_share * engine.cost_factor_;
+        decoding_step_ms(model, streams) * accelerator.step_factor_ / layers;
+    cost.busy_token_ms_per_layer_ =
+        (decoding_step_ms(model, full_batch) * accelerator.step_factor_ +
+         prefill_step_ms(model) * accelerator.prefill_factor_) /
+        layers;
+    cost.wait_ms_ = event_ms(engine, model, cost.token_ms_per_layer_, 0);
     double const usable_kv = engine.kv_capacity_ * demand.max_kv_share_;
     double const free_kv = usable_kv - engine.kv_reserved_;
     double const compared_kv =
@@ -347,15 +382,16 @@
         double const hop =
             first_event_hop_ms(state, last.previous_, last.engine_);
         double const pass_ms =
-            cost.wait_ms_ + count * cost.token_ms_per_layer_ *
-                                engine.cost_factor_ *
-                                state.model_.steps_per_event_;
+            event_ms(engine, state.model_, cost.token_ms_per_layer_, count);
+        double const busy_pass_ms = event_ms(
+            engine, state.model_, cost.busy_token_ms_per_layer_, count);
         choice.first_event_ms_ +=
             count * cost.prefill_ms_per_layer_ * engine.cost_factor_ + hop +
             pass_ms;
         bool const is_remote = is_crossing(state, last.previous_, last.engine_);
-        choice.event_gap_ms_ +=
-            pass_ms + (is_remote ? remote_hop_ms : local_hop_ms);
+        double const frame_ms = is_remote ? remote_hop_ms : local_hop_ms;
+        choice.event_gap_ms_ += pass_ms + frame_ms;
+        choice.busy_event_gap_ms_ += busy_pass_ms + frame_ms;
         choice.crossings_ += is_remote ? 1 : 0;
         at = last.previous_;
     }
--- a/src/router/request_stop.cpp
+++ b/src/router/request_stop.cpp
@@ -31,20 +31,49 @@
     return core_.is_stopping_ && !can_finish_before_stop(core_.clock_.now());
 }
 
-milliseconds forwarded_request::response_time(double tokens) const
+milliseconds forwarded_request::call_time() const
+{
+    return std::chrono::duration_cast<milliseconds>(route_->latency_target_ *
+                                                    late_call_targets);
+}
+
+milliseconds forwarded_request::stream_time(double tokens,
+                                            double event_gap_ms) const
+{
+    double const events =
+        tokens / std::max(1U, service_entry_->model_->steps_per_event_);
+    double const first_event_ms =
+        attempt_->path_.first_event_ms_ * late_response_margin;
+    return milliseconds(
+        static_cast<std::int64_t>(first_event_ms + events * event_gap_ms));
+}
+
+milliseconds forwarded_request::expected_time() const
 {
     if (!is_model())
     {
-        return std::chrono::duration_cast<milliseconds>(
-            route_->latency_target_ * late_call_targets);
+        return call_time();
     }
     // Before a path is chosen, its times are 0.
-    double const events =
-        tokens / std::max(1U, service_entry_->model_->steps_per_event_);
-    double const expected_ms = attempt_->path_.first_event_ms_ +
-                               events * attempt_->path_.event_gap_ms_;
-    return milliseconds(
-        static_cast<std::int64_t>(expected_ms * late_response_margin));
+    return stream_time(expected_output_tokens(),
+                       attempt_->path_.event_gap_ms_ * late_response_margin);
+}
+
+milliseconds forwarded_request::longest_time(time_point now) const
+{
+    if (!may_estimate_longest_time())
+    {
+        return std::chrono::ceil<milliseconds>(deadline_ - now);
+    }
+    if (!is_model())
+    {
+        return call_time();
+    }
+    // Requests of all routers may fill the batches before the stream ends.
+    path_choice const& path = attempt_->path_;
+    return stream_time(static_cast<double>(caller_request_.max_output_tokens_),
+                       std::max(path.event_gap_ms_ * late_response_margin,
+                                path.busy_event_gap_ms_));
 }
 
 bool forwarded_request::may_estimate_longest_time() const
@@ -65,13 +94,8 @@
     request.received_ = received_;
     request.deadline_ = deadline_;
     request.may_have_run_ = may_have_run_ || event_count_ > 0;
-    request.expected_time_ =
-        response_time(is_model() ? expected_output_tokens() : 0);
-    request.longest_time_ =
-        may_estimate_longest_time()
-            ? response_time(
-                  static_cast<double>(caller_request_.max_output_tokens_))
-            : std::chrono::ceil<milliseconds>(deadline_ - now);
+    request.expected_time_ = expected_time();
+    request.longest_time_ = longest_time(now);
     return may_send(core_.stop_, request, now);
 }
 
--- a/test/coordination/path_choice_test.cpp
+++ b/test/coordination/path_choice_test.cpp
@@ -202,6 +202,31 @@
     EXPECT_FALSE(passes(*choice, "dc-1-large"));
 }
 
+// Guards against streams that a stopping router begins on the pace of engines
+// at rest, and cuts when they get busier.
+TEST(path_choice, busy_gap_is_that_of_engines_with_full_batches)
+{
+    model_profile busy = model;
+    busy.batch_slots_ = 192;
+    busy.step_ms_per_1k_context_ = 0.01;
+    auto engines = planned_engines();
+    auto const idle = choose_path(engines, busy, usual_demand());
+    for (path_engine& each : engines)
+    {
+        each.streams_ = busy.batch_slots_ - 1;
+    }
+    auto const full = choose_path(engines, busy, usual_demand());
+    ASSERT_TRUE(idle && full);
+    ASSERT_EQ(idle->path_, full->path_);
+    EXPECT_GT(idle->busy_event_gap_ms_, 2 * idle->event_gap_ms_);
+    EXPECT_DOUBLE_EQ(idle->busy_event_gap_ms_, full->event_gap_ms_);
+    EXPECT_DOUBLE_EQ(full->busy_event_gap_ms_, full->event_gap_ms_);
+    busy.prefill_tokens_per_step_ = 512;
+    auto const prefilling = choose_path(engines, busy, usual_demand());
+    ASSERT_TRUE(prefilling);
+    EXPECT_GT(prefilling->busy_event_gap_ms_, full->event_gap_ms_);
+}
+
 RC_GTEST_PROP(path_choice, path_is_complete_and_fits_for_any_lost_engines, ())
 {
     auto engines = planned_engines("dc-1");
@@ -222,6 +247,7 @@
     RC_ASSERT(is_complete_path(choice->path_, model.layers_));
     RC_ASSERT(choice->first_event_ms_ > 0);
     RC_ASSERT(choice->event_gap_ms_ > 0);
+    RC_ASSERT(choice->busy_event_gap_ms_ >= choice->event_gap_ms_);
     for (path_part const& part : choice->path_.parts_)
     {
         path_engine const& engine = find_engine(engines, part.endpoint_id_);
--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -29,9 +29,10 @@
         {"name": "model", "max-connections": 1128,
          "engine": {"batch-slots": 192, "kv-bytes": 918000, "stride": 3,
                     "models": [{"name": "m", "load-s": 14.0}],
-                    "step_ms": 1.02, "read_per_s": 105000.0, "layers": 80,
-                    "layer-mb": 1750.0, "act-bytes": 45900,
-                    "pipe-mbps": 26000.0, "loads_at_once": 5,
+                    "step_ms": 1.02, "read_per_s": 105000.0,
+                    "chunk": 512, "layers": 80, "layer-mb": 1750.0,
+                    "act-bytes": 45900, "pipe-mbps": 26000.0,
+                    "loads_at_once": 5,
                     "usual": {"prompt": 774, "answer": 200},
                     "kinds": [{"name": "a100", "mb": 72000.0, "pace": 2.4,
                                "read-x": 3.2}]}},
@@ -72,6 +73,7 @@
     EXPECT_EQ(model.layers_, 80U);
     EXPECT_EQ(model.load_s_, 14.0);
     EXPECT_EQ(model.steps_per_event_, 3U);
+    EXPECT_EQ(model.prefill_tokens_per_step_, 512);
     EXPECT_EQ(model.accelerators_.at("a100").step_factor_, 2.4);
     EXPECT_FALSE(table.services_.back().model_);
     EXPECT_EQ(table.workspaces_.front().api_keys_.size(), 2U);
--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -26,7 +26,7 @@
 
 
 def configuration(version=1, routes=(), keys=(KEY,), timeout_ms=10_000, book_attempts=1,
-                  step_ms=1.0, limits=None, read_per_s=100000.0):
+                  step_ms=1.0, per_seq_ms=0.0, limits=None, read_per_s=100000.0):
     """The operators' object: a stream route and two plain ones."""
     base = [
         {"name": "stream", "host": HOST, "path-prefix": "/stream/", "kind": "streaming",
@@ -43,8 +43,9 @@
                 {"name": MODEL, "max-connections": 64,
                  "engine": {"batch-slots": 16, "kv-bytes": 80000, "stride": 1,
                             "models": [{"name": "m", "load-s": 0.1}], "step_ms": step_ms,
-                            "read_per_s": read_per_s, "layers": LAYERS, "layer-mb": 100.0,
-                            "act-bytes": 1000, "pipe-mbps": 10000.0, "loads_at_once": 5,
+                            "per_seq_ms": per_seq_ms, "read_per_s": read_per_s, "layers": LAYERS,
+                            "layer-mb": 100.0, "act-bytes": 1000, "pipe-mbps": 10000.0,
+                            "loads_at_once": 5,
                             "usual": {"prompt": 100, "answer": EVENTS},
                             "kinds": [{"name": "card", "mb": ENGINE_MB / 2, "pace": 2.0,
                                        "read-x": 1.0}]}},
