Move the calls of the administration API into a file of their own

Cause: remote_commands.cpp had 607 lines and two jobs, the commands and the exchange with the administration API that all of them share.

Change: admin_session has the exchange: sending, sending a change again, evaluating answers, asking the operator, printing. No behaviour is changed. remote_commands.cpp has 423 lines now.

Checked: test_command_line passes (7 of 7), format and lint are clean.

--- a/src/command_line/remote_commands.cpp
+++ b/src/command_line/remote_commands.cpp
@@ -9,6 +9,7 @@
 #include "auburnlb/state/questionnaire.hpp"
 #include "auburnlb/state/service_object.hpp"
 
+#include "admin_session.hpp"
 #include "tables.hpp"
 
 namespace auburnlb::cli
@@ -20,193 +21,6 @@
 using nlohmann::ordered_json;
 
 constexpr char program_version[] = "0.1.0";
-constexpr int max_attempts = 3;
-
-// A response whose status is a success; everything else was printed.
-struct call_result
-{
-    exit_status code_ = exit_status::failure;
-    ordered_json body_;
-};
-
-bool is_uncertain(result<admin_response> const& answer)
-{
-    if (answer)
-    {
-        return answer.value().status_ == 504;
-    }
-    return answer.error().code_ == error_code::response_lost ||
-           answer.error().code_ == error_code::timeout;
-}
-
-// One command's view of the API: who calls, and how results are printed.
-class session
-{
-public:
-    session(options const& given, command_environment const& environment,
-            connection where)
-        : given_(given)
-        , environment_(environment)
-        , where_(std::move(where))
-    {
-    }
-
-    result<admin_response> send(std::string const& method,
-                                std::string const& path,
-                                std::string const& body = "") const
-    {
-        return environment_.call_(
-            where_.base_url_,
-            {method, "/admin/v1/" + path, body, where_.token_, where_.author_});
-    }
-
-    // A change carries its id, so that sending it again is safe.
-    result<admin_response> send_change(std::string const& method,
-                                       std::string const& path,
-                                       ordered_json const& body) const
-    {
-        result<admin_response> answer = send(method, path, body.dump());
-        for (int attempt = 1; attempt < max_attempts && is_uncertain(answer);
-             ++attempt)
-        {
-            answer = send(method, path, body.dump());
-        }
-        return answer;
-    }
-
-    call_result evaluate(result<admin_response> const& answer) const
-    {
-        if (!answer)
-        {
-            return {report(environment_, answer.error()), {}};
-        }
-        ordered_json body =
-            ordered_json::parse(answer.value().body_, nullptr, false);
-        int const status = answer.value().status_;
-        if (body.is_discarded())
-        {
-            return {report(environment_, {error_code::internal, "read response",
-                                          where_.base_url_,
-                                          "status " + std::to_string(status) +
-                                              " with a body that is no JSON"}),
-                    {}};
-        }
-        if (status >= 200 && status < 300)
-        {
-            return {exit_status::ok, std::move(body)};
-        }
-        return {print_failure(status, body), std::move(body)};
-    }
-
-    // Prints the body as JSON if that is wanted, and says whether it did.
-    bool print_json(ordered_json const& body) const
-    {
-        if (given_.is_json_)
-        {
-            environment_.out_ << body.dump(2) << '\n';
-        }
-        return given_.is_json_;
-    }
-
-    // Asks the operator, unless --yes was given.
-    exit_status confirm(std::string const& question) const
-    {
-        if (given_.is_yes_)
-        {
-            return exit_status::ok;
-        }
-        if (!environment_.confirm_)
-        {
-            return report(environment_,
-                          {error_code::invalid_input, "ask for confirmation",
-                           "", "there is no terminal; give --yes"});
-        }
-        if (environment_.confirm_(question))
-        {
-            return exit_status::ok;
-        }
-        environment_.err_ << "Nothing was changed.\n";
-        return exit_status::failure;
-    }
-
-    // The fields that every change has.
-    ordered_json change_body(ordered_json const& version) const
-    {
-        ordered_json body;
-        body["expected_version"] = given_.expected_version_
-                                       ? ordered_json(*given_.expected_version_)
-                                       : version;
-        body["change_id"] = given_.change_id_ ? *given_.change_id_
-                                              : environment_.new_change_id_();
-        body["comment"] = given_.comment_.value_or("");
-        return body;
-    }
-
-    // Sends a confirmed change and prints the version that it got.
-    exit_status finish(std::string const& method, std::string const& path,
-                       ordered_json const& body) const
-    {
-        auto const answer = send_change(method, path, body);
-        bool const is_lost = is_uncertain(answer);
-        call_result const accepted = evaluate(answer);
-        if (accepted.code_ != exit_status::ok)
-        {
-            if (is_lost)
-            {
-                environment_.err_
-                    << "It is not known whether the change was accepted. Give "
-                       "the command again with --change-id "
-                    << cell_text(body.at("change_id")) << " --expect "
-                    << cell_text(body.at("expected_version")) << ".\n";
-            }
-            return accepted.code_;
-        }
-        if (!print_json(accepted.body_))
-        {
-            environment_.out_ << "Accepted as version "
-                              << cell_text(accepted.body_.at("version"))
-                              << ".\n";
-        }
-        return exit_status::ok;
-    }
-
-    void print_diff(ordered_json const& changes) const
-    {
-        if (!given_.is_json_)
-        {
-            print_changes(environment_.out_, changes);
-        }
-    }
-
-private:
-    exit_status print_failure(int status, ordered_json const& body) const
-    {
-        bool const is_conflict = status == 409;
-        if (given_.is_json_)
-        {
-            environment_.out_ << body.dump(2) << '\n';
-        }
-        ordered_json const failure =
-            body.value("error", ordered_json::object());
-        environment_.err_ << "auburnlb: "
-                          << cell_text(failure.value("detail",
-                                                     ordered_json("refused")))
-                          << " (status " << status << ")\n";
-        if (is_conflict && !given_.is_json_)
-        {
-            environment_.err_ << "Changed meanwhile:\n";
-            print_changes(environment_.err_,
-                          body.value("changes", ordered_json::array()));
-            environment_.err_ << "Nothing was changed. Look at the newer "
-                                 "version and give the command again.\n";
-        }
-        return is_conflict ? exit_status::conflict : exit_status::failure;
-    }
-
-    options const& given_;
-    command_environment const& environment_;
-    connection const where_;
-};
 
 template <class Command>
 exit_status with_session(options const& given,
@@ -218,7 +32,7 @@
     {
         return report(environment, where.error());
     }
-    return command(session(given, environment, where.value()));
+    return command(admin_session(given, environment, where.value()));
 }
 
 ordered_json describe_change(std::string const& field,
@@ -282,7 +96,7 @@
 }
 
 // A new service is an empty description of version 0.
-call_result read_or_new(session const& api, std::string const& service)
+call_result read_or_new(admin_session const& api, std::string const& service)
 {
     auto const answer = api.send("GET", "services/" + service);
     if (answer && answer.value().status_ == 404)
@@ -292,7 +106,7 @@
     return api.evaluate(answer);
 }
 
-exit_status offer_answers(session const& api, options const& given,
+exit_status offer_answers(admin_session const& api, options const& given,
                           command_environment const& environment,
                           questionnaire const& answers)
 {
@@ -369,7 +183,8 @@
     return amendments;
 }
 
-exit_status offer_amendments(session const& api, std::string const& service,
+exit_status offer_amendments(admin_session const& api,
+                             std::string const& service,
                              ordered_json const& amendments)
 {
     call_result const current =
@@ -397,7 +212,8 @@
     return api.finish("PATCH", "services/" + service, body);
 }
 
-exit_status show_document(session const& api, command_environment const& to,
+exit_status show_document(admin_session const& api,
+                          command_environment const& to,
                           std::string const& path)
 {
     call_result const document = api.evaluate(api.send("GET", path));
@@ -409,7 +225,7 @@
 }
 
 // The configurations that the platform holds, beside those in force at a host.
-exit_status show_configurations(session const& api,
+exit_status show_configurations(admin_session const& api,
                                 command_environment const& to)
 {
     call_result const listed = api.evaluate(api.send("GET", "services"));
@@ -422,8 +238,8 @@
     return listed.code_;
 }
 
-exit_status show_earlier(session const& api, command_environment const& to,
-                         std::string const& path)
+exit_status show_earlier(admin_session const& api,
+                         command_environment const& to, std::string const& path)
 {
     call_result const earlier = api.evaluate(api.send("GET", path));
     if (earlier.code_ != exit_status::ok || api.print_json(earlier.body_))
@@ -441,7 +257,7 @@
     return exit_status::ok;
 }
 
-exit_status roll_back(session const& api, std::string const& service,
+exit_status roll_back(admin_session const& api, std::string const& service,
                       std::uint64_t target)
 {
     std::string const path = "services/" + service;
@@ -492,7 +308,7 @@
     }
     return with_session(
         given, environment,
-        [&](session const& api)
+        [&](admin_session const& api)
         { return offer_answers(api, given, environment, answers.value()); });
 }
 
@@ -505,7 +321,7 @@
         return exit_status::usage;
     }
     return with_session(given, environment,
-                        [&](session const& api) {
+                        [&](admin_session const& api) {
                             return offer_amendments(api, given.operands_[1],
                                                     amendments.value());
                         });
@@ -516,7 +332,7 @@
 {
     return with_session(
         given, environment,
-        [&](session const& api)
+        [&](admin_session const& api)
         {
             exit_status const code = show_document(api, environment, "status");
             bool const is_done = given.is_json_ || code != exit_status::ok;
@@ -528,7 +344,7 @@
 {
     std::string const& endpoint = given.operands_[1];
     return with_session(given, environment,
-                        [&](session const& api)
+                        [&](admin_session const& api)
                         {
                             exit_status const code =
                                 api.confirm("Drain " + endpoint + "?");
@@ -553,7 +369,7 @@
     std::string const& service = given.operands_[1];
     return with_session(
         given, environment,
-        [&](session const& api)
+        [&](admin_session const& api)
         {
             if (given.rollback_version_)
             {
@@ -589,7 +405,7 @@
         return exit_status::ok;
     }
     return with_session(given, environment,
-                        [&](session const& api)
+                        [&](admin_session const& api)
                         { return show_document(api, environment, "version"); });
 }
 
