--- a/test/coordination/path_choice_test.cpp
+++ b/test/coordination/path_choice_test.cpp
@@ -202,8 +202,7 @@
     EXPECT_FALSE(passes(*choice, "dc-1-large"));
 }
 
-// Guards against streams that a stopping router begins on the pace of engines
-// at rest, and cuts when they get busier.
+// Guards against late streams that are cut in a stop as engines get busier.
 TEST(path_choice, busy_gap_is_that_of_engines_with_full_batches)
 {
     model_profile busy = model;
--- a/test/process/silence_in_a_stop_test.py
+++ b/test/process/silence_in_a_stop_test.py
@@ -20,9 +20,9 @@
 SLOW_ROUTE = {"name": "slow", "host": HOST, "path-prefix": "/slow/", "kind": "safe",
               "timeout-ms": 20_000, "latency-target-ms": 100, "priority": 2, "service": DESK,
               "max-attempts": 1, "public": False}
-# By its profile an engine writes an event in 20 ms alone, and in 130 ms with all slots taken.
+# By this profile an event takes about 20 ms at an idle engine, 130 ms with a full batch.
 IDLE_STEP_MS, STEP_MS_PER_REQUEST = 3.0, 2.0
-# Its events come every 20 ms and then, while the router sees no other load, every 100 ms.
+# Events of the stand-in, usually 20 ms apart, come so much more slowly; within the profile.
 BUSY_FACTOR = 5
 BUSY_FROM_S, BUSY_SENT_S = 4.4, (4.5, 4.6, 4.7, 4.8)
 SHORT_EVENTS, SHORT_SENT_S = 4, 4.9
@@ -78,8 +78,7 @@
                 engine.send(signal.SIGCONT)
             self.assert_kept(system, [each.result() for each in streams])
 
-    # Guards against late streams that are begun on the pace of engines at rest, and cut when
-    # requests of other routers fill the engines' batches.
+    # Guards against late streams that are cut since the estimate assumed idle engines.
     def test_stop_cuts_no_late_stream_whose_engines_get_busier(self):
         with self.long_stop(step_ms=IDLE_STEP_MS,
                             per_seq_ms=STEP_MS_PER_REQUEST) as (system, began):
--- a/test/router/store_feed_test.cpp
+++ b/test/router/store_feed_test.cpp
@@ -20,8 +20,8 @@
 
 constexpr milliseconds tick_interval{10};
 constexpr milliseconds loss_detection{3'000};
-/// The users' time after a disruption from which bounds hold again.
-constexpr milliseconds stable_window{3'000};
+/// Time from the store's return until removals have to be in force.
+constexpr milliseconds removal_deadline{3'000};
 
 /// Serves one list of no objects, and no call after it.
 fakes::asio_server::handler list_server()
@@ -90,9 +90,7 @@
 
 } // namespace
 
-// Guards against a removal that is put off beyond the time from which it has to
-// be kept: a store that came back right after a call was lost is noticed with
-// the next one, and missing entries are kept for list_recovery_time from there.
+// Guards against removals that are put off too long after a silent outage.
 TEST(store_feed, notices_the_return_early_enough_to_keep_missing_entries)
 {
     auto const failures = failures_of_silent_store(seconds(9));
@@ -100,7 +98,7 @@
     for (std::size_t at = 0; at + 1 < failures.size(); ++at)
     {
         EXPECT_LT(failures[at + 1] - failures[at],
-                  stable_window - list_recovery_time)
+                  removal_deadline - list_recovery_time)
             << "after failure " << at;
     }
 }
