--- a/review/stand_ins-2/stand_ins.py
+++ b/review/stand_ins-2/stand_ins.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import re
 import resource
+import shutil
 import signal
 import socket
 import subprocess
@@ -560,6 +562,12 @@
     return re.sub(r"\{\{([a-z0-9_.|-]+)\}\}", replace, text)
 
 
+def end_with_parent(number):
+    """Has the kernel send this signal to the calling process when its parent ends."""
+    set_parent_death_signal = 1
+    ctypes.CDLL(None).prctl(set_parent_death_signal, number, 0, 0, 0)
+
+
 class Router:
     """One machine of the class front, and its processes."""
 
@@ -588,7 +596,8 @@
         log = open(os.path.join(self.folder, f"{self.name}-{self.starts}.log"), "wb")
         program = os.path.join(ROOT, os.environ.get("ROUTER", "target/auburnlb-router"))
         self.process = subprocess.Popen([program, "--settings", path], cwd=ROOT,
-                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                                        preexec_fn=lambda: end_with_parent(signal.SIGKILL))
         self.record.write(f"start {self.name} pid {self.process.pid}")
 
     def kill(self):
@@ -723,31 +732,44 @@
     return answer
 
 
+# A script may run for 120 s.
+LONGEST_RUN_S = 112
+
+
 def run_case(case, folder):
-    """Runs the coroutine case(record, temporary folder); it returns True if the rule held."""
+    """Runs the coroutine case(record, add_router), which returns True if the rule held.
+
+    Whatever happens to this process, its routers end: it ends them itself, also when it is told to
+    stop or takes too long, and the kernel does when it is killed.
+    """
     # Clients and servers share this process and its descriptors.
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(most, 8192) if most > 0 else 8192, most))
     record = Record(folder)
     routers = []
-    status = 2
-    with tempfile.TemporaryDirectory(prefix="auburnlb-review-") as temporary:
-        def add_router(name, zone, store_address, bounds=None):
-            router = Router(name, zone, store_address, temporary, record, bounds)
-            routers.append(router)
-            return router
-        loop = asyncio.new_event_loop()
-        try:
-            status = 0 if loop.run_until_complete(case(record, add_router)) else 1
-        except CannotRun as failure:
-            print(f"the case couldn't run: {failure}")
-        except Exception as failure:
-            print(f"the case couldn't run: {failure!r}")
-        finally:
-            for router in routers:
-                router.end()
-            if os.environ.get("KEEP_LOGS"):
-                subprocess.run(["cp", "-r", temporary, os.environ["KEEP_LOGS"]], check=False)
-    sys.stdout.flush()
-    # What is left of the stand-ins' connections ends with this process.
-    os._exit(status)
+    temporary = tempfile.mkdtemp(prefix="auburnlb-review-")
+
+    def finish(status):
+        for router in routers:
+            router.end()
+        shutil.rmtree(temporary, ignore_errors=True)
+        sys.stdout.flush()
+        # What is left of the stand-ins' connections ends with this process.
+        os._exit(status)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, lambda *_: finish(2))
+    signal.alarm(LONGEST_RUN_S)
+    end_with_parent(signal.SIGTERM)
+
+    def add_router(name, zone, store_address, bounds=None):
+        router = Router(name, zone, store_address, temporary, record, bounds)
+        routers.append(router)
+        return router
+
+    try:
+        status = 0 if asyncio.new_event_loop().run_until_complete(case(record, add_router)) else 1
+    except Exception as failure:
+        print(f"the case couldn't run: {failure!r}")
+        status = 2
+    finish(status)
