Search each byte of an incomplete event once

Cause: event_splitter::feed() copied the incomplete event and searched it from its first byte at each chunk, so that a body in small chunks took quadratic time in the router's only thread.

Change: new bytes are appended, and the search goes on where it stopped; the event is joined once, when it is complete or too large.

--- a/include/auburnlb/protocol/event_splitter.hpp
+++ b/include/auburnlb/protocol/event_splitter.hpp
@@ -67,9 +67,15 @@
 
 private:
     void record_event(std::string_view event, event_batch& batch);
+    /// Returns the incomplete event, which ends with the input, or the input if
+    /// there is none.
+    std::string_view join_partial_event(std::string_view input);
 
     /// Bytes of the incomplete event at the end of the input.
     std::string partial_event_;
+    /// How many of these contain no end of the event. They are not searched
+    /// again, since an event may come in many small pieces.
+    std::size_t searched_bytes_ = 0;
     /// Buffer of the last batch if it began in an earlier input.
     std::string joined_input_;
     /// Bytes since the last event that has an identifier.
--- a/src/protocol/event_splitter.cpp
+++ b/src/protocol/event_splitter.cpp
@@ -51,23 +51,30 @@
     return false;
 }
 
-/// Returns the end of the event that begins at `from`, or npos if the event is
-/// incomplete.
-std::size_t find_event_end(std::string_view bytes, std::size_t from)
+/// Returns the end of the event, or npos if it is incomplete.
+/// @param from where the search begins; then where it goes on once there are
+/// more bytes
+std::size_t find_event_end(std::string_view bytes, std::size_t& from)
 {
     while (true)
     {
         std::size_t const line_end = bytes.find('\n', from);
         if (line_end == std::string_view::npos)
         {
+            from = bytes.size();
             return std::string_view::npos;
         }
+        from = line_end;
         std::size_t next = line_end + 1;
         if (next < bytes.size() && bytes[next] == '\r')
         {
             ++next;
         }
-        if (next < bytes.size() && bytes[next] == '\n')
+        if (next == bytes.size())
+        {
+            return std::string_view::npos;
+        }
+        if (bytes[next] == '\n')
         {
             return next + 1;
         }
@@ -131,25 +138,38 @@
     batch.last_id_ = id;
 }
 
-event_batch event_splitter::feed(std::string_view bytes)
+std::string_view event_splitter::join_partial_event(std::string_view bytes)
 {
-    if (!partial_event_.empty())
+    if (partial_event_.empty())
     {
-        joined_input_ = std::move(partial_event_);
-        joined_input_.append(bytes);
-        partial_event_.clear();
-        bytes = joined_input_;
+        return bytes;
     }
-    else
+    joined_input_ = std::move(partial_event_);
+    partial_event_.clear();
+    return joined_input_;
+}
+
+event_batch event_splitter::feed(std::string_view bytes)
+{
+    joined_input_ = {};
+    if (!partial_event_.empty())
     {
-        joined_input_ = {};
+        partial_event_.append(bytes);
+        std::size_t const end = find_event_end(partial_event_, searched_bytes_);
+        bool const is_too_large = partial_event_.size() > max_event_bytes;
+        if (end == std::string::npos && !is_too_large)
+        {
+            return {};
+        }
     }
+    bytes = join_partial_event(bytes);
     event_batch batch;
     std::size_t consumed = 0;
+    std::size_t searched = 0;
     while (consumed < bytes.size() && batch.is_valid() &&
            text_bytes_ <= max_event_bytes)
     {
-        std::size_t const end = find_event_end(bytes, consumed);
+        std::size_t const end = find_event_end(bytes, searched);
         if (end == std::string_view::npos)
         {
             break;
@@ -158,6 +178,7 @@
         if (batch.is_valid())
         {
             consumed = end;
+            searched = end;
         }
     }
     batch.bytes_ = bytes.substr(0, consumed);
@@ -166,6 +187,7 @@
     if (batch.is_valid())
     {
         partial_event_.assign(bytes.substr(consumed));
+        searched_bytes_ = searched - consumed;
     }
     return batch;
 }
--- /dev/null
+++ b/test/process/small_chunks_test.py
@@ -0,0 +1,95 @@
+"""Answers that come in very small chunks, some without end: a router goes on
+serving everybody else."""
+
+import threading
+import time
+import unittest
+
+from platform_cluster import DESK, HOST, Caller
+from raw_engine import RawDeployment, answer
+
+# Half of what the users allow a request beyond its timeout.
+LONGEST_CALL_S = 0.25
+CALL_GAP_S = 0.02
+# Chunks in one write.
+BLOCK_CHUNKS = 1000
+FAULT_S = 2.0
+ROUTE = {"name": "feed", "host": HOST, "path-prefix": "/feed/", "kind": "streaming",
+         "timeout-ms": 6000, "latency-target-ms": 500, "priority": 1, "service": DESK,
+         "max-attempts": 2, "public": False, "resumable": True, "gap-aim-ms": 200}
+
+
+def chunk(data, extension=b""):
+    return b"%x%s\r\n%s\r\n" % (len(data), extension, data)
+
+
+def head(request_id, content_type):
+    return (f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\n"
+            f"Auburnlb-Request-Id: {request_id}\r\nAuburnlb-Response-Stamp: stamp\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n").encode()
+
+
+def event(number):
+    return b"id: %d\ndata: piece-%d\n\n" % (number, number)
+
+
+class SmallChunksTest(unittest.TestCase):
+
+    def check_calls_beside(self, piece, content_type="text/event-stream", events=0):
+        """Calls to a service while its answers on another route are pieces without end."""
+        begun = threading.Event()
+
+        def answer_without_end(exchange, _):
+            if not exchange.target.startswith("/feed/"):
+                exchange.write(answer(exchange.request_id))
+                return True
+            exchange.write(head(exchange.request_id, content_type))
+            for number in range(1, events + 1):
+                exchange.write(chunk(event(number)))
+            begun.set()
+            while True:
+                exchange.write(piece * BLOCK_CHUNKS)
+
+        with RawDeployment(engines=2, routes=[ROUTE]) as system:
+            system.serve_by(answer_without_end)
+            stream = threading.Thread(target=self.ask, args=(system,))
+            stream.start()
+            self.assertTrue(begun.wait(5))
+            longest = 0.0
+            end = time.monotonic() + FAULT_S
+            while time.monotonic() < end:
+                began = time.monotonic()
+                call = system.look(system.router, f"look-{began}")
+                longest = max(longest, time.monotonic() - began)
+                self.assertEqual(call.status, 200)
+                time.sleep(CALL_GAP_S)
+            stream.join()
+            print(f"{piece!r}: longest call {longest * 1000:.0f} ms")
+            self.assertLess(longest, LONGEST_CALL_S)
+
+    @staticmethod
+    def ask(system):
+        """The answer never becomes whole."""
+        return Caller(system.router, "POST", "/feed/x", "feed-1")
+
+    def test_comments_without_end_hold_up_no_other_calls(self):
+        self.check_calls_beside(chunk(b":\n"))
+
+    def test_lines_without_end_hold_up_no_other_calls(self):
+        self.check_calls_beside(chunk(b"data: x\n"))
+
+    def test_comments_without_end_after_events_hold_up_no_other_calls(self):
+        self.check_calls_beside(chunk(b":\n"), events=5)
+
+    def test_single_bytes_without_end_hold_up_no_other_calls(self):
+        self.check_calls_beside(chunk(b"x"))
+
+    def test_single_bytes_with_chunk_extensions_hold_up_no_other_calls(self):
+        self.check_calls_beside(chunk(b"x", b";name=value"))
+
+    def test_single_bytes_of_no_event_stream_hold_up_no_other_calls(self):
+        self.check_calls_beside(chunk(b"x"), content_type="text/plain")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/protocol/event_splitter_test.cpp
+++ b/test/protocol/event_splitter_test.cpp
@@ -1,4 +1,5 @@
 // Tests of splitting bytes into server-sent events.
+#include <chrono>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -163,6 +164,42 @@
     EXPECT_EQ(batch.bytes_, input);
 }
 
+// Reading such an event used to take seconds, in which nobody was served.
+TEST(event_splitter, an_event_without_end_in_small_pieces_takes_little_time)
+{
+    constexpr std::chrono::milliseconds longest_time{500};
+    for (std::string const piece : {":\n", "x", "data: x\n", ":\r\n"})
+    {
+        event_splitter splitter;
+        event_batch batch;
+        auto const began = std::chrono::steady_clock::now();
+        while (!batch.is_too_large_)
+        {
+            batch = splitter.feed(piece);
+            ASSERT_TRUE(batch.bytes_.empty());
+        }
+        EXPECT_LT(std::chrono::steady_clock::now() - began, longest_time)
+            << piece;
+    }
+}
+
+TEST(event_splitter, an_end_that_comes_byte_by_byte_is_found)
+{
+    for (std::string const end : {"\n\n", "\r\n\r\n", "\n\r\n", "\r\n\n"})
+    {
+        std::string const whole = "id: 1\n:\ndata: a" + end;
+        event_splitter splitter;
+        std::string output;
+        for (char const each : whole)
+        {
+            EXPECT_TRUE(output.empty());
+            output += splitter.feed({&each, 1}).bytes_;
+        }
+        EXPECT_EQ(output, whole);
+        EXPECT_FALSE(splitter.is_inside_event());
+    }
+}
+
 RC_GTEST_PROP(event_splitter, output_does_not_depend_on_how_the_input_is_split,
               ())
 {
