Feed a superseded attempt's events without copying the splitter

What callers saw: none in the field.

Cause: on_superseded_body() copied the whole event splitter, with up to 256 KiB of an incomplete event, for each piece of the body.

Change: the splitter is fed in place. Only the complete events of a batch are copied, once, when the attempt is resumed.

--- a/src/router/request_supersession.cpp
+++ b/src/router/request_supersession.cpp
@@ -1,6 +1,7 @@
 // Two attempts of one request: a silent one, and the one sent in its place.
 #include "superseded_attempt.hpp"
 
+#include <string>
 #include <utility>
 
 #include "auburnlb/router/http_status.hpp"
@@ -153,23 +154,21 @@
         on_response_body(piece);
         return;
     }
-    // A copy, since the batch refers to the splitter's buffer.
-    event_splitter events = superseded_->events_;
-    event_batch const batch = events.feed(piece);
-    if (!batch.is_valid())
+    event_batch batch = superseded_->events_.feed(piece);
+    bool const is_usable =
+        batch.is_valid() &&
+        hold_partial_event(*superseded_->attempt_, superseded_->events_);
+    if (!is_usable)
     {
         fail_superseded(attempt_outcome::broken);
         return;
     }
-    if (!hold_partial_event(*superseded_->attempt_, events))
-    {
-        fail_superseded(attempt_outcome::broken);
-        return;
-    }
-    superseded_->events_ = events;
     // A stalled engine may go on sending comments.
     if (batch.events_ > 0)
     {
+        // The batch refers to the splitter's buffer, which is moved.
+        std::string const events(batch.bytes_);
+        batch.bytes_ = events;
         resume_superseded("progress");
         on_events(batch);
     }
