Collect a message's hop-by-hop fields once

What callers saw: none in the field.

Cause: is_hop_by_hop_field() searched all fields for "Connection", and its list for the name, for each field that was written.

Change: the names are collected once for each head, in a set.

--- a/include/auburnlb/router/http_message.hpp
+++ b/include/auburnlb/router/http_message.hpp
@@ -4,7 +4,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,8 +53,19 @@
 /// Returns the text without spaces and tabs at its ends.
 std::string_view trim(std::string_view text);
 
-/// Whether a header field is hop-by-hop and must not be forwarded.
-bool is_hop_by_hop_field(http_head const& head, std::string_view name);
+/// The header fields of a message that are hop-by-hop and must not be
+/// forwarded.
+class hop_by_hop_fields
+{
+public:
+    explicit hop_by_hop_fields(http_head const& head);
+
+    bool contains(std::string_view name) const;
+
+private:
+    /// In lower case, with those that the message itself names.
+    std::set<std::string, std::less<>> names_;
+};
 
 /// Appends a header field line.
 void append_field(std::string& out, std::string_view name,
--- a/src/router/caller_connection.cpp
+++ b/src/router/caller_connection.cpp
@@ -41,10 +41,10 @@
 
 void append_fields(std::string& out, http_head const& head)
 {
+    hop_by_hop_fields const hop_by_hop(head);
     for (http_field const& field : head.fields_)
     {
-        if (!is_hop_by_hop_field(head, field.name_) &&
-            !is_length_field(field.name_))
+        if (!hop_by_hop.contains(field.name_) && !is_length_field(field.name_))
         {
             append_field(out, field.name_, field.value_);
         }
--- a/src/router/http_message.cpp
+++ b/src/router/http_message.cpp
@@ -18,7 +18,7 @@
 constexpr int invalid = -1;
 
 /// Fields that are always hop-by-hop.
-constexpr std::array<std::string_view, 9> hop_by_hop_fields{
+constexpr std::array<std::string_view, 9> always_hop_by_hop{
     "connection", "keep-alive",       "proxy-authenticate",
     "te",         "trailer",          "proxy-authorization",
     "upgrade",    "proxy-connection", "transfer-encoding"};
@@ -29,23 +29,11 @@
         std::tolower(static_cast<unsigned char>(letter)));
 }
 
-/// Whether a comma-separated list contains the name.
-bool contains_name(std::string_view list, std::string_view name)
+std::string in_lower_case(std::string_view text)
 {
-    while (!list.empty())
-    {
-        std::size_t const comma = list.find(',');
-        if (equals_ignoring_case(trim(list.substr(0, comma)), name))
-        {
-            return true;
-        }
-        if (comma == std::string_view::npos)
-        {
-            return false;
-        }
-        list.remove_prefix(comma + 1);
-    }
-    return false;
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), to_lower);
+    return lower;
 }
 
 /// Whether the end of the body can be found before the connection ends.
@@ -93,18 +81,23 @@
     return found == fields_.end() ? nullptr : &found->value_;
 }
 
-bool is_hop_by_hop_field(http_head const& head, std::string_view name)
+hop_by_hop_fields::hop_by_hop_fields(http_head const& head)
+    : names_(always_hop_by_hop.begin(), always_hop_by_hop.end())
 {
-    bool const is_always_hop_by_hop =
-        std::any_of(hop_by_hop_fields.begin(), hop_by_hop_fields.end(),
-                    [&](std::string_view each)
-                    { return equals_ignoring_case(each, name); });
-    if (is_always_hop_by_hop)
+    std::string const* const named = head.find("connection");
+    std::string_view list = named == nullptr ? std::string_view() : *named;
+    while (!list.empty())
     {
-        return true;
+        std::size_t const comma = list.find(',');
+        names_.insert(in_lower_case(trim(list.substr(0, comma))));
+        list.remove_prefix(
+            comma == std::string_view::npos ? list.size() : comma + 1);
     }
-    std::string const* const named = head.find("connection");
-    return named != nullptr && contains_name(*named, name);
+}
+
+bool hop_by_hop_fields::contains(std::string_view name) const
+{
+    return names_.contains(in_lower_case(name));
 }
 
 void append_field(std::string& out, std::string_view name,
--- a/test/platform/requests_test.cpp
+++ b/test/platform/requests_test.cpp
@@ -1,4 +1,5 @@
 // Tests of requests and answers on the wire.
+#include <chrono>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -253,3 +254,24 @@
         EXPECT_TRUE(platform::read_response(head).has_repeated_fields_);
     }
 }
+
+// Each field used to be compared with all others, in the router's only thread.
+TEST(platform_requests, a_head_with_many_fields_takes_little_time)
+{
+    constexpr int fields = 30'000;
+    constexpr std::chrono::milliseconds longest_time{250};
+    http_head head = usual_head();
+    std::string connection = "close";
+    for (int count = 0; count < fields; ++count)
+    {
+        std::string const name = "x" + std::to_string(count);
+        head.fields_.push_back({name, ""});
+        connection += ",y" + std::to_string(count);
+    }
+    head.fields_.push_back({"Connection", connection});
+    auto const began = std::chrono::steady_clock::now();
+    std::string const text = platform::write_request(head, "", usual_request());
+    EXPECT_LT(std::chrono::steady_clock::now() - began, longest_time);
+    EXPECT_TRUE(contains(text, "\r\nx29999: \r\n"));
+    EXPECT_FALSE(contains(text, "Connection"));
+}
--- a/test/router/http_message_test.cpp
+++ b/test/router/http_message_test.cpp
@@ -188,9 +188,10 @@
 {
     http_head head;
     head.fields_ = {{"Connection", "close, X-Own"}};
-    EXPECT_TRUE(is_hop_by_hop_field(head, "x-own"));
-    EXPECT_TRUE(is_hop_by_hop_field(head, "TE"));
-    EXPECT_FALSE(is_hop_by_hop_field(head, "X-Other"));
+    hop_by_hop_fields const fields(head);
+    EXPECT_TRUE(fields.contains("x-own"));
+    EXPECT_TRUE(fields.contains("TE"));
+    EXPECT_FALSE(fields.contains("X-Other"));
 }
 
 RC_GTEST_PROP(http_reader, message_is_independent_of_read_sizes, ())
