Send streams of plain services back to the servers that they may use

Cause: max_sends (5) bounds how often a stream is sent, since one of a split model may go to the same engine over another path. Only start_on_path() kept to the number of different endpoints; start_on_endpoint() and has_alternative() always chose one that the stream had not been sent to.

Change: choose_next_endpoint() takes a new endpoint below the limit, else one that the request was sent to and that does not run it now. While both that it may use are silent, the stream waits for whichever goes on first, and nothing runs elsewhere. If all that it may use are gone, it ends at once instead of waiting in the queue for one (split models too). attempt_limits names sends, which it counts, no longer endpoints.

--- a/include/auburnlb/coordination/attempt_outcome.hpp
+++ b/include/auburnlb/coordination/attempt_outcome.hpp
@@ -31,11 +31,11 @@
 {
     /// Whether the request may run more than once.
     bool may_repeat_ = false;
-    /// Number of endpoints that the request may be sent to.
-    std::uint32_t max_endpoints_ = 1;
-    /// Number of endpoints that the request was sent to, not counting those
-    /// that it did not reach.
-    std::uint32_t endpoints_ = 0;
+    /// How often the request may be sent, also to the same endpoint again.
+    std::uint32_t max_sends_ = 1;
+    /// How often the request was sent, not counting attempts that did not reach
+    /// their endpoint.
+    std::uint32_t sends_ = 0;
     /// Whether enough time is left for another attempt.
     bool has_time_ = true;
     /// Whether the retry budget allows another attempt.
--- a/include/auburnlb/router/forwarded_request.hpp
+++ b/include/auburnlb/router/forwarded_request.hpp
@@ -122,11 +122,21 @@
     /// Whether the request is better refused than queued.
     bool is_refused_by_queue(waiting_request const& entry, time_point now);
     void enqueue(time_point now);
+    /// Leaves the queue if the request is in it.
+    void stop_waiting();
     /// Records that an endpoint had capacity.
     void record_started(time_point now);
 
     bool start_on_path(time_point now);
     bool start_on_endpoint(time_point now);
+    /// Returns the endpoint of the next attempt at a service without layers.
+    /// @param busy_ids endpoints that run the request now
+    endpoint_ptr find_endpoint(std::vector<std::string> busy_ids,
+                               time_point now) const;
+    /// Whether the request was sent to as many endpoints as its route allows.
+    bool may_only_return() const;
+    /// Whether all endpoints that the request may be sent to are gone.
+    bool has_no_endpoint_left() const;
     void send(endpoint_ptr const& first, std::vector<path_part> const& path,
               time_point now);
     /// The urgency that endpoints are told.
--- a/src/coordination/attempt_outcome.cpp
+++ b/src/coordination/attempt_outcome.cpp
@@ -66,11 +66,11 @@
     {
         return attempt_denial::suspicion;
     }
-    if (limits.endpoints_ >= limits.max_endpoints_)
+    if (limits.sends_ >= limits.max_sends_)
     {
         return attempt_denial::attempts;
     }
-    // An attempt that was not sent counts neither against the endpoints nor
+    // An attempt that was not sent counts neither against the sends nor
     // against the retry budget.
     if (outcome == attempt_outcome::not_sent)
     {
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -190,7 +190,12 @@
     auto const keep_alive = shared_from_this();
     if (now < deadline_)
     {
-        if (awaited_retry_)
+        if (is_waiting_ && has_no_endpoint_left())
+        {
+            stop_waiting();
+            refuse_waiting(now);
+        }
+        else if (awaited_retry_)
         {
             check_awaited_retry(now);
         }
@@ -203,8 +208,7 @@
     drop_superseded("ended");
     if (is_waiting_)
     {
-        remove_waiting(service().queue_, ticket_);
-        service().waiting_.erase(ticket_);
+        stop_waiting();
         refuse_waiting(now);
         return;
     }
@@ -219,15 +223,20 @@
                std::nullopt);
 }
 
-void forwarded_request::on_caller_left()
+void forwarded_request::stop_waiting()
 {
-    auto const keep_alive = shared_from_this();
-    close_connection(*attempt_);
-    if (is_waiting_)
+    if (std::exchange(is_waiting_, false))
     {
         remove_waiting(service().queue_, ticket_);
         service().waiting_.erase(ticket_);
     }
+}
+
+void forwarded_request::on_caller_left()
+{
+    auto const keep_alive = shared_from_this();
+    close_connection(*attempt_);
+    stop_waiting();
     end_request("caller_left", 0);
 }
 
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -59,11 +59,11 @@
 {
     attempt_limits limits;
     limits.may_repeat_ = is_retryable();
-    // A stream that was sent to all the endpoints that it may be sent to can
-    // still be sent to one of them again, over another path.
-    limits.max_endpoints_ =
+    // A stream that was sent to all the endpoints that its route allows can
+    // still be sent to one of them again.
+    limits.max_sends_ =
         is_stream() ? max_sends : std::min(route_->max_attempts_, max_sends);
-    limits.endpoints_ = send_count_;
+    limits.sends_ = send_count_;
     limits.has_time_ = deadline_ - now > min_attempt_time;
     limits.may_have_run_ = may_have_run_;
     limits.is_suspect_ = is_suspected(core_.crash_causes_, traits_);
--- a/src/router/request_queueing.cpp
+++ b/src/router/request_queueing.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "auburnlb/coordination/next_endpoint.hpp"
 #include "auburnlb/coordination/request_rank.hpp"
 #include "auburnlb/coordination/start_order.hpp"
 #include "auburnlb/router/http_status.hpp"
@@ -93,15 +94,27 @@
     return entry;
 }
 
+bool forwarded_request::may_only_return() const
+{
+    return sent_to_.ids_.size() >= route_->max_attempts_;
+}
+
+bool forwarded_request::has_no_endpoint_left() const
+{
+    return may_only_return() &&
+           !has_endpoint_left(endpoints_of(core_.directory_, service_name_),
+                              sent_to_, route_->max_attempts_);
+}
+
 void forwarded_request::enqueue(time_point now)
 {
     waiting_request const entry = make_queue_entry(now);
     service_runtime& runtime = service();
     // A request that has not run and has no other endpoint left does better as
     // a new one.
-    bool const may_come_back = sent_to_.ids_.size() >= route_->max_attempts_ &&
-                               !may_have_run_ && event_count_ == 0;
-    if (is_refused_by_queue(entry, now) ||
+    bool const may_come_back =
+        may_only_return() && !may_have_run_ && event_count_ == 0;
+    if (has_no_endpoint_left() || is_refused_by_queue(entry, now) ||
         is_backoff_too_long(entry, backoff_end(false, now),
                             may_come_back && !entry.has_turn_))
     {
@@ -179,19 +192,22 @@
     auto endpoints = endpoints_of(core_.directory_, service_name_);
     std::vector<std::string> const attempted =
         is_new_request ? std::vector<std::string>() : sent_to_.ids_;
+    bool const is_limited = !is_new_request && may_only_return();
     if (is_model())
     {
-        bool const is_limited = attempted.size() >= route_->max_attempts_;
         return auburnlb::backoff_end(
             path_begins(endpoints,
                         is_limited ? attempted : std::vector<std::string>()),
             now);
     }
+    bool const returns = is_limited && is_stream();
     std::erase_if(endpoints,
-                  [&attempted](endpoint_ptr const& each)
+                  [&attempted, returns](endpoint_ptr const& each)
                   {
-                      return std::find(attempted.begin(), attempted.end(),
-                                       each->record_.id_) != attempted.end();
+                      bool const was_attempted =
+                          std::find(attempted.begin(), attempted.end(),
+                                    each->record_.id_) != attempted.end();
+                      return was_attempted != returns;
                   });
     return auburnlb::backoff_end(endpoints, now);
 }
--- a/src/router/request_response.cpp
+++ b/src/router/request_response.cpp
@@ -306,8 +306,14 @@
     attempt_->connection_.reset();
     switch (failure)
     {
-    case exchange_failure::not_connected:
     case exchange_failure::refused:
+        if (may_only_return())
+        {
+            // The request ends if its other endpoints are gone as well.
+            core_.prober_.probe(attempt_->reservations_.front().endpoint_);
+        }
+        [[fallthrough]];
+    case exchange_failure::not_connected:
         end_attempt(attempt_outcome::not_sent,
                     "the connection could not be established");
         return;
--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "auburnlb/coordination/next_endpoint.hpp"
 #include "auburnlb/coordination/request_rank.hpp"
 
 namespace auburnlb
@@ -95,7 +96,7 @@
     demand.data_centre_ = core_.options_.data_centre_;
     demand.may_cross_ = may_cross(core_.services_[service_name_].links_, model,
                                   core_.live_router_count_, now);
-    if (sent_to_.ids_.size() >= route_->max_attempts_)
+    if (may_only_return())
     {
         demand.allowed_first_ids_ = sent_to_.ids_;
     }
@@ -290,11 +291,21 @@
     return true;
 }
 
+endpoint_ptr forwarded_request::find_endpoint(std::vector<std::string> busy_ids,
+                                              time_point now) const
+{
+    next_attempt next;
+    next.attempted_ = sent_to_;
+    next.max_endpoints_ = route_->max_attempts_;
+    next.may_return_ = is_stream();
+    next.busy_ids_ = std::move(busy_ids);
+    return choose_next_endpoint(endpoints_of(core_.directory_, service_name_),
+                                core_.options_.data_centre_, next, now);
+}
+
 bool forwarded_request::start_on_endpoint(time_point now)
 {
-    endpoint_ptr const endpoint =
-        choose_endpoint(endpoints_of(core_.directory_, service_name_),
-                        core_.options_.data_centre_, sent_to_.ids_, now);
+    endpoint_ptr const endpoint = find_endpoint({superseded_endpoint()}, now);
     if (endpoint == nullptr)
     {
         return false;
@@ -388,9 +399,8 @@
         return find_path(make_demand(now), superseded_endpoint(), now)
             .has_value();
     }
-    return choose_endpoint(endpoints_of(core_.directory_, service_name_),
-                           core_.options_.data_centre_, sent_to_.ids_,
-                           now) != nullptr;
+    return find_endpoint({superseded_endpoint(), sent_to_.last_id_}, now) !=
+           nullptr;
 }
 
 bool forwarded_request::has_separate_alternative(time_point now) const
--- a/src/router/request_stop.cpp
+++ b/src/router/request_stop.cpp
@@ -135,11 +135,7 @@
     }
     auto const keep_alive = shared_from_this();
     close_connection(*attempt_);
-    if (is_waiting_)
-    {
-        remove_waiting(service().queue_, ticket_);
-        service().waiting_.erase(ticket_);
-    }
+    stop_waiting();
     switch (ending)
     {
     case stop_ending::refuse:
--- a/src/router/request_supersession.cpp
+++ b/src/router/request_supersession.cpp
@@ -56,11 +56,7 @@
         return false;
     }
     auto const old = std::move(superseded_);
-    if (std::exchange(is_waiting_, false))
-    {
-        remove_waiting(service().queue_, ticket_);
-        service().waiting_.erase(ticket_);
-    }
+    stop_waiting();
     stop_awaiting_retry();
     close_connection(*attempt_);
     release_reservations(*attempt_);
--- a/test/coordination/attempt_outcome_test.cpp
+++ b/test/coordination/attempt_outcome_test.cpp
@@ -13,16 +13,16 @@
 {
     attempt_limits limits;
     limits.may_repeat_ = true;
-    limits.max_endpoints_ = 2;
-    limits.endpoints_ = 1;
+    limits.max_sends_ = 2;
+    limits.sends_ = 1;
     return limits;
 }
 
 attempt_limits at_most_once()
 {
     attempt_limits limits;
-    limits.max_endpoints_ = 2;
-    limits.endpoints_ = 1;
+    limits.max_sends_ = 2;
+    limits.sends_ = 1;
     return limits;
 }
 
@@ -78,7 +78,7 @@
               attempt_denial::none);
     limits.may_repeat_ = false;
     EXPECT_EQ(denial_after(outcome, limits), attempt_denial::kind);
-    limits.endpoints_ = limits.max_endpoints_;
+    limits.sends_ = limits.max_sends_;
     EXPECT_EQ(denial_after(outcome, limits), attempt_denial::attempts);
     limits.is_suspect_ = true;
     EXPECT_EQ(denial_after(outcome, limits), attempt_denial::suspicion);
@@ -128,7 +128,7 @@
 TEST(attempt_outcome, endpoint_limit_and_crash_suspicion_prevent_retries)
 {
     attempt_limits limits = repeatable();
-    limits.endpoints_ = limits.max_endpoints_;
+    limits.sends_ = limits.max_sends_;
     EXPECT_NE(decide_after(attempt_outcome::broken, limits),
               attempt_decision::retry);
     limits = repeatable();
@@ -141,8 +141,8 @@
               never_retries_a_non_repeatable_request_that_may_have_run, ())
 {
     attempt_limits limits;
-    limits.max_endpoints_ = *rc::gen::inRange(1U, 4U);
-    limits.endpoints_ = *rc::gen::inRange(0U, 4U);
+    limits.max_sends_ = *rc::gen::inRange(1U, 4U);
+    limits.sends_ = *rc::gen::inRange(0U, 4U);
     limits.has_time_ = *rc::gen::arbitrary<bool>();
     limits.has_budget_ = *rc::gen::arbitrary<bool>();
     limits.is_suspect_ = *rc::gen::arbitrary<bool>();
--- a/test/process/raw_engine.py
+++ b/test/process/raw_engine.py
@@ -38,10 +38,12 @@
 class Exchange:
     """One request on a connection, which answers it by write()."""
 
-    def __init__(self, connection, method, target, request_id, number):
+    def __init__(self, connection, method, target, request_id, number, last_event_id=0):
         self.connection = connection
         self.method, self.target = method, target
         self.request_id = request_id
+        # The event after which a stream goes on; 0 for its beginning.
+        self.last_event_id = last_event_id
         # How many requests the connection carried before.
         self.number = number
 
@@ -110,7 +112,8 @@
             fields[name.strip().lower()] = value.strip().decode()
         reader.read(int(fields.get(b"content-length", "0")))
         return Exchange(connection, words[0].decode(), words[1].decode(),
-                        fields.get(b"auburnlb-request-id", ""), number)
+                        fields.get(b"auburnlb-request-id", ""), number,
+                        int(fields.get(b"last-event-id", "0")))
 
     @staticmethod
     def report():
@@ -119,12 +122,13 @@
                                  ("Content-Length", len(body))], body)
 
     def close(self):
-        self.listener.close()
-        for each in self.connections:
+        # A thread that waits in accept() would keep a closed listener open.
+        for each in [self.listener, *self.connections]:
             try:
                 each.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
+        self.listener.close()
 
 
 class RawDeployment(PlatformCluster):
