Let a router's next process inherit the retries that it has used

Cause: a process did not know what the one before it had repeated, and had a budget of its own from its start.

Change: a router that uses more than a tenth of its retries writes their number into its object in the store, twice a second at most, and once more when they have left the window. Creating that object tells a new process whether there was an earlier one, and its reply or the list what that has used; this counts in the first window. While it is not known, and if all is used, 0.15 of the limit may be used, which earlier processes have left. In calm there is no call that there was not before. Registration has a class of its own now.

Weighed: no memory at all, 0.15 for each process in its first window, would lose streams after every restart. Asking the other routers does not help when all are killed.

--- a/include/auburnlb/coordination/retry_window.hpp
+++ b/include/auburnlb/coordination/retry_window.hpp
@@ -34,8 +34,8 @@
 };
 
 /// Requests and retries of one service at one router.
-/// Invariant: in any window, the retries and those lent to other routers are at
-/// most ratio * requests + slack / routers, reduced by a safety margin.
+/// Invariant: in any window, the retries, those lent to other routers and those
+/// of earlier processes are at most ratio * requests + slack / routers.
 /// Borrowed retries are in addition to that, as their lender counts them.
 struct retry_window
 {
@@ -53,6 +53,9 @@
     /// then: a previous process may have used it, and a new one does not know
     /// yet how many routers share it.
     time_point began_{};
+    /// Retries of earlier processes of this router that may be in the window
+    /// together with those of this one; infinite while they are not known.
+    double inherited_ = 0;
     std::vector<retry_loan> lent_;
     std::vector<retry_loan> borrowed_;
 
@@ -80,6 +83,16 @@
 void borrow_retries(retry_window& window, std::uint32_t count,
                     time_point asked_at);
 
+/// Returns the retries that a process which follows this one inherits: those in
+/// the window, with those lent and those inherited.
+double used_retries(retry_window& window, retry_limits const& limits,
+                    time_point now);
+
+/// Returns the retries that may be used in a window.
+/// @param routers number of routers that share the slack, at least 1
+double allowed_retries(retry_window& window, retry_limits const& limits,
+                       std::uint32_t routers, time_point now);
+
 /// Returns the number of retries that are left now, with the borrowed ones.
 double retries_left(retry_window& window, retry_limits const& limits,
                     std::uint32_t routers, time_point now);
--- a/include/auburnlb/router/router.hpp
+++ b/include/auburnlb/router/router.hpp
@@ -24,6 +24,7 @@
 #include "auburnlb/router/placement_controller.hpp"
 #include "auburnlb/router/retry_exchange.hpp"
 #include "auburnlb/router/router_core.hpp"
+#include "auburnlb/router/router_registration.hpp"
 #include "auburnlb/router/store_feed.hpp"
 
 namespace auburnlb
@@ -135,7 +136,6 @@
     peer_exchange_handlers exchange_handlers();
     local_response handle_control_request(http_head const& head,
                                           std::string const& body);
-    void sync_router_list(time_point now);
     /// Adds a router from the store's list. A malformed entry is logged and
     /// ignored.
     void add_listed_router(nlohmann::json const& value);
@@ -154,6 +154,7 @@
     retry_exchange retries_;
     placement_controller placement_;
     crash_store crash_store_;
+    router_registration registration_;
     listener caller_listener_;
     local_server ready_server_;
     local_server control_server_;
@@ -167,14 +168,12 @@
     time_point last_tick_{};
     std::chrono::steady_clock::time_point last_steady_{};
     time_point next_slow_tick_{};
-    time_point next_router_sync_{};
     /// All connections were in use when this was last checked.
     bool has_no_connection_left_ = false;
     bool has_endpoints_ = false;
     /// The store was restored from a copy during the life of this process.
     bool was_store_restored_ = false;
     bool is_watching_ = true;
-    bool is_registered_ = false;
 };
 
 } // namespace auburnlb
--- a/include/auburnlb/router/router_core.hpp
+++ b/include/auburnlb/router/router_core.hpp
@@ -23,6 +23,7 @@
 #include "auburnlb/coordination/prefill_share.hpp"
 #include "auburnlb/coordination/refused_callers.hpp"
 #include "auburnlb/coordination/retry_borrowing.hpp"
+#include "auburnlb/coordination/retry_record.hpp"
 #include "auburnlb/coordination/retry_window.hpp"
 #include "auburnlb/coordination/wait_queue.hpp"
 #include "auburnlb/router/connection_pool.hpp"
@@ -101,6 +102,8 @@
     internal_http_client http_client_;
     endpoint_prober prober_;
     time_point started_at_{};
+    /// Of the processes of this router before this one.
+    earlier_retries earlier_retries_;
     std::map<std::string, service_runtime> services_;
     /// Tokens a second that arrive at the other routers, by service. Contains
     /// services that have had no request at this router.
@@ -141,6 +144,9 @@
                                         model_profile const& model,
                                         time_point now);
 
+/// Returns the retries of a service, with what is known of earlier processes.
+retry_window& retries_of(router_core& core, std::string const& service_name);
+
 /// Counts crashes that this router did not confirm itself.
 void count_learned_crashes(router_core& core, char const* source,
                            std::size_t crashes);
--- a/src/coordination/retry_window.cpp
+++ b/src/coordination/retry_window.cpp
@@ -18,6 +18,10 @@
 /// the routers' clocks and for requests in transit.
 constexpr double used_share = 0.8;
 
+/// Fraction of the limit that a process may use in its first window, whatever
+/// earlier ones have used: they have left that much.
+constexpr double first_window_share = 0.15;
+
 /// A borrower may use a loan for this long after it asked for it. What is lent
 /// is lost to the lender until then and for a window after.
 constexpr milliseconds loan_lifetime{1'000};
@@ -58,24 +62,54 @@
     return count;
 }
 
+/// Returns the time since the process began, in windows; 1 for a longer one.
+double age_of(retry_window const& window, retry_limits const& limits,
+              time_point now)
+{
+    double const age = std::chrono::duration<double>(now - window.began_) /
+                       std::chrono::duration<double>(limits.window_);
+    return std::clamp(age, 0.0, 1.0);
+}
+
+double retries_in(retry_window const& window)
+{
+    double retries = count_of(window.lent_);
+    for (retry_window::slot const& each : window.slots_)
+    {
+        retries += each.retries_;
+    }
+    return retries;
+}
+
+/// Returns the limit of this router.
+/// @param slack_share the part of its slack that is available
+double limit_of(retry_window const& window, retry_limits const& limits,
+                std::uint32_t routers, double slack_share)
+{
+    double requests = 0;
+    for (retry_window::slot const& each : window.slots_)
+    {
+        requests += each.requests_;
+    }
+    return limits.ratio_ * requests +
+           limits.slack_ / std::max(routers, 1U) * slack_share;
+}
+
 /// Returns the retries left of this router's own.
 double own_retries_left(retry_window& window, retry_limits const& limits,
                         std::uint32_t routers, time_point now)
 {
     current_slot(window, limits, now);
     expire_loans(window.lent_, now);
-    double requests = 0;
-    double retries = count_of(window.lent_);
-    for (retry_window::slot const& each : window.slots_)
+    double const age = age_of(window, limits, now);
+    double const limit = limit_of(window, limits, routers, age);
+    double usable = limit * used_share;
+    if (age < 1)
     {
-        requests += each.requests_;
-        retries += each.retries_;
+        usable =
+            std::max(usable - window.inherited_, limit * first_window_share);
     }
-    double const age = std::chrono::duration<double>(now - window.began_) /
-                       std::chrono::duration<double>(limits.window_);
-    double const shared =
-        limits.slack_ / std::max(routers, 1U) * std::clamp(age, 0.0, 1.0);
-    return (limits.ratio_ * requests + shared) * used_share - retries;
+    return usable - retries_in(window);
 }
 
 } // namespace
@@ -124,6 +158,22 @@
     window.borrowed_.push_back({count, asked_at + loan_lifetime});
 }
 
+double used_retries(retry_window& window, retry_limits const& limits,
+                    time_point now)
+{
+    current_slot(window, limits, now);
+    expire_loans(window.lent_, now);
+    bool const is_first_window = age_of(window, limits, now) < 1;
+    return retries_in(window) + (is_first_window ? window.inherited_ : 0);
+}
+
+double allowed_retries(retry_window& window, retry_limits const& limits,
+                       std::uint32_t routers, time_point now)
+{
+    current_slot(window, limits, now);
+    return limit_of(window, limits, routers, 1);
+}
+
 double retries_left(retry_window& window, retry_limits const& limits,
                     std::uint32_t routers, time_point now)
 {
--- a/src/router/forwarded_request.cpp
+++ b/src/router/forwarded_request.cpp
@@ -38,8 +38,8 @@
         return;
     }
     service_runtime& runtime = request->service();
-    runtime.retries_.began_ = core.started_at_;
-    record_request(runtime.retries_, core.options_.retries_, received);
+    record_request(retries_of(core, request->service_name_),
+                   core.options_.retries_, received);
     if (request->is_model())
     {
         path_demand const demand = request->make_demand(received);
--- a/src/router/http_message.cpp
+++ b/src/router/http_message.cpp
@@ -90,8 +90,8 @@
     {
         std::size_t const comma = list.find(',');
         names_.insert(in_lower_case(trim(list.substr(0, comma))));
-        list.remove_prefix(
-            comma == std::string_view::npos ? list.size() : comma + 1);
+        list.remove_prefix(comma == std::string_view::npos ? list.size()
+                                                           : comma + 1);
     }
 }
 
--- a/src/router/request_failure.cpp
+++ b/src/router/request_failure.cpp
@@ -69,8 +69,9 @@
     limits.is_suspect_ = is_suspected(core_.crash_causes_, traits_);
     limits.has_delivered_ = caller_->has_begun_response();
     auto& runtime = core_.services_[service_name_];
-    double const left = retries_left(runtime.retries_, core_.options_.retries_,
-                                     core_.router_count_, now);
+    double const left =
+        retries_left(retries_of(core_, service_name_), core_.options_.retries_,
+                     core_.router_count_, now);
     limits.has_budget_ = outcome == attempt_outcome::not_sent || left >= 1;
     bool const has_waited = awaited_retry_ && now >= awaited_retry_->end_;
     limits.may_borrow_ = core_.live_router_count_ > 1 && !has_waited &&
@@ -181,8 +182,8 @@
 {
     if (outcome != attempt_outcome::not_sent)
     {
-        try_acquire_retry(service().retries_, core_.options_.retries_,
-                          core_.router_count_, now);
+        try_acquire_retry(retries_of(core_, service_name_),
+                          core_.options_.retries_, core_.router_count_, now);
     }
     core_.metrics_.add("auburnlb_router_repeats_total",
                        std::string("reason=\"") + to_string(outcome) + "\"");
--- a/src/router/retry_exchange.cpp
+++ b/src/router/retry_exchange.cpp
@@ -82,11 +82,9 @@
     {
         return 0;
     }
-    retry_window& window = core_.services_[service].retries_;
-    window.began_ = core_.started_at_;
     std::uint32_t const lent =
-        lend_retries(window, core_.options_.retries_, core_.router_count_,
-                     wanted, core_.clock_.now());
+        lend_retries(retries_of(core_, service), core_.options_.retries_,
+                     core_.router_count_, wanted, core_.clock_.now());
     core_.metrics_.add("auburnlb_router_retries_lent_total",
                        service_label(service), lent);
     return lent;
@@ -106,8 +104,9 @@
 void retry_exchange::request_loans(std::string const& service, time_point now)
 {
     service_runtime& runtime = core_.services_[service];
-    double const left = retries_left(runtime.retries_, core_.options_.retries_,
-                                     core_.router_count_, now);
+    double const left =
+        retries_left(retries_of(core_, service), core_.options_.retries_,
+                     core_.router_count_, now);
     for (loan_request const& each :
          next_loan_requests(runtime.borrowing_, left, routers_(), now))
     {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "auburnlb/router/forwarded_request.hpp"
 #include "auburnlb/router/http_status.hpp"
 #include "auburnlb/state/log.hpp"
@@ -42,6 +44,9 @@
                [this] { return peers_.responding_routers(); })
     , placement_(core_, core_.http_client_)
     , crash_store_(core_, core_.http_client_)
+    , registration_(core_, core_.http_client_,
+                    [this](nlohmann::json const& value)
+                    { add_listed_router(value); })
     , caller_listener_(io, [this](asio::ip::tcp::socket socket)
                        { on_accepted(std::move(socket)); })
     , ready_server_(io, clock,
@@ -285,7 +290,7 @@
     apply_refused_traits();
     ready_server_.on_tick(now);
     control_server_.on_tick(now);
-    sync_router_list(now);
+    registration_.on_tick(now);
     update_gauges();
 }
 
--- a/src/router/router_core.cpp
+++ b/src/router/router_core.cpp
@@ -54,6 +54,14 @@
     return runtime.capacity_;
 }
 
+retry_window& retries_of(router_core& core, std::string const& service_name)
+{
+    retry_window& window = core.services_[service_name].retries_;
+    window.began_ = core.started_at_;
+    window.inherited_ = inherited_retries(core.earlier_retries_, service_name);
+    return window;
+}
+
 void count_learned_crashes(router_core& core, char const* source,
                            std::size_t crashes)
 {
--- a/src/router/router_platform.cpp
+++ b/src/router/router_platform.cpp
@@ -18,17 +18,8 @@
 namespace
 {
 
-/// Interval between reads of the router list in the store.
-constexpr milliseconds router_list_interval{30'000};
-
-constexpr milliseconds registration_retry_interval{1'000};
-
-constexpr milliseconds store_timeout{800};
-
 constexpr char unnamed_reason[] = "the entry has no readable name";
 
-constexpr char router_object_kind[] = "routers";
-
 entries_delta to_delta(std::vector<store_object> const& objects,
                        store_version const& version, bool is_whole)
 {
@@ -161,8 +152,7 @@
     {
         was_store_restored_ = true;
         // The copy may be older than this router's registration.
-        is_registered_ = false;
-        next_router_sync_ = core_.clock_.now();
+        registration_.on_store_restored();
         crash_store_.on_store_restored();
     }
     record_age const age = was_store_restored_ && delta.is_full_
@@ -396,53 +386,4 @@
     log(log_level::warning, log_event::frame_rejected, {}, failure.what());
 }
 
-void router::sync_router_list(time_point now)
-{
-    if (now < next_router_sync_ || core_.is_stopping_)
-    {
-        return;
-    }
-    next_router_sync_ = now + registration_retry_interval;
-    if (!is_registered_)
-    {
-        store_object object;
-        object.name_ = core_.options_.name_;
-        object.value_ = dump_text(
-            nlohmann::json{{"control", core_.options_.control_address_},
-                           {"data_centre", core_.options_.data_centre_}});
-        core_.http_client_.call(
-            core_.options_.store_address_,
-            core_.protocol_.write_put_call_(router_object_kind, object),
-            store_timeout,
-            [this](result<http_reply> const& reply)
-            {
-                is_registered_ =
-                    reply && (reply.value().head_.status_ == status_ok ||
-                              reply.value().head_.status_ == status_created ||
-                              reply.value().head_.status_ == status_conflict);
-            });
-        return;
-    }
-    next_router_sync_ = now + router_list_interval;
-    core_.http_client_.call(
-        core_.options_.store_address_,
-        core_.protocol_.write_list_call_(router_object_kind, ""), store_timeout,
-        [this](result<http_reply> const& reply)
-        {
-            if (!reply || reply.value().head_.status_ != status_ok)
-            {
-                return;
-            }
-            auto const page = core_.protocol_.read_page_(reply.value().body_);
-            if (!page)
-            {
-                return;
-            }
-            for (store_object const& each : page.value().objects_)
-            {
-                add_listed_router(parse_shallow_json(each.value_));
-            }
-        });
-}
-
 } // namespace auburnlb
--- a/test/coordination/retry_window_test.cpp
+++ b/test/coordination/retry_window_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the retry limit in a sliding window.
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -70,6 +71,55 @@
     EXPECT_LE(soon, all / 4);
 }
 
+// Two processes used to spend up to twice the limit of the window with both.
+TEST(retry_window, a_process_and_the_one_before_it_stay_within_the_limit)
+{
+    retry_window before;
+    auto const used = static_cast<double>(take_all(before, 1, later));
+    for (double const inherited :
+         {used, used / 2, 0.0, std::numeric_limits<double>::infinity()})
+    {
+        retry_window after;
+        after.began_ = later;
+        after.inherited_ = inherited;
+        int taken = 0;
+        for (int second = 0; second < 10; ++second)
+        {
+            taken += take_all(after, 1, later + seconds(second));
+        }
+        double const earlier = std::min(used, inherited);
+        EXPECT_LE(earlier + taken, limits.slack_ * 0.95);
+        EXPECT_GE(taken, limits.slack_ * 0.1);
+    }
+}
+
+TEST(retry_window, retries_of_earlier_processes_leave_the_window)
+{
+    retry_window window;
+    window.began_ = later;
+    window.inherited_ = std::numeric_limits<double>::infinity();
+    EXPECT_LE(take_all(window, 1, later + seconds(9)), 14);
+    EXPECT_GE(take_all(window, 1, later + seconds(10)), 50);
+    EXPECT_LE(used_retries(window, limits, later + seconds(10)), 72);
+}
+
+TEST(retry_window, many_restarts_in_a_row_stay_within_the_limit)
+{
+    retry_window first;
+    int taken = take_all(first, 1, later);
+    double inherited = taken;
+    for (int restart = 0; restart < 5; ++restart)
+    {
+        retry_window window;
+        window.began_ = later + seconds(2 * restart);
+        window.inherited_ = inherited;
+        time_point const end = window.began_ + milliseconds(1'900);
+        taken += take_all(window, 1, end);
+        inherited = used_retries(window, limits, end);
+    }
+    EXPECT_LE(taken, limits.slack_);
+}
+
 TEST(retry_window, a_fleet_that_restarts_at_once_stays_within_the_limit)
 {
     constexpr int routers = 100;
--- a/test/process/platform_cluster.py
+++ b/test/process/platform_cluster.py
@@ -237,6 +237,7 @@
         router.callers, router.ready, router.control = callers, ready, control
         # What stays when another process takes the ports over.
         router.node, router.zone = name, zone
+        router.retry_slack = retry_slack
         router.watch_end()
         router.settings = path
         self.seeds.append(address)
@@ -247,7 +248,8 @@
         """Starts a router that has ended once more, at its ports."""
         place = self.routers.index(router)
         self.add_router(router.node, router.zone,
-                        ports=(router.callers, router.ready, router.control))
+                        ports=(router.callers, router.ready, router.control),
+                        retry_slack=router.retry_slack)
         self.seeds.pop()
         self.routers[place] = self.routers.pop()
         return self.routers[place]
