Read the list until the router's own revision is known

The record of retries can't be written without the revision, and a reply to the creation does not have to contain it; the list was read again after 30 s only. Lint: three findings of the linter in the new sources and tests are mended with it.

--- a/src/coordination/next_endpoint.cpp
+++ b/src/coordination/next_endpoint.cpp
@@ -32,7 +32,7 @@
     attempted_endpoints const& attempted = next.attempted_;
     if (attempted.ids_.size() < next.max_endpoints_)
     {
-        endpoint_ptr const unused =
+        endpoint_ptr unused =
             choose_endpoint(endpoints, data_centre, attempted.ids_, now);
         if (unused != nullptr || !next.may_return_)
         {
@@ -48,8 +48,7 @@
                   { return !was_sent_to(attempted, *each); });
     std::vector<std::string> excluded_ids = next.busy_ids_;
     excluded_ids.push_back(attempted.last_id_);
-    if (auto const earlier =
-            choose_endpoint(used, data_centre, excluded_ids, now))
+    if (auto earlier = choose_endpoint(used, data_centre, excluded_ids, now))
     {
         return earlier;
     }
--- a/src/router/router_registration.cpp
+++ b/src/router/router_registration.cpp
@@ -23,7 +23,8 @@
 /// Interval between reads of the list.
 constexpr milliseconds list_interval{30'000};
 
-constexpr milliseconds registration_retry_interval{1'000};
+/// Interval between attempts to register.
+constexpr milliseconds retry_interval{1'000};
 
 /// Shortest interval between two writes of the record.
 constexpr milliseconds write_interval{500};
@@ -60,8 +61,9 @@
     {
         return;
     }
-    next_sync_ =
-        now + (is_registered_ ? list_interval : registration_retry_interval);
+    // The list tells the revision if the reply to the creation has not.
+    bool const is_complete = is_registered_ && revision_ != 0;
+    next_sync_ = now + (is_complete ? list_interval : retry_interval);
     if (is_registered_)
     {
         list();
--- a/test/router/connection_pool_test.cpp
+++ b/test/router/connection_pool_test.cpp
@@ -150,7 +150,8 @@
 class hasty_endpoint
 {
 public:
-    hasty_endpoint(asio::io_context& io, std::string response, upload_end end)
+    hasty_endpoint(asio::io_context& io, std::string const& response,
+                   upload_end end)
         : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
         , socket_(io)
     {
