--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -80,6 +80,15 @@
     EXPECT_EQ(table.limits_.idle_timeout_, milliseconds(15'000));
 }
 
+// Calls of such a route would not be sent at all.
+TEST(platform_configuration, a_route_without_attempts_has_one)
+{
+    json value = configuration();
+    value["routes"][0]["max-attempts"] = 0;
+    route_table const table = platform::read_route_table(value.dump()).value();
+    EXPECT_EQ(table.routes_.front().max_attempts_, 1U);
+}
+
 TEST(platform_configuration, an_unknown_kind_promises_most)
 {
     json document = configuration();
