--- a/test/process/max_attempts_test.py
+++ b/test/process/max_attempts_test.py
@@ -7,8 +7,10 @@
 import time
 import unittest
 
-from platform_cluster import DESK, HOST, Caller, in_background
+from cluster import wait_until
+from platform_cluster import DESK, HOST, Caller, calm, in_background
 from raw_engine import RawDeployment, answer
+from silent_engine_test import engines_running
 
 MAX_ATTEMPTS = 2
 SERVERS = 5
@@ -128,6 +130,23 @@
             self.assertFalse(stream.is_whole)
             self.assertLess(stream.ended_at - ended_at, LONGEST_END_S)
 
+    def test_stream_of_a_model_whose_first_engines_are_gone_ends_at_once(self):
+        with calm() as system:
+            begun = threading.Event()
+            task = in_background(system.stream, system.routers[0], "stream", None,
+                                 lambda _: begun.set())
+            self.assertTrue(begun.wait(5))
+            first, = engines_running(system, "stream")
+            system.engines[first].kill()
+            wait_until(lambda: len(running := engines_running(system, "stream")) > 0
+                       and running[0] != first, "the stream goes on")
+            second, = engines_running(system, "stream")
+            killed_at = time.monotonic()
+            system.engines[second].kill()
+            stream = task.result()
+            self.assertFalse(stream.is_whole)
+            self.assertLess(stream.ended_at - killed_at, LONGEST_END_S)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/process/silent_engine_test.py
+++ b/test/process/silent_engine_test.py
@@ -18,9 +18,9 @@
 
 
 def engines_running(system, request_id):
-    """Names of the engines that a request was sent to, the first of its path."""
-    return [name for name, engine in system.engines.items()
-            if request_id in json.loads(request(engine.port, "GET", "/fake/runs")[2])["runs"]]
+    """Names of the live engines that a request was sent to, the first of its path."""
+    return [name for name, engine in system.engines.items() if engine.child.poll() is None
+            and request_id in json.loads(request(engine.port, "GET", "/fake/runs")[2])["runs"]]
 
 
 def silence(system, names, seconds=SILENCE_S):
