Count the attempt in progress as busy, not the last one sent

Cause: after a superseded attempt was resumed, the last endpoint that the request was sent to is not the one that runs it. A second silence then found the running endpoint as an alternative to itself; the stream took a retry and waited in the queue until its attempt went on.

--- a/src/router/request_sending.cpp
+++ b/src/router/request_sending.cpp
@@ -399,8 +399,9 @@
         return find_path(make_demand(now), superseded_endpoint(), now)
             .has_value();
     }
-    return find_endpoint({superseded_endpoint(), sent_to_.last_id_}, now) !=
-           nullptr;
+    std::string const& current =
+        attempt_->reservations_.front().endpoint_->record_.id_;
+    return find_endpoint({superseded_endpoint(), current}, now) != nullptr;
 }
 
 bool forwarded_request::has_separate_alternative(time_point now) const
