Share the stand-in's stream route and head between tests

max_attempts_test and small_chunks_test had a route and a head of their own; both stand in raw_engine.py now.

--- a/test/process/raw_engine.py
+++ b/test/process/raw_engine.py
@@ -8,13 +8,18 @@
 import time
 
 from cluster import request, wait_until
-from platform_cluster import DESK, PlatformCluster
+from platform_cluster import DESK, HOST, PlatformCluster
 
 # Draws where answers are cut; seeded, so that a failure can be played again.
 CUTS = random.Random(21)
 # Between two pieces of an answer, so that they are read one by one.
 PIECE_GAP_S = 0.0005
 
+# Streams of a service without layers.
+FEED_ROUTE = {"name": "feed", "host": HOST, "path-prefix": "/feed/", "kind": "streaming",
+              "timeout-ms": 8000, "latency-target-ms": 500, "priority": 1, "service": DESK,
+              "max-attempts": 2, "public": False, "resumable": True, "gap-aim-ms": 200}
+
 
 def render(status, fields, body=b""):
     lines = [f"HTTP/1.1 {status}"] + [f"{name}: {value}" for name, value in fields]
@@ -30,6 +35,12 @@
                            ("Content-Length", len(body))], body)
 
 
+def stream_head(request_id, content_type="text/event-stream"):
+    return render("200 OK", [("Content-Type", content_type), ("Auburnlb-Request-Id", request_id),
+                             ("Auburnlb-Response-Stamp", "stamp"),
+                             ("Transfer-Encoding", "chunked")])
+
+
 def refusal(request_id, status="503 Service Unavailable"):
     return render(status, [("Auburnlb-Request-Id", request_id), ("Auburnlb-Not-Executed", "1"),
                            ("Content-Length", 0)])
