--- a/include/auburnlb/coordination/retry_window.hpp
+++ b/include/auburnlb/coordination/retry_window.hpp
@@ -50,8 +50,7 @@
     };
     std::deque<slot> slots_;
     /// Start of the process. The slack becomes available over one window from
-    /// then: a previous process may have used it, and a new one does not know
-    /// yet how many routers share it.
+    /// then, since a new process does not know yet how many routers share it.
     time_point began_{};
     /// Retries of earlier processes of this router that may be in the window
     /// together with those of this one; infinite while they are not known.
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -116,7 +116,7 @@
 def tell(port, variant):
     try:
         request(port, "POST", "/fake/fault", variant)
-    except OSError:
+    except ConnectionError:
         pass
 
 
